Keep prompts where they are cached, and send only on evidence

Shared parts of prompts were read again at most joins and spills, since their places followed the hash order alone. Routers now remember where parts are cached and tell each other of new places.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,6 +1,6 @@
 //! All services of a router.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 use bamboospur_registry::{Announcement, Start};
@@ -8,8 +8,9 @@
 
 use crate::demand::{Choice, Demand, NoChoice};
 use crate::health::Outcome;
+use crate::homes::{CacheId, Home, Homes};
 use crate::load::LoadReport;
-use crate::pool::{Pool, Target};
+use crate::pool::{Pool, Target, shared_hash};
 use crate::settings::DispatchSettings;
 
 /// Chooses targets for the requests of one router.
@@ -18,6 +19,7 @@
     settings: DispatchSettings,
     data_centre: String,
     pools: BTreeMap<String, Pool>,
+    homes: Homes,
     rng: Rng,
 }
 
@@ -29,12 +31,13 @@
             settings,
             data_centre: data_centre.to_owned(),
             pools: BTreeMap::new(),
+            homes: Homes::default(),
             rng: Rng::new(seed),
         }
     }
 
     /// Replaces the usable targets; those that stay keep their state.
-    pub fn update(&mut self, usable: &[&Announcement]) {
+    pub fn update(&mut self, usable: &[&Announcement], now: Instant) {
         let mut pools: BTreeMap<String, Pool> = BTreeMap::new();
         for news in usable {
             let known = self.target(&news.service, &news.name, news.start).cloned();
@@ -46,6 +49,9 @@
             pool.targets.insert(news.name.clone(), target);
         }
         self.pools = pools;
+        let targets = self.pools.values().flat_map(|pool| pool.targets.values());
+        let caches: BTreeSet<CacheId> = targets.map(|target| target.cache).collect();
+        self.homes.retain(|cache| caches.contains(&cache), now);
     }
 
     /// Chooses a target and counts the attempt as under way.
@@ -59,13 +65,31 @@
             .pools
             .get_mut(demand.service)
             .ok_or(NoChoice::NoTarget)?;
-        let choice = pool.choose(demand, &self.settings, tie, now)?;
+        let shared = shared_hash(demand.prompt);
+        let homes = self.homes.caches(shared);
+        let choice = pool.choose(demand, homes, &self.settings, tie, now)?;
         if let Some(target) = pool.targets.get_mut(&choice.name) {
             target.load.own += 1;
+            if !demand.prompt.is_empty() {
+                let cache = target.cache;
+                self.homes.used(Home { shared, cache }, now);
+            }
         }
         Ok(choice)
     }
 
+    /// Takes what other routers say about cached prompts.
+    pub fn learn(&mut self, homes: impl IntoIterator<Item = Home>, now: Instant) {
+        for home in homes {
+            self.homes.learn(home, now);
+        }
+    }
+
+    /// Takes what other routers do not know about cached prompts.
+    pub fn take_news(&mut self) -> Vec<Home> {
+        self.homes.take_news()
+    }
+
     /// Takes what an answer said about its target.
     pub fn report(&mut self, service: &str, choice: &Choice, report: LoadReport, now: Instant) {
         if let Some(target) = self.target_mut(service, &choice.name, choice.start) {
@@ -82,6 +106,14 @@
         }
     }
 
+    /// Records a failure of an attempt that has already ended.
+    pub fn blame(&mut self, service: &str, choice: &Choice, now: Instant) {
+        let settings = self.settings;
+        if let Some(target) = self.target_mut(service, &choice.name, choice.start) {
+            target.health.record(Outcome::Failed, &settings, now);
+        }
+    }
+
     /// Returns the number of usable targets of a service.
     #[must_use]
     pub fn usable(&self, service: &str) -> usize {
--- /dev/null
+++ b/crates/dispatch/src/homes.rs
@@ -0,0 +1,97 @@
+//! Where the shared parts of prompts are cached.
+//!
+//! Reading a long shared part a second time costs more than a longer queue, so a
+//! prompt stays with the targets that have read its shared parts until they are
+//! at their bound. Routers tell each other of new places; an entry is a hint, and
+//! an entry that is wrong costs one more read.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Hash of the parts that a prompt shares with others.
+pub type SharedHash = u64;
+/// Identity of one start of a target.
+pub type CacheId = u64;
+
+/// News that a target has read the shared parts of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Home {
+    /// Shared parts.
+    pub shared: SharedHash,
+    /// Target.
+    pub cache: CacheId,
+}
+
+/// Entries that were not used for this time are dropped; engines drop parts that
+/// were not used for long, too.
+const MEMORY: Duration = Duration::from_mins(2);
+/// Most entries; the ones that were not used longest go first.
+const MAX_ENTRIES: usize = 50_000;
+
+#[derive(Clone, Debug)]
+struct Entry {
+    caches: Vec<CacheId>,
+    used_at: Instant,
+}
+
+/// Known places of shared parts.
+#[derive(Clone, Debug, Default)]
+pub struct Homes {
+    entries: BTreeMap<SharedHash, Entry>,
+    news: Vec<Home>,
+}
+
+impl Homes {
+    /// Returns the targets that have the shared parts.
+    pub fn caches(&self, shared: SharedHash) -> &[CacheId] {
+        self.entries.get(&shared).map_or(&[], |e| &e.caches)
+    }
+
+    /// Records a request that was sent; it is news when the place is new.
+    pub fn used(&mut self, home: Home, now: Instant) {
+        if self.add(home, now) {
+            self.news.push(home);
+        }
+    }
+
+    /// Records what another router has done.
+    pub fn learn(&mut self, home: Home, now: Instant) {
+        self.add(home, now);
+    }
+
+    /// Takes the news for other routers.
+    pub fn take_news(&mut self) -> Vec<Home> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Forgets targets that are not usable and entries that are old.
+    pub fn retain(&mut self, usable: impl Fn(CacheId) -> bool, now: Instant) {
+        self.entries.retain(|_, entry| {
+            entry.caches.retain(|&cache| usable(cache));
+            !entry.caches.is_empty() && now < entry.used_at + MEMORY
+        });
+    }
+
+    fn add(&mut self, home: Home, now: Instant) -> bool {
+        if self.entries.len() >= MAX_ENTRIES {
+            self.drop_oldest();
+        }
+        let entry = self.entries.entry(home.shared).or_insert_with(|| Entry {
+            caches: Vec::new(),
+            used_at: now,
+        });
+        entry.used_at = now;
+        let new = !entry.caches.contains(&home.cache);
+        if new {
+            entry.caches.push(home.cache);
+        }
+        new
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self.entries.iter().min_by_key(|(_, e)| e.used_at);
+        if let Some((&shared, _)) = oldest {
+            self.entries.remove(&shared);
+        }
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,9 +5,10 @@
 //! about their load, and how its requests fared. It does no I/O and takes the
 //! time as a parameter.
 //!
-//! - Requests with a prompt follow consistent hashing with bounded loads
-//!   (Mirrokni, Thorup, Zadimoghaddam, 2016): the parts that a prompt shares
-//!   with others are hashed to an order of targets that is the same on every
+//! - Requests with a prompt stay with the targets that have read the shared parts
+//!   of the prompt while those are below a bound. A new place follows consistent
+//!   hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam, 2016): the
+//!   shared parts are hashed to an order of targets that is the same on every
 //!   router, and the first target below the bound takes the request.
 //! - Other requests go where the wait is expected to be shortest: requests under
 //!   way times the smoothed latency.
@@ -17,6 +18,7 @@
 mod demand;
 mod dispatcher;
 mod health;
+mod homes;
 mod load;
 mod pool;
 mod settings;
@@ -24,5 +26,6 @@
 pub use demand::{Choice, Demand, NoChoice, PromptPart};
 pub use dispatcher::Dispatcher;
 pub use health::Outcome;
+pub use homes::{CacheId, Home, SharedHash};
 pub use load::LoadReport;
 pub use settings::DispatchSettings;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -10,6 +10,7 @@
 
 use crate::demand::{Choice, Demand, NoChoice, PromptPart};
 use crate::health::Health;
+use crate::homes::{CacheId, SharedHash};
 use crate::load::Load;
 use crate::settings::DispatchSettings;
 
@@ -22,7 +23,10 @@
     pub address: SocketAddr,
     pub is_local: bool,
     pub slots: u32,
+    /// Hash of its name, for rendezvous hashing.
     pub hash: u64,
+    /// Identity of this start, whose cache began empty.
+    pub cache: CacheId,
     pub load: Load,
     pub health: Health,
 }
@@ -35,6 +39,7 @@
             is_local,
             slots: news.slots,
             hash: mix_node(stable_id(&news.name)),
+            cache: mix64(stable_id(&news.name) ^ mix64(news.start.0)),
             load: Load::new(),
             health: Health::new(settings),
         }
@@ -57,6 +62,7 @@
     pub fn choose(
         &self,
         demand: &Demand<'_>,
+        homes: &[CacheId],
         settings: &DispatchSettings,
         tie: u64,
         now: Instant,
@@ -88,7 +94,7 @@
         Ok(if demand.prompt.is_empty() {
             by_expected_wait(&open, settings, tie, now)
         } else {
-            by_prompt(&open, demand.prompt, mean, settings)
+            by_prompt(&open, shared_hash(demand.prompt), homes, mean, settings)
         })
     }
 
@@ -158,7 +164,7 @@
 }
 
 /// Hash of the parts that a prompt shares with others.
-fn shared_hash(prompt: &[PromptPart]) -> u64 {
+pub fn shared_hash(prompt: &[PromptPart]) -> SharedHash {
     let shared = match prompt {
         [only] => std::slice::from_ref(only),
         [shared @ .., _] => shared,
@@ -171,24 +177,31 @@
 
 fn by_prompt(
     open: &[Candidate<'_>],
-    prompt: &[PromptPart],
+    shared: SharedHash,
+    homes: &[CacheId],
     mean: f64,
     settings: &DispatchSettings,
 ) -> Choice {
-    let key = shared_hash(prompt);
     let mut order: Vec<&Candidate<'_>> = open.iter().collect();
-    let score = |c: &Candidate<'_>| score_mixed(key, c.target.hash, 1.0);
+    let score = |c: &Candidate<'_>| score_mixed(shared, c.target.hash, 1.0);
     order.sort_by(|a, b| score(b).total_cmp(&score(a)));
+    let ranked = || order.iter().enumerate();
+    let least_loaded =
+        |a: &(usize, &&Candidate<'_>), b: &(usize, &&Candidate<'_>)| a.1.load.total_cmp(&b.1.load);
+    let stay = mean * settings.stay_factor + settings.stay_slack;
+    let at_home = ranked().filter(|(_, c)| homes.contains(&c.target.cache));
+    let home = at_home
+        .filter(|(_, c)| c.load + 1.0 <= stay)
+        .min_by(least_loaded);
+    if let Some((rank, candidate)) = home {
+        return chosen(candidate, stay, rank);
+    }
     let bound = mean * settings.load_factor + settings.load_slack;
-    let below = order.iter().position(|c| c.load + 1.0 <= bound);
-    let least = || {
-        let loads = order.iter().enumerate();
-        loads
-            .min_by(|a, b| a.1.load.total_cmp(&b.1.load))
-            .map_or(0, |(rank, _)| rank)
-    };
-    let rank = below.unwrap_or_else(least);
-    chosen(order[rank], bound, rank)
+    let below = ranked().find(|(_, c)| c.load + 1.0 <= bound);
+    let (rank, candidate) = below
+        .or_else(|| ranked().min_by(least_loaded))
+        .unwrap_or((0, &order[0]));
+    chosen(candidate, bound, rank)
 }
 
 fn by_expected_wait(
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -5,7 +5,14 @@
 /// Bounds and weights of a dispatcher.
 #[derive(Clone, Copy, Debug)]
 pub struct DispatchSettings {
-    /// A target takes a prompt while its load is at most this multiple of the
+    /// A prompt stays where its shared parts are cached while the load there is
+    /// at most this multiple of the mean, and [`Self::stay_slack`]. It is less
+    /// than the deployments' bound of twice the mean plus three, because loads
+    /// are estimates.
+    pub stay_factor: f64,
+    /// Requests above that multiple at which a prompt still stays.
+    pub stay_slack: f64,
+    /// A target takes a new prompt while its load is at most this multiple of the
     /// mean; the paper above shows that 1.25 keeps most keys in place.
     pub load_factor: f64,
     /// Requests above that multiple that are always allowed, so that a nearly
@@ -39,6 +46,8 @@
 impl Default for DispatchSettings {
     fn default() -> Self {
         Self {
+            stay_factor: 1.7,
+            stay_slack: 1.5,
             load_factor: 1.25,
             load_slack: 1.5,
             report_memory: Duration::from_secs(3),
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -1,6 +1,6 @@
 //! The task that owns the state of a control instance.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use bamboospur_agreement::Persist;
@@ -24,6 +24,8 @@
 const ROUND: Duration = Duration::from_millis(500);
 /// Reports of a target that may be missed before it counts as silent.
 const MISSED_REPORTS: u32 = 5;
+/// Places of cached prompts that are kept for routers that start.
+const MAX_HOMES: usize = 4_096;
 
 struct AcceptedLink {
     hello: Hello,
@@ -44,6 +46,8 @@
     unsent: BTreeMap<String, Announcement>,
     /// Targets that routers were told are silent.
     silent: BTreeSet<String>,
+    /// Newest places of cached prompts, oldest first.
+    homes: VecDeque<(u64, u64)>,
     round_at: Instant,
     disk_failed: bool,
 }
@@ -85,6 +89,7 @@
             waiters: Waiters::default(),
             unsent: BTreeMap::new(),
             silent: BTreeSet::new(),
+            homes: VecDeque::new(),
             round_at: now + ROUND,
             disk_failed: false,
         })
@@ -236,10 +241,22 @@
         }
     }
 
+    /// Passes on where prompts are cached, and keeps it for routers that start.
+    fn pass_on_homes(&mut self, from: LinkId, homes: Vec<(u64, u64)>) {
+        self.homes.extend(homes.iter().copied());
+        let excess = self.homes.len().saturating_sub(MAX_HOMES);
+        self.homes.drain(..excess);
+        self.send_to_routers_but(Some(from), &Frame::Homes(homes));
+    }
+
     fn send_to_routers(&mut self, frame: &Frame) {
+        self.send_to_routers_but(None, frame);
+    }
+
+    fn send_to_routers_but(&mut self, but: Option<LinkId>, frame: &Frame) {
         let mut full = Vec::new();
         for (&id, link) in &self.links {
-            let is_router = link.hello.address.is_none();
+            let is_router = link.hello.address.is_none() && but != Some(id);
             if is_router && link.frames.try_send(frame.clone()).is_err() {
                 full.push(id);
             }
@@ -272,7 +289,11 @@
         let all = self.registry.all().cloned().collect();
         let config = self.group.document();
         let config = (config.version > 0).then(|| Frame::Config(config.clone()));
-        let state = [Frame::Controls(self.peers.recent(now)), Frame::Targets(all)];
+        let state = [
+            Frame::Controls(self.peers.recent(now)),
+            Frame::Targets(all),
+            Frame::Homes(self.homes.iter().copied().collect()),
+        ];
         for frame in state.into_iter().chain(config) {
             // The queue of a new link has room.
             let _sent = frames.try_send(frame);
@@ -305,6 +326,7 @@
                 message: *message,
             }),
             Frame::Targets(announcements) => self.merge(announcements, false, now),
+            Frame::Homes(homes) => self.pass_on_homes(link, homes),
             Frame::Ask(asked) => self.asked(link, asked, now),
             Frame::Put { ticket, document } => {
                 let peer = hello.id;
--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -35,6 +35,9 @@
     Targets(Vec<Announcement>),
     /// Targets that have announced nothing for long.
     Silent(Vec<Announcement>),
+    /// Targets that have read the shared parts of prompts: hashes of the parts and
+    /// of the target.
+    Homes(Vec<(u64, u64)>),
     /// The configuration in force at the sender.
     Config(Document),
     /// Asks which configuration is in force; the number is returned.
--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bamboospur_catalog::RequestKind;
 use bamboospur_dispatch::{LoadReport, Outcome};
 use bamboospur_http1::ResponseHead;
 use bamboospur_http1::client::{ClientConnection, ClientError, request_bytes};
@@ -11,6 +10,7 @@
 use bamboospur_platform::request::{AttemptTerms, attempt_head};
 use tokio::time::{Instant, timeout_at};
 
+use super::evidence::Proved;
 use super::forward::{Job, is_event_stream};
 use super::relay::{RelayEnd, relay};
 use super::state::ActiveAttempt;
@@ -69,6 +69,21 @@
     Deadline,
 }
 
+impl AttemptEnd {
+    /// What the end proves about the request.
+    pub const fn proved(&self) -> Proved {
+        match self {
+            Self::NotSent | Self::NotRun => Proved::NotRun,
+            Self::Whole(_)
+            | Self::Relayed
+            | Self::CallerGone
+            | Self::Left
+            | Self::Failed
+            | Self::Deadline => Proved::MayHaveRun,
+        }
+    }
+}
+
 /// Result of waiting with patience.
 enum Waited<T> {
     Done(T),
@@ -144,13 +159,11 @@
             return Ok((connection, true));
         }
         let connect = ClientConnection::connect(address, CONNECT_TIMEOUT, SILENCE);
-        match timeout_at(self.job.deadline, connect).await {
-            Ok(Ok(connection)) => Ok((connection, false)),
-            Ok(Err(_)) | Err(_) => {
-                self.active.set(Outcome::Failed);
-                Err(AttemptEnd::NotSent)
-            }
+        if let Ok(Ok(connection)) = timeout_at(self.job.deadline, connect).await {
+            return Ok((connection, false));
         }
+        self.active.set(Outcome::Failed);
+        Err(AttemptEnd::NotSent)
     }
 
     fn request_bytes(&mut self) -> Vec<u8> {
@@ -247,13 +260,11 @@
             Waited::Left => return self.slow(AttemptEnd::Left),
             Waited::Deadline => return self.slow(AttemptEnd::Deadline),
         };
-        self.active.set(if head.status >= 500 {
-            Outcome::Failed
-        } else {
-            Outcome::Answered {
-                latency: self.sent_at.elapsed(),
-            }
-        });
+        // Whether a failure is the target's fault shows at the next target.
+        if head.status < 500 {
+            let latency = self.sent_at.elapsed();
+            self.active.set(Outcome::Answered { latency });
+        }
         self.keep(connection, &head);
         head.headers.remove_connection_fields();
         AttemptEnd::Whole(Answer { head, body })
@@ -345,7 +356,7 @@
     if let Ok(done) = timeout_at(patient_until, &mut part).await {
         return Waited::Done(done);
     }
-    let repeats = job.may_repeat() && job.route.kind != RequestKind::NotIdempotent;
+    let repeats = job.route.is_repeatable() && job.evidence.may_leave();
     let early = Instant::now() < job.deadline;
     if early && repeats && job.router.try_retry(&job.service.name) {
         return Waited::Left;
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bamboospur_dispatch::Home;
 use bamboospur_group::Document;
 use bamboospur_platform::config;
 use bamboospur_platform::settings::ProcessSettings;
@@ -25,6 +26,8 @@
 const ASK_PERIOD: Duration = Duration::from_millis(800);
 /// An address that no control instance has named for this time is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// Time between two batches of news about cached prompts.
+const NEWS_PERIOD: Duration = Duration::from_millis(100);
 
 enum Event {
     Link(LinkEvent),
@@ -62,6 +65,7 @@
 
 struct FollowedLink {
     link: Dialed,
+    up: bool,
     named_until: Instant,
 }
 
@@ -75,6 +79,7 @@
 impl Follower {
     async fn run(mut self, mut events: Receiver<Event>) {
         let mut ask = interval(ASK_PERIOD);
+        let mut news = interval(NEWS_PERIOD);
         loop {
             tokio::select! {
                 event = events.recv() => match event {
@@ -83,6 +88,7 @@
                     None => return,
                 },
                 _ = ask.tick() => self.ask(),
+                _ = news.tick() => self.send_news(),
             }
         }
     }
@@ -93,6 +99,7 @@
             let (hello, events) = (self.hello, &self.events);
             let followed = self.links.entry(address).or_insert_with(|| FollowedLink {
                 link: dial(address, hello, events.clone(), Event::Link),
+                up: false,
                 named_until,
             });
             followed.named_until = named_until;
@@ -111,14 +118,37 @@
         }
     }
 
+    /// Tells the other routers, through one control instance, where prompts are
+    /// cached.
+    fn send_news(&mut self) {
+        let mut up = self.links.values().filter(|followed| followed.up);
+        let Some(followed) = up.next() else {
+            return;
+        };
+        let news = self.router.dispatcher.borrow_mut().take_news();
+        if !news.is_empty() {
+            let homes = news.iter().map(|home| (home.shared, home.cache)).collect();
+            // Lost news costs other routers a read of the prompt.
+            let _sent = followed.link.send(Frame::Homes(homes));
+        }
+    }
+
+    fn set_up(&mut self, address: SocketAddr, up: bool) {
+        if let Some(followed) = self.links.get_mut(&address) {
+            followed.up = up;
+        }
+    }
+
     fn link(&mut self, event: LinkEvent) {
         match event {
             LinkEvent::Up(address) => {
                 info!(%address, "link to a control instance is up");
+                self.set_up(address, true);
                 self.ask();
             }
             LinkEvent::Down(address, error) => {
                 info!(%address, %error, "link to a control instance is down");
+                self.set_up(address, false);
             }
             LinkEvent::Frame(address, frame) => {
                 if let Some(followed) = self.links.get_mut(&address) {
@@ -134,6 +164,13 @@
             Frame::Controls(addresses) => self.follow(&addresses),
             Frame::Targets(announcements) => self.router.merge(announcements),
             Frame::Silent(silent) => self.router.silence(&silent),
+            Frame::Homes(homes) => {
+                let homes = homes
+                    .into_iter()
+                    .map(|(shared, cache)| Home { shared, cache });
+                let now = Instant::now();
+                self.router.dispatcher.borrow_mut().learn(homes, now);
+            }
             Frame::Config(document) => adopt(&self.router, &document),
             Frame::InForce {
                 asked,
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -15,12 +15,13 @@
 
 use super::admit::{Admitted, admit};
 use super::attempt::{Answer, Attempt, AttemptEnd};
+use super::evidence::{AttemptLimits, Evidence};
 use super::relay::Progress;
 use super::state::{ActiveAttempt, Router};
 use crate::clock::BootTime;
 
 /// Targets that one request is offered to, refusals included.
-const MAX_OFFERS: usize = 4;
+const MAX_OFFERS: u32 = 4;
 /// Time that a caller without a stated time waits.
 const DEFAULT_WAIT: Duration = Duration::from_secs(30);
 /// Callers honour a pause of up to a third of the time that they have left.
@@ -102,20 +103,15 @@
     pub deadline: Instant,
     /// What the caller has of a stream.
     pub progress: Progress,
+    pub evidence: Evidence,
     prompt: Vec<PromptPart>,
+    /// Targets that the request was offered to.
     tried: Vec<String>,
-    /// Attempts that may have run.
-    runs: u32,
+    /// Failure that a target answered, in case no other target does better.
+    held: Option<(Choice, Answer)>,
 }
 
 impl Job<'_> {
-    /// Whether another target may be tried after this attempt fails.
-    pub fn may_repeat(&self) -> bool {
-        self.route.is_repeatable()
-            && self.runs + 1 < self.route.max_attempts
-            && self.tried.len() + 1 < MAX_OFFERS
-    }
-
     fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -190,8 +186,13 @@
         progress: Progress::new(terms.last_event_id),
         terms,
         prompt,
+        evidence: Evidence::new(AttemptLimits {
+            repeatable: route.is_repeatable(),
+            runs: route.max_attempts,
+            offers: MAX_OFFERS,
+        }),
         tried: Vec::new(),
-        runs: 0,
+        held: None,
     })
 }
 
@@ -205,38 +206,50 @@
             let active = ActiveAttempt::new(self.router, &self.service.name, choice.clone());
             let end = Attempt::new(self, active).run(responder).await;
             trace.attempt(&choice, &end);
-            self.tried.push(choice.name);
-            let granted = matches!(end, AttemptEnd::Left);
+            self.tried.push(choice.name.clone());
+            self.evidence.record(end.proved());
             match end {
                 AttemptEnd::Relayed => return ResultCode::Ok,
                 AttemptEnd::CallerGone => return ResultCode::CallerGone,
-                AttemptEnd::Whole(answer) => {
-                    if answer.is_failure() && self.may_retry(true, false) {
-                        self.runs += 1;
-                        continue;
-                    }
+                AttemptEnd::Deadline => {
+                    return self.give_up(ResultCode::DeadlineExceeded, responder).await;
+                }
+                AttemptEnd::Whole(answer) if !answer.is_failure() => {
+                    self.blame_held();
                     return deliver(responder, &answer).await;
                 }
-                AttemptEnd::NotSent | AttemptEnd::NotRun => {
-                    let sent = matches!(end, AttemptEnd::NotRun);
-                    if !self.may_retry(sent, !sent) {
-                        return self.give_up(ResultCode::TargetRefused, responder).await;
+                AttemptEnd::Whole(answer) => {
+                    self.held = Some((choice, answer));
+                    if !self.may_retry(false) {
+                        return self.give_up(ResultCode::TargetFailed, responder).await;
                     }
                 }
-                AttemptEnd::Left | AttemptEnd::Failed => {
-                    self.runs += 1;
-                    if !self.may_run_again() || !self.may_retry(true, granted) {
+                // A connection that was not made does not arrive at the service,
+                // and the retry for an attempt that was left is already taken.
+                AttemptEnd::NotSent | AttemptEnd::Left => {
+                    if !self.may_retry(true) {
                         return self.give_up(ResultCode::TargetFailed, responder).await;
                     }
                 }
-                AttemptEnd::Deadline => {
-                    self.runs += 1;
-                    return self.give_up(ResultCode::DeadlineExceeded, responder).await;
+                AttemptEnd::NotRun | AttemptEnd::Failed => {
+                    if !self.may_retry(false) {
+                        return self.give_up(ResultCode::TargetFailed, responder).await;
+                    }
                 }
             }
         }
     }
 
+    /// A target whose failure another target does not repeat is at fault; a
+    /// failure that all repeat belongs to the request.
+    fn blame_held(&mut self) {
+        if let Some((choice, _)) = self.held.take() {
+            let mut dispatcher = self.router.dispatcher.borrow_mut();
+            let now = std::time::Instant::now();
+            dispatcher.blame(&self.service.name, &choice, now);
+        }
+    }
+
     fn choose(&self) -> Result<Choice, NoChoice> {
         let demand = Demand {
             service: &self.service.name,
@@ -251,25 +264,23 @@
             .choose(&demand, std::time::Instant::now())
     }
 
-    fn may_run_again(&self) -> bool {
-        self.route.is_repeatable() && self.runs < self.route.max_attempts
-    }
-
     /// Whether another target may be tried now. `granted` says that the budget
     /// was asked before or need not be.
-    fn may_retry(&self, counts_as_run: bool, granted: bool) -> bool {
-        let allowed = !counts_as_run || self.may_run_again() || self.runs == 0;
-        let repeats = self.route.is_repeatable() || self.runs == 0;
-        let room = self.tried.len() < MAX_OFFERS && !self.time_left().is_zero();
-        allowed && repeats && room && (granted || self.router.try_retry(&self.service.name))
+    fn may_retry(&self, granted: bool) -> bool {
+        let allowed = self.evidence.may_send_again() && !self.time_left().is_zero();
+        allowed && (granted || self.router.try_retry(&self.service.name))
     }
 
-    async fn no_choice(&self, no_choice: NoChoice, responder: &mut Responder<'_>) -> ResultCode {
+    async fn no_choice(
+        &mut self,
+        no_choice: NoChoice,
+        responder: &mut Responder<'_>,
+    ) -> ResultCode {
         let (code, room_in) = match no_choice {
             NoChoice::NoTarget => (ResultCode::NoTarget, NOT_READY_PAUSE),
             NoChoice::Full { room_in } => (ResultCode::Overloaded, room_in),
         };
-        if self.runs > 0 || self.progress.has_begun() {
+        if !self.evidence.proves_not_run() || self.progress.has_begun() {
             return self.give_up(ResultCode::TargetFailed, responder).await;
         }
         let pause = pause(self.router, room_in, self.time_left());
@@ -278,12 +289,15 @@
 
     /// Sends the final answer, at once. "Not run" is said only when no attempt
     /// can have run.
-    async fn give_up(&self, code: ResultCode, responder: &mut Responder<'_>) -> ResultCode {
+    async fn give_up(&mut self, code: ResultCode, responder: &mut Responder<'_>) -> ResultCode {
         if self.progress.has_begun() {
             // The caller sees that the stream ends without its end.
             return ResultCode::StreamBroken;
         }
-        if self.runs > 0 {
+        if let Some((_, answer)) = self.held.take() {
+            return deliver(responder, &answer).await;
+        }
+        if !self.evidence.proves_not_run() {
             return refuse(responder, code, None).await;
         }
         let pause = pause(self.router, MIN_PAUSE, self.time_left());
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -11,6 +11,7 @@
 
 mod admit;
 mod attempt;
+mod evidence;
 mod follow;
 mod forward;
 mod lease;
@@ -22,6 +23,7 @@
 mod state;
 
 pub use admit::{Admission, Admitted, Refusal, admit};
+pub use evidence::{AttemptLimits, Evidence, Proved};
 pub use lease::Lease;
 pub use retry::{RetryBudget, RetrySettings};
 
@@ -114,8 +116,9 @@
     router.start_draining();
     info!(active = router.active(), "router stops");
     let end = started + grace.saturating_sub(END_MARGIN);
-    let noticed = started + NOTICE_TIME;
-    while Instant::now() < end && (Instant::now() < noticed || router.active() > 0) {
+    sleep(NOTICE_TIME).await;
+    router.close_idle();
+    while Instant::now() < end && router.active() > 0 {
         sleep(DRAIN_CHECK).await;
     }
     info!(active = router.active(), "router stopped");
--- a/crates/fleet/src/router/relay.rs
+++ b/crates/fleet/src/router/relay.rs
@@ -134,7 +134,7 @@
         let mut piece = timeout_at(by, &mut next).await;
         if piece.is_err() && Instant::now() < deadline {
             let service = &self.job.service.name;
-            if self.job.may_repeat() && self.job.router.try_retry(service) {
+            if self.job.evidence.may_leave() && self.job.router.try_retry(service) {
                 return Err(RelayEnd::Left);
             }
             piece = timeout_at(deadline, &mut next).await;
--- a/crates/fleet/src/router/serve.rs
+++ b/crates/fleet/src/router/serve.rs
@@ -35,10 +35,14 @@
 };
 const METRICS_PATH: &str = "/metrics";
 
-/// Accepts callers for ever.
+/// Accepts callers until connections are to be closed.
 pub async fn callers(listener: TcpListener, router: Rc<Router>) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = router.closing() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 spawn_local(caller(stream, Rc::clone(&router)));
             }
@@ -57,7 +61,13 @@
     }
     let mut connection = ServerConnection::new(stream);
     loop {
-        match connection.read_request(&limits(&router)).await {
+        let limits = limits(&router);
+        let read = tokio::select! {
+            biased;
+            read = connection.read_request(&limits) => read,
+            () = router.closing() => return,
+        };
+        match read {
             Ok(request) => {
                 if !serve(&router, &mut connection, &request).await {
                     return;
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -12,6 +12,7 @@
 use bamboospur_platform::settings::{Bounds, ProcessSettings};
 use bamboospur_registry::{Announcement, Merge, Registry, RegistrySettings};
 use bamboospur_types::{Rng, stable_id};
+use tokio::sync::watch;
 use tracing::info;
 
 use super::lease::Lease;
@@ -40,6 +41,7 @@
     retries: RetrySettings,
     routers: Cell<u32>,
     draining: Cell<bool>,
+    closing: watch::Sender<bool>,
     active: Cell<usize>,
 }
 
@@ -70,6 +72,7 @@
             },
             routers: Cell::new(1),
             draining: Cell::new(false),
+            closing: watch::Sender::new(false),
             active: Cell::new(0),
         }
     }
@@ -89,6 +92,18 @@
         self.draining.set(true);
     }
 
+    /// Closes connections without a request, and takes no new ones.
+    pub fn close_idle(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Waits until connections without a request are to be closed.
+    pub async fn closing(&self) {
+        let mut closing = self.closing.subscribe();
+        // The sender lives as long as the router.
+        let _closed = closing.wait_for(|&closing| closing).await;
+    }
+
     /// Number of requests under way.
     pub fn active(&self) -> usize {
         self.active.get()
@@ -149,7 +164,9 @@
 
     fn update_targets(&self, now: Instant) {
         let registry = self.registry.borrow();
-        self.dispatcher.borrow_mut().update(&registry.usable(now));
+        self.dispatcher
+            .borrow_mut()
+            .update(&registry.usable(now), now);
     }
 
     pub fn set_routers(&self, routers: u32) {
