Keep soft state of control instances, and copy prompts from any data centre

After a fault of all processes, routers knew no targets until these reported again (1.2 s) and no places of prompts. Control instances now keep both on disk, a departure at once.

--- a/crates/dispatch/src/demand.rs
+++ b/crates/dispatch/src/demand.rs
@@ -46,6 +46,8 @@
     /// Target from which the chosen one can copy the shared parts of the prompt
     /// that it lacks.
     pub copy_from: Option<SocketAddr>,
+    /// Whether the target is believed to have read the shared parts.
+    pub is_cached: bool,
     /// Place of the target in the order of this prompt; 0 is the first choice.
     pub rank: usize,
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -55,14 +55,11 @@
         }
         self.pools = pools;
         let source = |news: &&Announcement| {
-            let is_local = news.data_centre == self.data_centre;
-            (
-                cache_id(news),
-                Source {
-                    address: news.address,
-                    is_local,
-                },
-            )
+            let source = Source {
+                address: news.address,
+                data_centre: news.data_centre.clone(),
+            };
+            (cache_id(news), source)
         };
         self.sources = usable.iter().chain(draining).map(source).collect();
         let sources = &self.sources;
@@ -87,6 +84,7 @@
             target.load.own += 1;
             if !demand.prompt.is_empty() {
                 let cache = target.cache;
+                choice.is_cached = homes.contains(&cache);
                 choice.copy_from = copy_source(homes, cache, &self.sources);
                 self.homes.used(Home { shared, cache }, now);
             }
@@ -148,14 +146,14 @@
 }
 
 /// A target that may have prompts in its cache.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Source {
     address: SocketAddr,
-    is_local: bool,
+    data_centre: String,
 }
 
 /// Returns a target to copy from, when the chosen one has not read the shared
-/// parts. Copies between data centres are left out: they cost more than a read.
+/// parts. A copy within a data centre takes half the time of one between two.
 fn copy_source(
     homes: &[CacheId],
     chosen: CacheId,
@@ -164,8 +162,8 @@
     if homes.contains(&chosen) {
         return None;
     }
-    let mut known = homes.iter().filter_map(|cache| sources.get(cache));
-    known
-        .find(|source| source.is_local)
-        .map(|source| source.address)
+    let data_centre = sources.get(&chosen).map(|source| &source.data_centre);
+    let known = homes.iter().filter_map(|cache| sources.get(cache));
+    let nearest = known.max_by_key(|source| Some(&source.data_centre) == data_centre);
+    nearest.map(|source| source.address)
 }
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -243,6 +243,7 @@
         load: candidate.load,
         bound,
         copy_from: None,
+        is_cached: false,
         rank,
     }
 }
--- a/crates/fleet/src/control/disk.rs
+++ b/crates/fleet/src/control/disk.rs
@@ -20,6 +20,18 @@
 /// Name of the blob with the id of the instance.
 const INSTANCE_BLOB: &str = "instance";
 
+/// Name of the blob with what targets and routers have told.
+const SOFT_BLOB: &str = "soft";
+
+/// Work of the disk thread.
+#[derive(Debug)]
+pub enum Write {
+    /// Part of the log.
+    Log(Persist),
+    /// Soft state, which replaces what was kept before. Nothing waits for it.
+    Soft(Vec<u8>),
+}
+
 /// What an instance starts from.
 #[derive(Debug)]
 pub struct Opened {
@@ -27,8 +39,10 @@
     pub id: InstanceId,
     /// What the log holds.
     pub restored: Restored,
+    /// Soft state kept last, if any.
+    pub soft: Option<Vec<u8>>,
     /// Takes writes.
-    pub writes: Sender<Persist>,
+    pub writes: Sender<Write>,
 }
 
 /// Opens the folder and starts the thread.
@@ -56,6 +70,11 @@
         log.write(&restored.to_persist()).map_err(failed)?;
         log.sync().map_err(failed)?;
     }
+    let soft = folder.store(SOFT_BLOB).load();
+    let soft = soft.unwrap_or_else(|error| {
+        warn!(%error, "the soft state is lost");
+        None
+    });
     let (writes, receiver) = channel();
     let path = path.to_owned();
     let spawned = thread::Builder::new()
@@ -67,6 +86,7 @@
     Ok(Opened {
         id,
         restored,
+        soft,
         writes,
     })
 }
@@ -96,11 +116,11 @@
 fn write_until_end(
     path: &Path,
     mut open: Option<(Folder, Log)>,
-    receiver: &Receiver<Persist>,
+    receiver: &Receiver<Write>,
     events: &EventSender<Event>,
 ) {
     loop {
-        let Some((_, log)) = &mut open else {
+        let Some((folder, log)) = &mut open else {
             thread::sleep(REOPEN_PAUSE);
             open = reopen(path, receiver, events);
             continue;
@@ -108,8 +128,10 @@
         let Ok(first) = receiver.recv() else {
             return;
         };
-        let event = match write_waiting(log, &first, receiver) {
-            Ok(sequence) => Event::Synced { sequence },
+        let waiting = std::iter::once(first).chain(receiver.try_iter());
+        let event = match write_waiting(folder, log, waiting) {
+            Ok(Some(sequence)) => Event::Synced { sequence },
+            Ok(None) => continue,
             Err(error) => {
                 error!(%error, "the data folder cannot be written");
                 open = None;
@@ -124,7 +146,7 @@
 
 fn reopen(
     path: &Path,
-    receiver: &Receiver<Persist>,
+    receiver: &Receiver<Write>,
     events: &EventSender<Event>,
 ) -> Option<(Folder, Log)> {
     let opened = Folder::open(path).and_then(|folder| {
@@ -146,18 +168,33 @@
     }
 }
 
+/// Returns the number of the last write to the log that is on disk.
 fn write_waiting(
+    folder: &Folder,
     log: &mut Log,
-    first: &Persist,
-    receiver: &Receiver<Persist>,
-) -> Result<u64, StorageError> {
-    log.write(first)?;
-    for persist in receiver.try_iter() {
-        log.write(&persist)?;
+    waiting: impl Iterator<Item = Write>,
+) -> Result<Option<u64>, StorageError> {
+    let mut soft = None;
+    let mut has_log = false;
+    for write in waiting {
+        match write {
+            Write::Log(persist) => {
+                log.write(&persist)?;
+                has_log = true;
+            }
+            Write::Soft(blob) => soft = Some(blob),
+        }
+    }
+    let mut synced = None;
+    if has_log {
+        let report = log.sync()?;
+        if report.slow {
+            warn!(took_ms = report.took.as_millis(), "a sync was slow");
+        }
+        synced = Some(report.sequence);
     }
-    let report = log.sync()?;
-    if report.slow {
-        warn!(took_ms = report.took.as_millis(), "a sync was slow");
+    if let Some(Err(error)) = soft.map(|blob| folder.store(SOFT_BLOB).save(&blob)) {
+        warn!(%error, "the soft state was not kept");
     }
-    Ok(report.sequence)
+    Ok(synced)
 }
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -3,21 +3,21 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use bamboospur_agreement::Persist;
 use bamboospur_group::{
     Document, Group, GroupInput, GroupOutput, GroupSettings, Reply, Unavailable,
 };
 use bamboospur_platform::settings::ProcessSettings;
-use bamboospur_registry::{Announcement, Merge, Registry, RegistrySettings};
+use bamboospur_registry::{Announcement, Merge, Phase, Registry, RegistrySettings};
 use bamboospur_types::{InstanceId, stable_id};
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::time::sleep_until;
 use tracing::{error, info, warn};
 
-use super::disk;
+use super::disk::{self, Write};
 use super::event::{Event, LinkId, PutResult};
 use super::operators::{Waiter, Waiters};
 use super::peers::Peers;
+use super::soft::{SoftSchedule, SoftState};
 use crate::link::{Frame, Hello, LinkEvent, Ticket};
 
 /// Time between two signs of life to peers, and between batches of reports.
@@ -38,7 +38,8 @@
     group_settings: GroupSettings,
     group: Group,
     registry: Registry,
-    writes: std::sync::mpsc::Sender<Persist>,
+    writes: std::sync::mpsc::Sender<Write>,
+    soft: SoftSchedule,
     peers: Peers,
     links: BTreeMap<LinkId, AcceptedLink>,
     waiters: Waiters,
@@ -71,6 +72,19 @@
         group_settings.replica.disk = opened.id;
         let silence = settings.report_period * MISSED_REPORTS;
         info!(id = opened.id, founder = is_founder, "data folder opened");
+        let mut registry = Registry::new(RegistrySettings {
+            silence,
+            ..RegistrySettings::default()
+        });
+        let soft = SoftState::decode(opened.soft);
+        info!(
+            targets = soft.targets.len(),
+            homes = soft.homes.len(),
+            "soft state read"
+        );
+        for announcement in soft.targets {
+            registry.merge(announcement, now);
+        }
         Ok(Self {
             id: opened.id,
             group: Group::new(
@@ -80,17 +94,15 @@
                 now,
             ),
             group_settings,
-            registry: Registry::new(RegistrySettings {
-                silence,
-                ..RegistrySettings::default()
-            }),
+            registry,
             writes: opened.writes,
+            soft: SoftSchedule::new(now),
             peers: Peers::new(opened.id, settings.links, &settings.seeds, events),
             links: BTreeMap::new(),
             waiters: Waiters::default(),
             unsent: BTreeMap::new(),
             silent: BTreeSet::new(),
-            homes: VecDeque::new(),
+            homes: soft.homes.into(),
             published: 0,
             round_at: now + ROUND,
         })
@@ -132,6 +144,22 @@
         }
         self.peers.send_to_all(&Frame::Alive(0));
         self.find_silent(now);
+        self.keep_soft_state(now);
+    }
+
+    fn keep_soft_state(&mut self, now: Instant) {
+        if !self.soft.take_due(now) {
+            return;
+        }
+        let state = SoftState {
+            targets: self.registry.all().cloned().collect(),
+            homes: self.homes.iter().copied().collect(),
+        };
+        if let Some(blob) = state.encode()
+            && self.writes.send(Write::Soft(blob)).is_err()
+        {
+            error!("the disk thread has ended");
+        }
     }
 
     /// Tells routers of targets that went silent. An instance without a leader
@@ -233,7 +261,12 @@
         if !news.is_empty() {
             for announcement in &news {
                 self.silent.remove(&announcement.name);
+                match announcement.phase {
+                    Phase::Ready => self.soft.changed(),
+                    Phase::Draining | Phase::Gone => self.soft.departed(),
+                }
             }
+            self.keep_soft_state(Instant::now());
             self.send_to_routers(&Frame::Targets(news));
         }
     }
@@ -243,6 +276,7 @@
         self.homes.extend(homes.iter().copied());
         let excess = self.homes.len().saturating_sub(MAX_HOMES);
         self.homes.drain(..excess);
+        self.soft.changed();
         self.send_to_routers_but(Some(from), &Frame::Homes(homes));
     }
 
@@ -445,7 +479,7 @@
     fn carry_out(&mut self, output: GroupOutput) {
         match output {
             GroupOutput::Persist(persist) => {
-                if self.writes.send(persist).is_err() {
+                if self.writes.send(Write::Log(persist)).is_err() {
                     error!("the disk thread has ended");
                 }
             }
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod host;
 mod operators;
 mod peers;
+mod soft;
 
 use std::time::Duration;
 
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -26,8 +26,9 @@
 const DEFAULT_WAIT: Duration = Duration::from_secs(30);
 /// Callers honour a pause of up to a third of the time that they have left.
 const MAX_PAUSE_SHARE: f64 = 0.3;
-/// Pause before a caller comes back when the router is not ready.
-const NOT_READY_PAUSE: Duration = Duration::from_millis(400);
+/// Pause before a caller comes back when the router is not ready; links and an
+/// election of the control group take about this long.
+const NOT_READY_PAUSE: Duration = Duration::from_millis(700);
 /// Shortest pause that spreads callers out.
 const MIN_PAUSE: Duration = Duration::from_millis(40);
 
@@ -67,9 +68,15 @@
             rank,
             load,
             bound,
+            is_cached,
+            copy_from,
             ..
         } = choice;
-        let text = format!("{name} rank={rank} load={load:.1} bound={bound:.1} {end}");
+        let copied = copy_from.is_some();
+        let text = format!(
+            "{name} rank={rank} load={load:.1} bound={bound:.1} cached={is_cached} \
+             copied={copied} {end}"
+        );
         self.attempts.push(text);
     }
 
