Exchange the routers' loads through the control instances

Cause of the LIMIT breaks on the grown deployments: each of 84 routers sees one answer of an engine in 16 s, so it knew next to nothing of the engines' loads. Every router now tells one control instance its requests at each target four times a second, control instances add them up, and the totals go back. A prompt leaves a target at 1.5 times the mean plus 1.5, because totals are up to half a second old. Configurations go to the routers that tell their loads at an instance, and to those that ask, instead of from every instance to every router.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -104,6 +104,35 @@
         self.homes.take_news()
     }
 
+    /// Returns the requests of this router at each target that has any, for the
+    /// other routers.
+    pub fn tell_loads(&mut self) -> Vec<(CacheId, u32)> {
+        let targets = self
+            .pools
+            .values_mut()
+            .flat_map(|pool| pool.targets.values_mut());
+        let mut loads = Vec::new();
+        for target in targets {
+            target.told = target.load.own;
+            if target.told > 0 {
+                loads.push((target.cache, target.told));
+            }
+        }
+        loads
+    }
+
+    /// Takes the requests of all routers at each target that has any.
+    pub fn totals(&mut self, totals: &BTreeMap<CacheId, u32>, now: Instant) {
+        for target in self
+            .pools
+            .values_mut()
+            .flat_map(|pool| pool.targets.values_mut())
+        {
+            let total = totals.get(&target.cache).copied().unwrap_or(0);
+            target.load.total(total, target.told, now);
+        }
+    }
+
     /// Takes what an answer said about its target.
     pub fn report(&mut self, service: &str, choice: &Choice, report: LoadReport, now: Instant) {
         if let Some(target) = self.target_mut(service, &choice.name, choice.start) {
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -39,6 +39,12 @@
         self.reported_at = Some(now);
     }
 
+    /// Takes the requests of all routers, of which this one told `told`.
+    pub fn total(&mut self, total: u32, told: u32, now: Instant) {
+        self.others = f64::from(total.saturating_sub(told));
+        self.reported_at = Some(now);
+    }
+
     /// Requests of other routers by the last report, and how much it counts:
     /// 1 when it is new, 0 when it is older than `memory`.
     pub fn others(&self, now: Instant, memory: Duration) -> (f64, f64) {
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -28,6 +28,8 @@
     /// Identity of this start, whose cache began empty.
     pub cache: CacheId,
     pub load: Load,
+    /// Requests of this router that the other ones were told of.
+    pub told: u32,
     pub health: Health,
 }
 
@@ -41,6 +43,7 @@
             hash: mix_node(stable_id(&news.name)),
             cache: cache_id(news),
             load: Load::new(),
+            told: 0,
             health: Health::new(settings),
         }
     }
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -46,8 +46,8 @@
 impl Default for DispatchSettings {
     fn default() -> Self {
         Self {
-            stay_factor: 1.8,
-            stay_slack: 2.0,
+            stay_factor: 1.5,
+            stay_slack: 1.5,
             load_factor: 1.25,
             load_slack: 1.5,
             report_memory: Duration::from_secs(3),
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -146,6 +146,21 @@
     assert_eq!(one.take_news().len(), 1);
 }
 
+#[test]
+fn totals_of_all_routers_do_not_count_the_own_requests_twice() {
+    let now = Instant::now();
+    let mut one = dispatcher(2, "records");
+    for _ in 0..4 {
+        one.choose(&plain(&[]), now).expect("a target");
+    }
+    let told: BTreeMap<u64, u32> = one.tell_loads().into_iter().collect();
+    assert_eq!(told.values().sum::<u32>(), 4);
+    // The totals hold nothing but the own requests.
+    one.totals(&told, now);
+    let choice = one.choose(&plain(&[]), now).expect("a target");
+    assert!((choice.load - 2.0).abs() < f64::EPSILON, "{}", choice.load);
+}
+
 #[test]
 fn requests_of_other_routers_count() {
     let now = Instant::now();
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -15,6 +15,7 @@
 
 use super::disk::{self, Write};
 use super::event::{Event, LinkId, PutResult};
+use super::loads::Loads;
 use super::operators::{Waiter, Waiters};
 use super::peers::Peers;
 use super::soft::{SoftSchedule, SoftState};
@@ -22,6 +23,8 @@
 
 /// Time between two signs of life to peers, and between batches of reports.
 const ROUND: Duration = Duration::from_millis(500);
+/// Time between two sums of the routers' loads.
+const LOADS_ROUND: Duration = Duration::from_millis(250);
 /// Reports of a target that may be missed before it counts as silent.
 const MISSED_REPORTS: u32 = 5;
 /// Places of cached prompts that are kept for routers that start.
@@ -51,6 +54,8 @@
     homes: VecDeque<(u64, u64)>,
     /// Version that routers were told last.
     published: u64,
+    loads: Loads,
+    loads_at: Instant,
     round_at: Instant,
 }
 
@@ -104,6 +109,8 @@
             silent: BTreeSet::new(),
             homes: soft.homes.into(),
             published: 0,
+            loads: Loads::default(),
+            loads_at: now + LOADS_ROUND,
             round_at: now + ROUND,
         })
     }
@@ -112,7 +119,8 @@
     pub async fn run(mut self, mut events: Receiver<Event>) {
         self.feed(GroupInput::Tick);
         loop {
-            let deadline = self.group.next_deadline().min(self.round_at);
+            let rounds = self.round_at.min(self.loads_at);
+            let deadline = self.group.next_deadline().min(rounds);
             tokio::select! {
                 event = events.recv() => match event {
                     Some(event) => self.handle(event),
@@ -128,12 +136,34 @@
         if now >= self.group.next_deadline() {
             self.feed(GroupInput::Tick);
         }
+        if now >= self.loads_at {
+            self.loads_at = now + LOADS_ROUND;
+            self.exchange_loads(now);
+        }
         if now >= self.round_at {
             self.round_at = now + ROUND;
             self.round(now);
         }
     }
 
+    fn exchange_loads(&mut self, now: Instant) {
+        self.loads.drop_old(now);
+        if !self.loads.has_routers() {
+            return;
+        }
+        self.peers.send_to_all(&Frame::Loads(self.loads.own_sums()));
+        let totals = Frame::Totals(self.loads.totals());
+        let loads = &self.loads;
+        let told = self
+            .links
+            .values()
+            .filter(|link| loads.has_router(link.hello.id));
+        for link in told {
+            // A router that misses totals gets the next ones.
+            let _sent = link.frames.try_send(totals.clone());
+        }
+    }
+
     fn round(&mut self, now: Instant) {
         self.waiters.drop_old(now);
         self.peers.forget_old(now);
@@ -271,6 +301,19 @@
         }
     }
 
+    /// Sends a configuration to the routers that tell their loads here. The
+    /// others get it from the instance that they tell, or ask for it.
+    fn publish_config(&mut self, frame: &Frame) {
+        let told = |link: &AcceptedLink| self.loads.has_router(link.hello.id);
+        let ids = self
+            .links
+            .iter()
+            .filter(|(_, link)| told(link))
+            .map(|(&id, _)| id);
+        let ids: Vec<LinkId> = ids.collect();
+        self.send_to(ids, frame);
+    }
+
     /// Passes on where prompts are cached, and keeps it for routers that start.
     fn pass_on_homes(&mut self, from: LinkId, homes: Vec<(u64, u64)>) {
         self.homes.extend(homes.iter().copied());
@@ -285,18 +328,25 @@
     }
 
     fn send_to_routers_but(&mut self, but: Option<LinkId>, frame: &Frame) {
-        let mut full = Vec::new();
-        for (&id, link) in &self.links {
-            let is_router = link.hello.address.is_none() && but != Some(id);
-            if is_router && link.frames.try_send(frame.clone()).is_err() {
-                full.push(id);
+        let is_router = |link: &AcceptedLink| link.hello.address.is_none();
+        let links = self
+            .links
+            .iter()
+            .filter(|&(&id, link)| is_router(link) && but != Some(id));
+        let ids: Vec<LinkId> = links.map(|(&id, _)| id).collect();
+        self.send_to(ids, frame);
+    }
+
+    /// Closes links that have no room, which makes a router start from the
+    /// present state.
+    fn send_to(&mut self, ids: Vec<LinkId>, frame: &Frame) {
+        for id in ids {
+            let link = self.links.get(&id);
+            if link.is_some_and(|link| link.frames.try_send(frame.clone()).is_err()) {
+                warn!(link = id, "a router reads too slowly; its link is closed");
+                self.links.remove(&id);
             }
         }
-        for id in full {
-            // Closing the link makes the router start from the present state.
-            warn!(link = id, "a router reads too slowly; its link is closed");
-            self.links.remove(&id);
-        }
     }
 
     fn opened(&mut self, link: LinkId, hello: Hello, frames: Sender<Frame>, now: Instant) {
@@ -318,14 +368,12 @@
     /// Sends the present state to a router.
     fn greet(&self, frames: &Sender<Frame>, now: Instant) {
         let all = self.registry.all().cloned().collect();
-        let config = self.group.document();
-        let config = (config.version > 0).then(|| Frame::Config(config.clone()));
         let state = [
             Frame::Controls(self.peers.recent(now)),
             Frame::Targets(all),
             Frame::Homes(self.homes.iter().copied().collect()),
         ];
-        for frame in state.into_iter().chain(config) {
+        for frame in state {
             // The queue of a new link has room.
             let _sent = frames.try_send(frame);
         }
@@ -366,21 +414,14 @@
             }
             Frame::Targets(announcements) => self.merge(announcements, false, now),
             Frame::Homes(homes) => self.pass_on_homes(link, homes),
-            Frame::Ask(asked) => self.asked(link, asked, now),
-            Frame::Put { ticket, document } => {
-                let peer = hello.id;
-                let own = self.waiters.add(Waiter::PeerPut { peer, ticket }, now);
-                let input = GroupInput::Put {
-                    ticket: own,
-                    document,
-                };
-                self.feed(input);
-            }
-            Frame::Get { ticket } => {
-                let peer = hello.id;
-                let own = self.waiters.add(Waiter::PeerGet { peer, ticket }, now);
-                self.feed(GroupInput::Read { ticket: own });
+            Frame::Loads(counts) if hello.address.is_some() => {
+                self.loads.peer(hello.id, counts, now);
             }
+            Frame::Loads(counts) => self.loads.router(hello.id, counts, now),
+            Frame::Want => self.send_config(link),
+            Frame::Ask(asked) => self.asked(link, asked, now),
+            Frame::Put { ticket, document } => self.peer_put(hello.id, ticket, document, now),
+            Frame::Get { ticket } => self.peer_get(hello.id, ticket, now),
             Frame::PutDone { ticket, accepted } => self.put_done(ticket, accepted),
             Frame::GetDone { ticket, document } => self.get_done(ticket, document),
             Frame::Controls(addresses) => {
@@ -388,7 +429,11 @@
                     self.peers.learn(address);
                 }
             }
-            Frame::Hello(_) | Frame::Silent(_) | Frame::Config(_) | Frame::InForce { .. } => {
+            Frame::Hello(_)
+            | Frame::Silent(_)
+            | Frame::Config(_)
+            | Frame::Totals(_)
+            | Frame::InForce { .. } => {
                 warn!(link, "a frame came that this side does not take");
             }
         }
@@ -454,6 +499,25 @@
         }
     }
 
+    fn send_config(&self, link: LinkId) {
+        if let Some(accepted) = self.links.get(&link) {
+            // A router that gets nothing asks again.
+            let _sent = accepted
+                .frames
+                .try_send(Frame::Config(self.group.document().clone()));
+        }
+    }
+
+    fn peer_put(&mut self, peer: InstanceId, ticket: Ticket, document: Document, now: Instant) {
+        let ticket = self.waiters.add(Waiter::PeerPut { peer, ticket }, now);
+        self.feed(GroupInput::Put { ticket, document });
+    }
+
+    fn peer_get(&mut self, peer: InstanceId, ticket: Ticket, now: Instant) {
+        let ticket = self.waiters.add(Waiter::PeerGet { peer, ticket }, now);
+        self.feed(GroupInput::Read { ticket });
+    }
+
     fn put_done(&mut self, ticket: Ticket, accepted: bool) {
         if accepted && let Some(Waiter::Put { result, .. }) = self.waiters.take(ticket) {
             // The operator may have given up waiting.
@@ -495,7 +559,7 @@
                 if document.version > self.published {
                     self.published = document.version;
                     info!(version = document.version, "configuration in force");
-                    self.send_to_routers(&Frame::Config(document.clone()));
+                    self.publish_config(&Frame::Config(document.clone()));
                 }
             }
             GroupOutput::Leadership { leader } => {
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod disk;
 mod event;
 mod host;
+mod loads;
 mod operators;
 mod peers;
 mod soft;
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -9,7 +9,7 @@
 use bamboospur_group::Document;
 use bamboospur_platform::config;
 use bamboospur_platform::settings::ProcessSettings;
-use bamboospur_types::stable_id;
+use bamboospur_types::{mix64, stable_id};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::task::spawn_local;
 use tokio::time::interval;
@@ -28,6 +28,8 @@
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Time between two batches of news about cached prompts.
 const NEWS_PERIOD: Duration = Duration::from_millis(100);
+/// Time between two reports of the requests at targets.
+const LOADS_PERIOD: Duration = Duration::from_millis(250);
 
 enum Event {
     Link(LinkEvent),
@@ -80,6 +82,7 @@
     async fn run(mut self, mut events: Receiver<Event>) {
         let mut ask = interval(ASK_PERIOD);
         let mut news = interval(NEWS_PERIOD);
+        let mut loads = interval(LOADS_PERIOD);
         loop {
             tokio::select! {
                 event = events.recv() => match event {
@@ -89,6 +92,7 @@
                 },
                 _ = ask.tick() => self.ask(),
                 _ = news.tick() => self.send_news(),
+                _ = loads.tick() => self.send_loads(),
             }
         }
     }
@@ -121,8 +125,7 @@
     /// Tells the other routers, through one control instance, where prompts are
     /// cached.
     fn send_news(&mut self) {
-        let mut up = self.links.values().filter(|followed| followed.up);
-        let Some(followed) = up.next() else {
+        let Some(followed) = self.partner() else {
             return;
         };
         let news = self.router.dispatcher.borrow_mut().take_news();
@@ -133,6 +136,37 @@
         }
     }
 
+    /// Returns the link over which this router tells and is told. Routers spread
+    /// over the control instances.
+    fn partner(&self) -> Option<&FollowedLink> {
+        let rank = |address: &SocketAddr| mix64(self.hello.id ^ stable_id(&address.to_string()));
+        let up = self.links.iter().filter(|(_, followed)| followed.up);
+        up.max_by_key(|(address, _)| rank(address))
+            .map(|(_, followed)| followed)
+    }
+
+    fn send_loads(&mut self) {
+        if let Some(partner) = self.partner() {
+            let loads = self.router.dispatcher.borrow_mut().tell_loads();
+            // Lost loads are told again.
+            let _sent = partner.link.send(Frame::Loads(loads));
+        }
+    }
+
+    /// Asks for the configuration when a newer one than the one held is in force.
+    fn want_newer(&self, address: SocketAddr, version: u64) {
+        let held = self
+            .router
+            .catalog
+            .borrow()
+            .as_ref()
+            .map_or(0, |c| c.version());
+        if let Some(followed) = self.links.get(&address).filter(|_| version > held) {
+            // It is asked for again with the next answer.
+            let _sent = followed.link.send(Frame::Want);
+        }
+    }
+
     fn set_up(&mut self, address: SocketAddr, up: bool) {
         if let Some(followed) = self.links.get_mut(&address) {
             followed.up = up;
@@ -154,12 +188,12 @@
                 if let Some(followed) = self.links.get_mut(&address) {
                     followed.named_until = Instant::now() + FORGET_AFTER;
                 }
-                self.frame(frame);
+                self.frame(address, frame);
             }
         }
     }
 
-    fn frame(&mut self, frame: Frame) {
+    fn frame(&mut self, address: SocketAddr, frame: Frame) {
         match frame {
             Frame::Controls(addresses) => self.follow(&addresses),
             Frame::Targets(announcements) => self.router.merge(announcements),
@@ -171,6 +205,13 @@
                 let now = Instant::now();
                 self.router.dispatcher.borrow_mut().learn(homes, now);
             }
+            Frame::Totals(totals) => {
+                let totals: BTreeMap<u64, u32> = totals.into_iter().collect();
+                self.router
+                    .dispatcher
+                    .borrow_mut()
+                    .totals(&totals, Instant::now());
+            }
             Frame::Config(document) => adopt(&self.router, &document),
             Frame::InForce {
                 asked,
@@ -178,10 +219,15 @@
                 routers,
             } => {
                 self.router.set_routers(routers);
-                let mut lease = self.router.lease.borrow_mut();
-                lease.in_force(version, BootTime(asked));
+                self.router
+                    .lease
+                    .borrow_mut()
+                    .in_force(version, BootTime(asked));
+                self.want_newer(address, version);
             }
             Frame::Alive(_)
+            | Frame::Loads(_)
+            | Frame::Want
             | Frame::Hello(_)
             | Frame::Replica { .. }
             | Frame::Ask(_)
