Leave out targets and data centres that cannot be reached

A failed connection now leaves its target out at once, two of them their data centre, and single requests find out when it is back. Ruled out: the engines (their events were on time) and the lease. A router without a lease asks five times a second, so it is ready sooner. The time of a request is logged as a number.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -14,7 +14,9 @@
     },
     /// The target refused for lack of room.
     Full,
-    /// The target failed: no connection, a broken answer or an error of its own.
+    /// No connection to the target was made.
+    Unreachable,
+    /// The target failed: a broken answer or an error of its own.
     Failed,
     /// The attempt ended for a reason that is not the target's.
     Neutral,
@@ -29,6 +31,9 @@
     ejected_until: Option<Instant>,
     ejections: u32,
     full_until: Option<Instant>,
+    unreachable_until: Option<Instant>,
+    /// Failed connections in a row.
+    unreachable: u32,
 }
 
 impl Health {
@@ -40,6 +45,8 @@
             ejected_until: None,
             ejections: 0,
             full_until: None,
+            unreachable_until: None,
+            unreachable: 0,
         }
     }
 
@@ -77,6 +84,11 @@
         self.ejected_until.is_some()
     }
 
+    /// Whether the last connection failed and it is too early for another one.
+    pub fn is_unreachable(&self, now: Instant) -> bool {
+        self.unreachable_until.is_some_and(|until| now < until)
+    }
+
     pub fn is_full(&self, now: Instant) -> bool {
         self.full_until.is_some_and(|until| now < until)
     }
@@ -85,6 +97,11 @@
         match outcome {
             Outcome::Answered { latency } => self.answered(latency, settings, now),
             Outcome::Failed => self.failed(settings, now),
+            Outcome::Unreachable => {
+                let pause = settings.unreachable_min * 2_u32.pow(self.unreachable.min(8));
+                self.unreachable_until = Some(now + pause.min(settings.unreachable_max));
+                self.unreachable += 1;
+            }
             Outcome::Full => self.full_until = Some(now + settings.full_pause),
             Outcome::Neutral => {}
         }
@@ -96,6 +113,8 @@
         self.latency_s += weight * (latency.as_secs_f64() - self.latency_s);
         self.latency_at = Some(now);
         self.ejected_until = None;
+        self.unreachable_until = None;
+        self.unreachable = 0;
         if self.failure_share < settings.eject_share / 4.0 {
             self.ejections = 0;
         }
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -1,6 +1,6 @@
 //! Targets of one service.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -22,6 +22,7 @@
     pub start: Start,
     pub address: SocketAddr,
     pub is_local: bool,
+    pub data_centre: String,
     pub slots: u32,
     /// Hash of its name, for rendezvous hashing.
     pub hash: u64,
@@ -39,6 +40,7 @@
             start: news.start,
             address: news.address,
             is_local,
+            data_centre: news.data_centre.clone(),
             slots: news.slots,
             hash: mix_node(stable_id(&news.name)),
             cache: cache_id(news),
@@ -90,6 +92,7 @@
             return Err(NoChoice::NoTarget);
         }
         let mean = mean(loads.values().copied());
+        let all = self.reachable(all, settings, now);
         let healthy = self.healthy(all, demand, settings, now);
         let share = demand.connection_share;
         let mut open = healthy;
@@ -106,6 +109,40 @@
         })
     }
 
+    /// Leaves out targets that cannot be reached, unless none can.
+    fn reachable<'a>(
+        &self,
+        all: Vec<Candidate<'a>>,
+        settings: &DispatchSettings,
+        now: Instant,
+    ) -> Vec<Candidate<'a>> {
+        let cut_off = self.cut_off(settings, now);
+        let reachable = |c: &Candidate<'_>| {
+            let target = c.target;
+            !target.health.is_unreachable(now) && !cut_off.contains(target.data_centre.as_str())
+        };
+        if all.iter().any(reachable) {
+            all.into_iter().filter(reachable).collect()
+        } else {
+            all
+        }
+    }
+
+    /// Returns other data centres that seem to be cut off from this one.
+    fn cut_off(&self, settings: &DispatchSettings, now: Instant) -> BTreeSet<&str> {
+        let mut counts: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for target in self.targets.values().filter(|target| !target.is_local) {
+            let (unreachable, all) = counts.entry(&target.data_centre).or_default();
+            *unreachable += usize::from(target.health.is_unreachable(now));
+            *all += 1;
+        }
+        let needed = settings.unreachable_targets;
+        let cut = counts
+            .into_iter()
+            .filter(|&(_, (count, all))| count >= needed.min(all));
+        cut.map(|(data_centre, _)| data_centre).collect()
+    }
+
     /// Leaves out ejected targets, but never more than the allowed share.
     fn healthy<'a>(
         &self,
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -30,6 +30,14 @@
     pub eject_max: Duration,
     /// Largest share of a pool that is ejected at once.
     pub eject_most: f64,
+    /// A target is left out for this time after a failed connection; each further
+    /// one doubles it.
+    pub unreachable_min: Duration,
+    /// Longest time between two attempts to reach a target.
+    pub unreachable_max: Duration,
+    /// So many unreachable targets of another data centre, or all that it has,
+    /// stand for the whole data centre.
+    pub unreachable_targets: usize,
     /// Weight of the newest latency in the smoothed one.
     pub latency_weight: f64,
     /// A smoothed latency counts fully when it is new and not at all after this
@@ -56,6 +64,9 @@
             eject_min: Duration::from_millis(700),
             eject_max: Duration::from_secs(6),
             eject_most: 0.5,
+            unreachable_min: Duration::from_millis(600),
+            unreachable_max: Duration::from_secs(3),
+            unreachable_targets: 2,
             latency_weight: 0.2,
             latency_memory: Duration::from_secs(5),
             latency_start: Duration::from_millis(20),
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -217,6 +217,52 @@
     assert!(back);
 }
 
+#[test]
+fn a_data_centre_that_is_cut_off_is_left_out_as_a_whole() {
+    let now = Instant::now();
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), "north", 1);
+    let centre = |i: u8| ["north", "south", "west"][usize::from(i / 3)];
+    let targets: Vec<Announcement> = (0..9).map(|i| target(i, "chat", centre(i))).collect();
+    dispatcher.update(&targets.iter().collect::<Vec<_>>(), &[], now);
+    let is_south = |name: &str| ["t3", "t4", "t5"].contains(&name);
+    let mut failed = 0;
+    for key in 0..200 {
+        let choice = dispatcher
+            .choose(&chat(&prompt(key)), now)
+            .expect("a target");
+        let cut = is_south(&choice.name);
+        failed += u32::from(cut);
+        let outcome = if cut {
+            Outcome::Unreachable
+        } else {
+            answered(10)
+        };
+        dispatcher.finish("chat", &choice, outcome, now);
+    }
+    assert_eq!(failed, 2);
+    // Single requests find out that the data centre is back.
+    let later = now + DispatchSettings::default().unreachable_max;
+    let back = (0..200).any(|key| {
+        let choice = dispatcher
+            .choose(&chat(&prompt(key)), later)
+            .expect("a target");
+        dispatcher.finish("chat", &choice, answered(10), later);
+        is_south(&choice.name)
+    });
+    assert!(back);
+}
+
+#[test]
+fn unreachable_targets_are_tried_when_there_are_no_others() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(2, "records");
+    for _ in 0..4 {
+        let choice = dispatcher.choose(&plain(&[]), now).expect("a target");
+        dispatcher.finish("records", &choice, Outcome::Unreachable, now);
+    }
+    assert!(dispatcher.choose(&plain(&[]), now).is_ok());
+}
+
 #[test]
 fn at_most_half_of_a_pool_is_ejected() {
     let now = Instant::now();
--- a/crates/fleet/src/control/disk.rs
+++ b/crates/fleet/src/control/disk.rs
@@ -189,7 +189,8 @@
     if has_log {
         let report = log.sync()?;
         if report.slow {
-            warn!(took_ms = report.took.as_millis(), "a sync was slow");
+            let took_ms = u64::try_from(report.took.as_millis()).unwrap_or(u64::MAX);
+            warn!(took_ms, "a sync was slow");
         }
         synced = Some(report.sequence);
     }
--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -15,9 +15,9 @@
 use super::relay::{RelayEnd, relay};
 use super::state::ActiveAttempt;
 
-/// A connection to a target takes a few ms; a lost packet is sent again after
-/// a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// A connection to a target takes a few ms. A lost packet would be sent again only
+/// after a second; another connection is sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// A target that acknowledges nothing for this time is gone.
 const SILENCE: Duration = Duration::from_secs(2);
 /// Larger bodies are refused, because they cannot be checked before they are
@@ -162,7 +162,7 @@
         if let Ok(Ok(connection)) = timeout_at(self.job.deadline, connect).await {
             return Ok((connection, false));
         }
-        self.active.set(Outcome::Failed);
+        self.active.set(Outcome::Unreachable);
         Err(AttemptEnd::NotSent)
     }
 
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -24,6 +24,8 @@
 /// Time between two questions what is in force. Several fit into a lease, so
 /// that one lost answer or an election changes nothing.
 const ASK_PERIOD: Duration = Duration::from_millis(800);
+/// The same while the lease has not begun or has ended.
+const ASK_PERIOD_WITHOUT_LEASE: Duration = Duration::from_millis(200);
 /// An address that no control instance has named for this time is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Time between two batches of news about cached prompts.
@@ -80,7 +82,8 @@
 
 impl Follower {
     async fn run(mut self, mut events: Receiver<Event>) {
-        let mut ask = interval(ASK_PERIOD);
+        let mut ask = interval(ASK_PERIOD_WITHOUT_LEASE);
+        let mut asked_at = Instant::now();
         let mut news = interval(NEWS_PERIOD);
         let mut loads = interval(LOADS_PERIOD);
         loop {
@@ -90,7 +93,13 @@
                     Some(Event::Seeds(seeds)) => self.follow(&seeds),
                     None => return,
                 },
-                _ = ask.tick() => self.ask(),
+                _ = ask.tick() => {
+                    let valid = self.router.lease.borrow().is_valid(BootTime::now());
+                    if !valid || asked_at.elapsed() >= ASK_PERIOD {
+                        asked_at = Instant::now();
+                        self.ask();
+                    }
+                }
                 _ = news.tick() => self.send_news(),
                 _ = loads.tick() => self.send_loads(),
             }
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -91,7 +91,7 @@
             detail = self.detail,
             result = %code,
             number = code.number(),
-            took_ms = took.as_millis(),
+            took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
             "request ended"
         );
     }
