Split the host of a control instance by concern, and test its parts

Tests of loads, soft state and frames moved to test files, with random bytes for the decoders. No change of behaviour.

--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -1,25 +1,27 @@
 //! The task that owns the state of a control instance.
 
+mod config;
+mod links;
+mod targets;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use bamboospur_group::{
-    Document, Group, GroupInput, GroupOutput, GroupSettings, Reply, Unavailable,
-};
+use bamboospur_group::{Group, GroupInput, GroupOutput, GroupSettings};
 use bamboospur_platform::settings::ProcessSettings;
-use bamboospur_registry::{Announcement, Merge, Phase, Registry, RegistrySettings};
+use bamboospur_registry::{Announcement, Registry, RegistrySettings};
 use bamboospur_types::{InstanceId, stable_id};
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::time::sleep_until;
 use tracing::{error, info, warn};
 
 use super::disk::{self, Write};
-use super::event::{Event, LinkId, PutResult};
+use super::event::{Event, LinkId};
 use super::loads::Loads;
 use super::operators::{Waiter, Waiters};
 use super::peers::Peers;
 use super::soft::{SoftSchedule, SoftState};
-use crate::link::{Frame, Hello, LinkEvent, Ticket};
+use crate::link::{Frame, Hello};
 
 /// Time between two signs of life to peers, and between batches of reports.
 const ROUND: Duration = Duration::from_millis(500);
@@ -146,24 +148,6 @@
         }
     }
 
-    fn exchange_loads(&mut self, now: Instant) {
-        self.loads.drop_old(now);
-        if !self.loads.has_routers() {
-            return;
-        }
-        self.peers.send_to_all(&Frame::Loads(self.loads.own_sums()));
-        let totals = Frame::Totals(self.loads.totals());
-        let loads = &self.loads;
-        let told = self
-            .links
-            .values()
-            .filter(|link| loads.has_router(link.hello.id));
-        for link in told {
-            // A router that misses totals gets the next ones.
-            let _sent = link.frames.try_send(totals.clone());
-        }
-    }
-
     fn round(&mut self, now: Instant) {
         self.waiters.drop_old(now);
         self.peers.forget_old(now);
@@ -177,38 +161,6 @@
         self.keep_soft_state(now);
     }
 
-    fn keep_soft_state(&mut self, now: Instant) {
-        if !self.soft.take_due(now) {
-            return;
-        }
-        let state = SoftState {
-            targets: self.registry.all().cloned().collect(),
-            homes: self.homes.iter().copied().collect(),
-        };
-        if let Some(blob) = state.encode()
-            && self.writes.send(Write::Soft(blob)).is_err()
-        {
-            error!("the disk thread has ended");
-        }
-    }
-
-    /// Tells routers of targets that went silent. An instance without a leader
-    /// may be cut off from those that hear the targets, so it tells nothing.
-    fn find_silent(&mut self, now: Instant) {
-        if self.group.leader().is_none() {
-            return;
-        }
-        let silent: Vec<Announcement> = self.registry.silent(now).cloned().collect();
-        let news = silent.iter().filter(|a| !self.silent.contains(&a.name));
-        let news: Vec<Announcement> = news.cloned().collect();
-        self.silent = silent.into_iter().map(|a| a.name).collect();
-        if !news.is_empty() {
-            let names: Vec<&str> = news.iter().map(|a| a.name.as_str()).collect();
-            info!(?names, "targets are silent");
-            self.send_to_routers(&Frame::Silent(news));
-        }
-    }
-
     fn handle(&mut self, event: Event) {
         let now = Instant::now();
         match event {
@@ -253,286 +205,6 @@
         }
     }
 
-    /// Takes announcements. `direct` ones came from the targets themselves and
-    /// are passed on to peers.
-    fn merge(&mut self, announcements: Vec<Announcement>, direct: bool, now: Instant) {
-        let mut news = Vec::new();
-        for announcement in announcements {
-            let merge = self.registry.merge(announcement.clone(), now);
-            if merge == Merge::Old {
-                continue;
-            }
-            if direct {
-                self.unsent
-                    .insert(announcement.name.clone(), announcement.clone());
-            }
-            if merge == Merge::News {
-                info!(
-                    target_name = announcement.name,
-                    start = announcement.start.0,
-                    sequence = announcement.sequence,
-                    phase = %announcement.phase,
-                    service = announcement.service,
-                    address = %announcement.address,
-                    direct,
-                    "target changed"
-                );
-                news.push(announcement);
-            }
-        }
-        if direct && !news.is_empty() {
-            self.peers.send_to_all(&Frame::Targets(news.clone()));
-        }
-        self.publish(news);
-    }
-
-    /// Tells routers of changed targets.
-    fn publish(&mut self, news: Vec<Announcement>) {
-        if !news.is_empty() {
-            for announcement in &news {
-                self.silent.remove(&announcement.name);
-                match announcement.phase {
-                    Phase::Ready => self.soft.changed(),
-                    Phase::Draining | Phase::Gone => self.soft.departed(),
-                }
-            }
-            self.keep_soft_state(Instant::now());
-            self.send_to_routers(&Frame::Targets(news));
-        }
-    }
-
-    /// Sends a configuration to the routers that tell their loads here. The
-    /// others get it from the instance that they tell, or ask for it.
-    fn publish_config(&mut self, frame: &Frame) {
-        let told = |link: &AcceptedLink| self.loads.has_router(link.hello.id);
-        let ids = self
-            .links
-            .iter()
-            .filter(|(_, link)| told(link))
-            .map(|(&id, _)| id);
-        let ids: Vec<LinkId> = ids.collect();
-        self.send_to(ids, frame);
-    }
-
-    /// Passes on where prompts are cached, and keeps it for routers that start.
-    fn pass_on_homes(&mut self, from: LinkId, homes: Vec<(u64, u64)>) {
-        self.homes.extend(homes.iter().copied());
-        let excess = self.homes.len().saturating_sub(MAX_HOMES);
-        self.homes.drain(..excess);
-        self.soft.changed();
-        self.send_to_routers_but(Some(from), &Frame::Homes(homes));
-    }
-
-    fn send_to_routers(&mut self, frame: &Frame) {
-        self.send_to_routers_but(None, frame);
-    }
-
-    fn send_to_routers_but(&mut self, but: Option<LinkId>, frame: &Frame) {
-        let is_router = |link: &AcceptedLink| link.hello.address.is_none();
-        let links = self
-            .links
-            .iter()
-            .filter(|&(&id, link)| is_router(link) && but != Some(id));
-        let ids: Vec<LinkId> = links.map(|(&id, _)| id).collect();
-        self.send_to(ids, frame);
-    }
-
-    /// Closes links that have no room, which makes a router start from the
-    /// present state.
-    fn send_to(&mut self, ids: Vec<LinkId>, frame: &Frame) {
-        for id in ids {
-            let link = self.links.get(&id);
-            if link.is_some_and(|link| link.frames.try_send(frame.clone()).is_err()) {
-                warn!(link = id, "a router reads too slowly; its link is closed");
-                self.links.remove(&id);
-            }
-        }
-    }
-
-    fn opened(&mut self, link: LinkId, hello: Hello, frames: Sender<Frame>, now: Instant) {
-        let accepted = AcceptedLink { hello, frames };
-        if let Some(address) = hello.address {
-            self.heard(hello.id, address, now);
-        } else {
-            self.greet(&accepted.frames, now);
-        }
-        info!(
-            link,
-            peer = hello.id,
-            control = hello.address.is_some(),
-            "a link opened"
-        );
-        self.links.insert(link, accepted);
-    }
-
-    /// Sends the present state to a router.
-    fn greet(&self, frames: &Sender<Frame>, now: Instant) {
-        let all = self.registry.all().cloned().collect();
-        let state = [
-            Frame::Controls(self.peers.recent(now)),
-            Frame::Targets(all),
-            Frame::Homes(self.homes.iter().copied().collect()),
-        ];
-        for frame in state {
-            // The queue of a new link has room.
-            let _sent = frames.try_send(frame);
-        }
-    }
-
-    fn heard(&mut self, id: InstanceId, address: std::net::SocketAddr, now: Instant) {
-        self.peers.heard(id, address, now);
-        self.feed(GroupInput::Heard { id, address });
-    }
-
-    fn received(&mut self, link: LinkId, frame: Frame, now: Instant) {
-        let Some(accepted) = self.links.get(&link) else {
-            return;
-        };
-        let hello = accepted.hello;
-        if let Some(address) = hello.address {
-            self.heard(hello.id, address, now);
-        }
-        match frame {
-            Frame::Alive(number) => {
-                // A full queue holds frames that are a sign of life themselves.
-                let _sent = self
-                    .links
-                    .get(&link)
-                    .map(|l| l.frames.try_send(Frame::Alive(number)));
-            }
-            Frame::Replica { to, message } if to == self.id => {
-                let message = *message;
-                let from = hello.id;
-                self.feed(GroupInput::Message { from, message });
-            }
-            Frame::Replica { to, .. } => {
-                info!(
-                    to,
-                    from = hello.id,
-                    "a message for the former instance at this address"
-                );
-            }
-            Frame::Targets(announcements) => self.merge(announcements, false, now),
-            Frame::Homes(homes) => self.pass_on_homes(link, homes),
-            Frame::Loads(counts) if hello.address.is_some() => {
-                self.loads.peer(hello.id, counts, now);
-            }
-            Frame::Loads(counts) => self.loads.router(hello.id, counts, now),
-            Frame::Want => self.send_config(link),
-            Frame::Ask(asked) => self.asked(link, asked, now),
-            Frame::Put { ticket, document } => self.peer_put(hello.id, ticket, document, now),
-            Frame::Get { ticket } => self.peer_get(hello.id, ticket, now),
-            Frame::PutDone { ticket, accepted } => self.put_done(ticket, accepted),
-            Frame::GetDone { ticket, document } => self.get_done(ticket, document),
-            Frame::Controls(addresses) => {
-                for address in addresses {
-                    self.peers.learn(address);
-                }
-            }
-            Frame::Hello(_)
-            | Frame::Silent(_)
-            | Frame::Config(_)
-            | Frame::Totals(_)
-            | Frame::InForce { .. } => {
-                warn!(link, "a frame came that this side does not take");
-            }
-        }
-    }
-
-    fn dialed(&mut self, event: LinkEvent) {
-        match event {
-            LinkEvent::Up(address) => {
-                info!(%address, "link to a control instance is up");
-                let now = Instant::now();
-                let all = self.registry.all().cloned().collect();
-                let recent = self.peers.recent(now);
-                self.peers.send_to_all(&Frame::Controls(recent));
-                self.peers.send_to_all(&Frame::Targets(all));
-            }
-            LinkEvent::Down(address, error) => {
-                info!(%address, %error, "link to a control instance is down");
-            }
-            LinkEvent::Frame(..) => {}
-        }
-    }
-
-    /// Answers a router. Only the leader knows what is in force.
-    fn asked(&mut self, link: LinkId, asked: u64, now: Instant) {
-        if self.is_leader() {
-            let ticket = self.waiters.add(Waiter::Ask { link, asked }, now);
-            self.feed(GroupInput::Read { ticket });
-        } else if let Some(accepted) = self.links.get(&link) {
-            // A full queue holds frames that are a sign of life themselves.
-            let _sent = accepted.frames.try_send(Frame::Alive(asked));
-        }
-    }
-
-    fn is_leader(&self) -> bool {
-        self.group.leader() == Some(self.id)
-    }
-
-    /// Hands an operator's request to the leader, here or elsewhere. Without a
-    /// leader it waits for one.
-    fn request(&mut self, waiter: Waiter, now: Instant) {
-        let leader = self.group.leader();
-        let change = match &waiter {
-            Waiter::Put { document, .. } => Some(document.clone()),
-            _ => None,
-        };
-        let settled = change
-            .as_ref()
-            .is_some_and(|d| d.version <= self.group.document().version);
-        let ticket = self.waiters.add(waiter, now);
-        if leader == Some(self.id) || settled {
-            self.feed(match change {
-                Some(document) => GroupInput::Put { ticket, document },
-                None => GroupInput::Read { ticket },
-            });
-        } else if let Some(leader) = leader {
-            let frame = match change {
-                Some(document) => Frame::Put { ticket, document },
-                None => Frame::Get { ticket },
-            };
-            if !self.peers.send_to(leader, frame) {
-                warn!(leader, "no link to the leader");
-            }
-        }
-    }
-
-    fn send_config(&self, link: LinkId) {
-        if let Some(accepted) = self.links.get(&link) {
-            // A router that gets nothing asks again.
-            let _sent = accepted
-                .frames
-                .try_send(Frame::Config(self.group.document().clone()));
-        }
-    }
-
-    fn peer_put(&mut self, peer: InstanceId, ticket: Ticket, document: Document, now: Instant) {
-        let ticket = self.waiters.add(Waiter::PeerPut { peer, ticket }, now);
-        self.feed(GroupInput::Put { ticket, document });
-    }
-
-    fn peer_get(&mut self, peer: InstanceId, ticket: Ticket, now: Instant) {
-        let ticket = self.waiters.add(Waiter::PeerGet { peer, ticket }, now);
-        self.feed(GroupInput::Read { ticket });
-    }
-
-    fn put_done(&mut self, ticket: Ticket, accepted: bool) {
-        if accepted && let Some(Waiter::Put { result, .. }) = self.waiters.take(ticket) {
-            // The operator may have given up waiting.
-            let _told = result.send(PutResult::Accepted);
-        }
-    }
-
-    fn get_done(&mut self, ticket: Ticket, document: Option<Document>) {
-        if document.is_some()
-            && let Some(Waiter::Get { result }) = self.waiters.take(ticket)
-        {
-            let _told = result.send(document);
-        }
-    }
-
     fn feed(&mut self, input: GroupInput) {
         let outputs = self.group.handle(input, Instant::now());
         for output in outputs {
@@ -575,62 +247,6 @@
             GroupOutput::Violation(message) => error!(message, "invariant violated"),
         }
     }
-
-    fn reply(&mut self, ticket: Ticket, reply: Result<Reply, Unavailable>) {
-        let Some(waiter) = self.waiters.take(ticket) else {
-            return;
-        };
-        let accepted = reply.is_ok();
-        let newest = || accepted.then(|| self.group.document().clone());
-        match waiter {
-            Waiter::Put { result, .. } => {
-                let outcome = if accepted {
-                    PutResult::Accepted
-                } else {
-                    PutResult::Unclear
-                };
-                // The operator may have given up waiting.
-                let _told = result.send(outcome);
-            }
-            Waiter::Get { result } => {
-                let _told = result.send(newest());
-            }
-            Waiter::PeerPut { peer, ticket } => {
-                // A lost result reads as unclear.
-                let _sent = self
-                    .peers
-                    .send_to(peer, Frame::PutDone { ticket, accepted });
-            }
-            Waiter::PeerGet { peer, ticket } => {
-                let document = newest();
-                let _sent = self
-                    .peers
-                    .send_to(peer, Frame::GetDone { ticket, document });
-            }
-            Waiter::Ask { link, asked } => self.tell_in_force(link, asked, reply),
-        }
-    }
-
-    fn tell_in_force(&self, link: LinkId, asked: u64, reply: Result<Reply, Unavailable>) {
-        let Some(accepted) = self.links.get(&link) else {
-            return;
-        };
-        let routers = self
-            .links
-            .values()
-            .filter(|l| l.hello.address.is_none())
-            .count();
-        let frame = match reply {
-            Ok(Reply::Newest { version } | Reply::Accepted { version }) => Frame::InForce {
-                asked,
-                version,
-                routers: u32::try_from(routers).unwrap_or(u32::MAX),
-            },
-            Err(_) => Frame::Alive(asked),
-        };
-        // A router that gets no answer asks again.
-        let _sent = accepted.frames.try_send(frame);
-    }
 }
 
 /// Seed of election timeouts; instances must differ, and so must restarts.
--- a/crates/fleet/src/control/loads.rs
+++ b/crates/fleet/src/control/loads.rs
@@ -49,21 +49,25 @@
     }
 
     /// Whether a router tells its counts here.
+    #[must_use]
     pub fn has_router(&self, id: InstanceId) -> bool {
         self.routers.contains_key(&id)
     }
 
     /// Whether any router tells its counts here.
+    #[must_use]
     pub fn has_routers(&self) -> bool {
         !self.routers.is_empty()
     }
 
     /// Sums over the routers that tell their counts here.
+    #[must_use]
     pub fn own_sums(&self) -> Counts {
         sum(self.routers.values())
     }
 
     /// Sums over all routers.
+    #[must_use]
     pub fn totals(&self) -> Counts {
         sum(self.routers.values().chain(self.peers.values()))
     }
@@ -77,23 +81,3 @@
     }
     sums.into_iter().collect()
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn totals_add_routers_and_peers_and_forget_old_ones() {
-        let now = Instant::now();
-        let mut loads = Loads::default();
-        loads.router(1, vec![(7, 2), (8, 1)], now);
-        loads.router(1, vec![(7, 3)], now);
-        loads.router(2, vec![(7, 1)], now);
-        loads.peer(9, vec![(7, 10), (9, 1)], now);
-        assert_eq!(loads.own_sums(), [(7, 4)]);
-        assert_eq!(loads.totals(), [(7, 14), (9, 1)]);
-        loads.router(2, vec![(7, 1)], now + MEMORY);
-        loads.drop_old(now + MEMORY);
-        assert_eq!(loads.totals(), [(7, 1)]);
-    }
-}
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -25,6 +25,8 @@
 use crate::settings_file::{LOOK_PERIOD, SettingsFile};
 use crate::signals::{Request, Signals};
 use event::Event;
+pub use loads::{Counts, Loads};
+pub use soft::{SoftSchedule, SoftState};
 
 /// Events that wait for the host; senders wait for room.
 const QUEUE_EVENTS: usize = 1_024;
--- a/crates/fleet/src/control/soft.rs
+++ b/crates/fleet/src/control/soft.rs
@@ -24,6 +24,7 @@
 
 impl SoftState {
     /// Decodes what was kept; what cannot be read is as good as lost.
+    #[must_use]
     pub fn decode(blob: Option<Vec<u8>>) -> Self {
         let Some(blob) = blob else {
             return Self::default();
@@ -35,6 +36,7 @@
     }
 
     /// Encodes the state.
+    #[must_use]
     pub fn encode(&self) -> Option<Vec<u8>> {
         postcard::to_stdvec(self).ok()
     }
@@ -49,6 +51,7 @@
 }
 
 impl SoftSchedule {
+    #[must_use]
     pub const fn new(now: Instant) -> Self {
         Self {
             changed: false,
