Serve counters of both roles on a port of their own

Routers: results, latency histogram, retries, connections made and reused. Control instances: reports, operators' calls, configurations, elections, disk failures, violations, and what is in force.

--- a/crates/fleet/src/control/event.rs
+++ b/crates/fleet/src/control/event.rs
@@ -87,6 +87,11 @@
     DiskReopened(Box<Restored>),
     /// The settings name other seeds.
     Seeds(Vec<SocketAddr>),
+    /// Someone asks for the counters.
+    Metrics {
+        /// Told the counters as text.
+        text: oneshot::Sender<String>,
+    },
     /// The process is about to end.
     Stop,
 }
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep_until;
 use tracing::{error, info, warn};
 
+use super::counters::{Counters, Gauges};
 use super::disk::{self, Write};
 use super::event::{Event, LinkId};
 use super::loads::Loads;
@@ -56,6 +57,7 @@
     homes: VecDeque<(u64, u64)>,
     /// Version that routers were told last.
     published: u64,
+    counters: Counters,
     loads: Loads,
     loads_at: Instant,
     round_at: Instant,
@@ -111,6 +113,7 @@
             silent: BTreeSet::new(),
             homes: soft.homes.into(),
             published: 0,
+            counters: Counters::default(),
             loads: Loads::default(),
             loads_at: now + LOADS_ROUND,
             round_at: now + ROUND,
@@ -168,6 +171,7 @@
                 announcement,
                 taken,
             } => {
+                self.counters.reports += 1;
                 self.merge(vec![announcement], true, now);
                 // The target may have given up waiting.
                 let _told = taken.send(());
@@ -180,9 +184,13 @@
                 let _told = taken.send(());
             }
             Event::Put { document, result } => {
+                self.counters.operator_calls += 1;
                 self.request(Waiter::Put { result, document }, now);
             }
-            Event::Get { result } => self.request(Waiter::Get { result }, now),
+            Event::Get { result } => {
+                self.counters.operator_calls += 1;
+                self.request(Waiter::Get { result }, now);
+            }
             Event::Opened {
                 link,
                 hello,
@@ -194,17 +202,35 @@
             }
             Event::Dialed(event) => self.dialed(event),
             Event::Synced { sequence } => self.feed(GroupInput::Synced { sequence }),
-            Event::DiskFailed => self.feed(GroupInput::DiskFailed),
+            Event::DiskFailed => {
+                self.counters.disk_failures += 1;
+                self.feed(GroupInput::DiskFailed);
+            }
             Event::DiskReopened(restored) => {
                 let settings = self.group_settings.clone();
                 self.group = Group::new(settings, *restored, seed(self.id), now);
                 self.feed(GroupInput::Tick);
             }
             Event::Seeds(seeds) => self.peers.set_seeds(&seeds),
+            Event::Metrics { text } => {
+                // The one who asked may have closed.
+                let _told = text.send(self.metrics_text(now));
+            }
             Event::Stop => self.feed(GroupInput::Transfer),
         }
     }
 
+    fn metrics_text(&self, now: Instant) -> String {
+        let status = self.group.status();
+        self.counters.text(&Gauges {
+            config_version: status.version,
+            leads: self.is_leader(),
+            voters: status.voters,
+            targets: self.registry.usable(now).len(),
+            links: self.links.len(),
+        })
+    }
+
     fn feed(&mut self, input: GroupInput) {
         let outputs = self.group.handle(input, Instant::now());
         for output in outputs {
@@ -230,11 +256,13 @@
                 let document = self.group.document();
                 if document.version > self.published {
                     self.published = document.version;
+                    self.counters.configs += 1;
                     info!(version = document.version, "configuration in force");
                     self.publish_config(&Frame::Config(document.clone()));
                 }
             }
             GroupOutput::Leadership { leader } => {
+                self.counters.elections += 1;
                 info!(?leader, own = leader == Some(self.id), "leader changed");
                 if leader.is_some() {
                     for waiter in self.waiters.take_own() {
@@ -244,7 +272,10 @@
             }
             GroupOutput::MembersChanged { voters } => info!(?voters, "members changed"),
             GroupOutput::Identity(problem) => warn!(%problem, "disk identity"),
-            GroupOutput::Violation(message) => error!(message, "invariant violated"),
+            GroupOutput::Violation(message) => {
+                self.counters.violations += 1;
+                error!(message, "invariant violated");
+            }
         }
     }
 }
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 mod accept;
 mod calls;
+mod counters;
 mod disk;
 mod event;
 mod host;
@@ -17,11 +18,13 @@
 use std::time::Duration;
 
 use bamboospur_http1::socket;
-use tokio::sync::mpsc::channel;
+use tokio::sync::mpsc::{Sender, channel};
+use tokio::sync::oneshot;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{interval, sleep};
 use tracing::info;
 
+use crate::exposition;
 use crate::settings_file::{LOOK_PERIOD, SettingsFile};
 use crate::signals::{Request, Signals};
 use event::Event;
@@ -33,20 +36,20 @@
 /// Time for a handover of leadership and the last answers before the end.
 const STOP_TIME: Duration = Duration::from_millis(1_200);
 
-/// Runs a control instance until it is stopped.
+/// Runs a control instance until it is stopped, with its counters on a port.
 ///
 /// # Errors
 ///
 /// Returns a sentence for the person who starts the process.
-pub fn run() -> Result<(), String> {
+pub fn run(metrics_port: Option<u16>) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
     let runtime = runtime.map_err(|error| format!("no event loop: {error}"))?;
-    LocalSet::new().block_on(&runtime, serve())
+    LocalSet::new().block_on(&runtime, serve(metrics_port))
 }
 
-async fn serve() -> Result<(), String> {
+async fn serve(metrics_port: Option<u16>) -> Result<(), String> {
     let mut file = SettingsFile::open()?;
     let settings = file.settings.clone();
     let failed = |what: &'static str| move |error| format!("{what}: {error}");
@@ -71,6 +74,11 @@
     spawn_local(accept::serve(links, events.clone()));
     spawn_local(host.run(receiver));
 
+    if let Some(port) = metrics_port {
+        let events = events.clone();
+        exposition::start(settings.ip, port, move || metrics_text(events.clone()));
+    }
+
     let mut look = interval(LOOK_PERIOD);
     loop {
         let reload = tokio::select! {
@@ -92,3 +100,13 @@
     sleep(STOP_TIME).await;
     Ok(())
 }
+
+/// Asks the host for its counters; there are none once it has ended.
+async fn metrics_text(events: Sender<Event>) -> String {
+    let (text, received) = oneshot::channel();
+    let sent = events.send(Event::Metrics { text }).await;
+    match received.await {
+        Ok(text) if sent.is_ok() => text,
+        _ => String::new(),
+    }
+}
--- a/crates/fleet/src/control/soft.rs
+++ b/crates/fleet/src/control/soft.rs
@@ -51,6 +51,7 @@
 }
 
 impl SoftSchedule {
+    /// Starts without changes.
     #[must_use]
     pub const fn new(now: Instant) -> Self {
         Self {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod clock;
 pub mod control;
+mod exposition;
 pub mod link;
 pub mod log;
 pub mod router;
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -27,6 +27,7 @@
 pub use lease::Lease;
 pub use retry::{RetryBudget, RetrySettings};
 
+use std::future::ready;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,6 +36,7 @@
 use tokio::time::{Instant, interval, sleep};
 use tracing::info;
 
+use crate::exposition;
 use crate::settings_file::{LOOK_PERIOD, SettingsFile};
 use crate::signals::{Request, Signals};
 use state::Router;
@@ -49,20 +51,20 @@
 /// Time between two looks at idle connections to targets.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 
-/// Runs a router until it is stopped.
+/// Runs a router until it is stopped, with its counters on a port.
 ///
 /// # Errors
 ///
 /// Returns a sentence for the person who starts the process.
-pub fn run() -> Result<(), String> {
+pub fn run(metrics_port: Option<u16>) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
     let runtime = runtime.map_err(|error| format!("no event loop: {error}"))?;
-    LocalSet::new().block_on(&runtime, start())
+    LocalSet::new().block_on(&runtime, start(metrics_port))
 }
 
-async fn start() -> Result<(), String> {
+async fn start(metrics_port: Option<u16>) -> Result<(), String> {
     let mut file = SettingsFile::open()?;
     let settings = file.settings.clone();
     let failed = |what: &'static str| move |error| format!("{what}: {error}");
@@ -87,6 +89,11 @@
     spawn_local(serve::callers(callers_listener, Rc::clone(&router)));
     spawn_local(serve::readiness(ready_listener, Rc::clone(&router)));
 
+    if let Some(port) = metrics_port {
+        let router = Rc::clone(&router);
+        exposition::start(settings.ip, port, move || ready(router.metrics_text()));
+    }
+
     let mut look = interval(LOOK_PERIOD);
     let mut sweep = interval(SWEEP_PERIOD);
     loop {
--- a/crates/fleet/src/router/serve.rs
+++ b/crates/fleet/src/router/serve.rs
@@ -33,7 +33,6 @@
     head_timeout: Duration::from_secs(2),
     idle_timeout: Duration::from_secs(10),
 };
-const METRICS_PATH: &str = "/metrics";
 
 /// Accepts callers until connections are to be closed.
 pub async fn callers(listener: TcpListener, router: Rc<Router>) {
@@ -152,14 +151,12 @@
         if !request.head.keeps_alive() {
             responder.close_after();
         }
-        let (status, body) = match request.head.target.as_str() {
-            READY_PATH if router.is_ready() => (200, String::new()),
-            READY_PATH => (503, String::new()),
-            METRICS_PATH => (200, router.metrics_text()),
-            _ => (404, String::new()),
+        let status = match request.head.target.as_str() {
+            READY_PATH if router.is_ready() => 200,
+            READY_PATH => 503,
+            _ => 404,
         };
-        let head = own_head(status, &[("Content-Type", "text/plain")]);
-        let sent = responder.answer(&head, body.as_bytes()).await;
+        let sent = responder.answer(&own_head(status, &[]), b"").await;
         if sent.is_err() || !responder.can_go_on() {
             return;
         }
--- a/crates/node/src/args.rs
+++ b/crates/node/src/args.rs
@@ -58,9 +58,17 @@
 /// Serve callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, FromArgs)]
 #[argh(subcommand, name = "router")]
-pub struct RouterRole {}
+pub struct RouterRole {
+    /// port for counters as text, at /metrics
+    #[argh(option)]
+    pub metrics: Option<u16>,
+}
 
 /// Keep the configuration and hear the targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, FromArgs)]
 #[argh(subcommand, name = "control")]
-pub struct ControlRole {}
+pub struct ControlRole {
+    /// port for counters as text, at /metrics
+    #[argh(option)]
+    pub metrics: Option<u16>,
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -41,8 +41,8 @@
 fn run_role(role: Role) -> ExitCode {
     bamboospur_fleet::log::start();
     let ended = match role {
-        Role::Router(_) => bamboospur_fleet::router::run(),
-        Role::Control(_) => bamboospur_fleet::control::run(),
+        Role::Router(role) => bamboospur_fleet::router::run(role.metrics),
+        Role::Control(role) => bamboospur_fleet::control::run(role.metrics),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
