Fail to reach each data centre at most once per request

A failed connection now leaves its data centre out for the rest of the request. The new test needs three tries without the change. Ruled out: the retry budget, which had room, and the engines of the own data centre.

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -92,7 +92,7 @@
             return Err(NoChoice::NoTarget);
         }
         let mean = mean(loads.values().copied());
-        let all = self.reachable(all, settings, now);
+        let all = self.reachable(all, demand, settings, now);
         let healthy = self.healthy(all, demand, settings, now);
         let share = demand.connection_share;
         let mut open = healthy;
@@ -113,10 +113,18 @@
     fn reachable<'a>(
         &self,
         all: Vec<Candidate<'a>>,
+        demand: &Demand<'_>,
         settings: &DispatchSettings,
         now: Instant,
     ) -> Vec<Candidate<'a>> {
-        let cut_off = self.cut_off(settings, now);
+        let mut cut_off = self.cut_off(settings, now);
+        // One failed connection to a data centre is enough for one request.
+        let tried = demand
+            .tried
+            .iter()
+            .filter_map(|name| self.targets.get(name));
+        let failed = tried.filter(|t| !t.is_local && t.health.is_unreachable(now));
+        cut_off.extend(failed.map(|target| target.data_centre.as_str()));
         let reachable = |c: &Candidate<'_>| {
             let target = c.target;
             !target.health.is_unreachable(now) && !cut_off.contains(target.data_centre.as_str())
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -252,6 +252,34 @@
     assert!(back);
 }
 
+#[test]
+fn a_request_fails_to_reach_each_data_centre_once() {
+    let now = Instant::now();
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), "north", 1);
+    let centre = |i: u8| ["north", "south", "west"][usize::from(i / 3)];
+    let targets: Vec<Announcement> = (0..9).map(|i| target(i, "chat", centre(i))).collect();
+    dispatcher.update(&targets.iter().collect::<Vec<_>>(), &[], now);
+    for key in 0..40 {
+        let prompt = prompt(key);
+        // Nothing is known of the cut when this request begins.
+        let mut fresh = dispatcher.clone();
+        let mut tried = Vec::new();
+        loop {
+            let demand = Demand {
+                tried: &tried,
+                ..chat(&prompt)
+            };
+            let choice = fresh.choose(&demand, now).expect("a target");
+            if ["t0", "t1", "t2"].contains(&choice.name.as_str()) {
+                break;
+            }
+            fresh.finish("chat", &choice, Outcome::Unreachable, now);
+            tried.push(choice.name);
+        }
+        assert!(tried.len() <= 2, "{tried:?}");
+    }
+}
+
 #[test]
 fn unreachable_targets_are_tried_when_there_are_no_others() {
     let now = Instant::now();
