--- a/crates/node/src/actors/counters.rs
+++ b/crates/node/src/actors/counters.rs
@@ -1,5 +1,5 @@
 //! Counters of the actors, by the names under which the metrics server gets
-//! them. docs/operations.md explains each.
+//! them. docs/OPERATIONS.md explains each.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
--- a/crates/node/tests/operators/metrics.rs
+++ b/crates/node/tests/operators/metrics.rs
@@ -11,7 +11,7 @@
 
 /// Gauges that the page lists, by the backticks in the first column.
 fn documented() -> BTreeSet<String> {
-    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operations.md");
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
     let page = fs::read_to_string(page).expect("page");
     let rows = page.lines().filter_map(|line| {
         let mut columns = line.strip_prefix("| ")?.split(" | ");
