Serve the node's own interface with the router role's HTTP code

The node's edge ran tiny_http with a thread a connection, found closed callers by reading the kernel's tables twice a second, woke the library up for connections that it forgot, and refused chunks.

Not replaced: the node's client of targets (ureq) and the stand-ins' server.

--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -77,15 +77,17 @@
     let mut connection = ServerConnection::new(stream);
     loop {
         let request = connection.read_request(&LIMITS).await;
-        let keep = matches!(&request, Ok(request) if request.head.keeps_alive());
         let (mut responder, _) = connection.split();
-        if !keep {
-            responder.close_after();
-        }
         let answer = match request {
-            Ok(request) => handle(&request, &events).await,
+            Ok(request) => {
+                responder.fit(&request.head);
+                handle(&request, &events).await
+            }
             Err(ReadEnd::Closed | ReadEnd::Broken) => return,
-            Err(end) => refusal(end),
+            Err(end) => {
+                responder.close_after();
+                refusal(end)
+            }
         };
         if write(&mut responder, &answer).await.is_err() || !responder.can_go_on() {
             return;
--- a/crates/fleet/src/exposition.rs
+++ b/crates/fleet/src/exposition.rs
@@ -59,9 +59,7 @@
     let mut connection = ServerConnection::new(stream);
     while let Ok(request) = connection.read_request(&LIMITS).await {
         let (mut responder, _) = connection.split();
-        if !request.head.keeps_alive() {
-            responder.close_after();
-        }
+        responder.fit(&request.head);
         let (status, body) = match request.head.target.as_str() {
             PATH => (200, text().await),
             _ => (404, String::new()),
--- a/crates/fleet/src/router/serve.rs
+++ b/crates/fleet/src/router/serve.rs
@@ -74,11 +74,11 @@
             }
             Err(ReadEnd::Closed | ReadEnd::Broken) => return,
             Err(end) => {
-                let (mut responder, mut watch) = connection.split();
+                let (mut responder, _) = connection.split();
                 responder.close_after();
                 refuse(&mut responder, end).await;
                 // Either the caller closes or the time is over.
-                let _closed = timeout(LINGER, watch.closed(usize::MAX)).await;
+                let _closed = timeout(LINGER, connection.discard()).await;
                 return;
             }
         }
@@ -89,7 +89,8 @@
 async fn serve(router: &Rc<Router>, connection: &mut ServerConnection, request: &Request) -> bool {
     let _active = router.begin();
     let (mut responder, mut watch) = connection.split();
-    if !request.head.keeps_alive() || router.is_draining() {
+    responder.fit(&request.head);
+    if router.is_draining() {
         responder.close_after();
     }
     let mut trace = Trace::new(request);
@@ -148,9 +149,7 @@
     let mut connection = ServerConnection::new(stream);
     while let Ok(request) = connection.read_request(&READY_LIMITS).await {
         let (mut responder, _) = connection.split();
-        if !request.head.keeps_alive() {
-            responder.close_after();
-        }
+        responder.fit(&request.head);
         let status = match request.head.target.as_str() {
             READY_PATH if router.is_ready() => 200,
             READY_PATH => 503,
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -78,6 +78,26 @@
     /// Returns why there is none. After an error the connection is only good
     /// for one more answer.
     pub async fn read_request(&mut self, limits: &ReadLimits) -> Result<Request, ReadEnd> {
+        let (head, arrived) = self.next_head(limits).await?;
+        let body = self
+            .read_body(&head, limits.body_bytes, limits.head_timeout)
+            .await?;
+        Ok(Request {
+            head,
+            body,
+            arrived,
+        })
+    }
+
+    /// Reads the head of the next request, and when its first byte came.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`ServerConnection::read_request`] does.
+    pub async fn next_head(
+        &mut self,
+        limits: &ReadLimits,
+    ) -> Result<(RequestHead, Instant), ReadEnd> {
         let idle_deadline = Instant::now() + limits.idle_timeout;
         if self.buffer.is_empty() {
             match timeout_at(idle_deadline, read(&self.stream, &mut self.buffer)).await {
@@ -89,12 +109,7 @@
         let head = self
             .read_head(limits, arrived + limits.head_timeout)
             .await?;
-        let body = self.read_body(&head, limits).await?;
-        Ok(Request {
-            head,
-            body,
-            arrived,
-        })
+        Ok((head, arrived))
     }
 
     async fn read_head(
@@ -122,20 +137,26 @@
         }
     }
 
-    async fn read_body(
+    /// Reads the whole body of a request whose head was read.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is malformed or larger than `most_bytes`, or when one
+    /// of its parts takes longer than `part_timeout`.
+    pub async fn read_body(
         &mut self,
         head: &RequestHead,
-        limits: &ReadLimits,
+        most_bytes: usize,
+        part_timeout: Duration,
     ) -> Result<Bytes, ReadEnd> {
         let framing = head.framing().map_err(|_| ReadEnd::Malformed)?;
-        let too_large = |length: u64| length > limits.body_bytes as u64;
+        let too_large = |length: u64| length > most_bytes as u64;
         if matches!(framing, Framing::Length(length) if too_large(length)) {
             return Err(ReadEnd::BodyTooLarge);
         }
         if head.headers.has_token("expect", "100-continue") && framing != Framing::Length(0) {
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-                .await
-                .map_err(|_| ReadEnd::Broken)?;
+            let interim = self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+            interim.map_err(|_| ReadEnd::Broken)?;
         }
         let mut decoder = BodyDecoder::new(framing);
         let mut body = BytesMut::new();
@@ -143,7 +164,7 @@
             match decoder.decode(&mut self.buffer) {
                 Ok(Some(data)) => body.extend_from_slice(&data),
                 Ok(None) if decoder.is_done() => {}
-                Ok(None) => self.fill(Instant::now() + limits.head_timeout).await?,
+                Ok(None) => self.fill(Instant::now() + part_timeout).await?,
                 Err(_) => return Err(ReadEnd::Malformed),
             }
             if too_large(body.len() as u64) {
@@ -153,6 +174,20 @@
         Ok(body.freeze())
     }
 
+    /// Waits until the caller has closed its side; bytes that arrive meanwhile
+    /// are kept up to a limit.
+    pub async fn closed(&mut self, most_bytes: usize) {
+        closed(&self.stream, &mut self.buffer, most_bytes).await;
+    }
+
+    /// Reads and drops what the caller still sends, until it closes.
+    pub async fn discard(&mut self) {
+        self.buffer.clear();
+        while matches!(read(&self.stream, &mut self.buffer).await, Ok(1..)) {
+            self.buffer.clear();
+        }
+    }
+
     async fn fill(&mut self, deadline: Instant) -> Result<(), ReadEnd> {
         match timeout_at(deadline, read(&self.stream, &mut self.buffer)).await {
             Ok(Ok(0) | Err(_)) => Err(ReadEnd::Broken),
@@ -168,6 +203,8 @@
             stream: &self.stream,
             state: Sent::Nothing,
             keep_alive: true,
+            has_chunks: true,
+            has_body: true,
         };
         let watch = CloseWatch {
             stream: &self.stream,
@@ -218,6 +255,8 @@
     stream: &'a TcpStream,
     state: Sent,
     keep_alive: bool,
+    has_chunks: bool,
+    has_body: bool,
 }
 
 impl Responder<'_> {
@@ -226,6 +265,14 @@
         self.keep_alive = false;
     }
 
+    /// Fits the answer to a request: its method, its version, and whether the
+    /// caller keeps the connection.
+    pub fn fit(&mut self, request: &RequestHead) {
+        self.has_body = request.method != "HEAD";
+        self.has_chunks = request.is_http11;
+        self.keep_alive &= request.keeps_alive();
+    }
+
     /// Returns how much was written.
     #[must_use]
     pub const fn state(&self) -> Sent {
@@ -250,7 +297,9 @@
             write_field(&mut out, "Content-Length", &body.len().to_string());
         }
         out.extend_from_slice(b"\r\n");
-        out.extend_from_slice(body);
+        if self.has_body {
+            out.extend_from_slice(body);
+        }
         self.state = Sent::Part(Framing::Length(body.len() as u64));
         self.write(&out).await?;
         self.state = Sent::Whole;
@@ -263,13 +312,18 @@
     ///
     /// Returns the error of the socket.
     pub async fn begin(&mut self, head: &ResponseHead, framing: Framing) -> io::Result<()> {
+        let framing = match framing {
+            Framing::Length(_) => framing,
+            _ if self.has_chunks => Framing::Chunked,
+            _ => Framing::UntilClose,
+        };
+        self.keep_alive &= framing != Framing::UntilClose;
         let mut out = head.to_bytes();
         self.write_connection(&mut out);
         match framing {
             Framing::Length(length) => write_field(&mut out, "Content-Length", &length.to_string()),
-            Framing::Chunked | Framing::UntilClose => {
-                write_field(&mut out, "Transfer-Encoding", "chunked");
-            }
+            Framing::Chunked => write_field(&mut out, "Transfer-Encoding", "chunked"),
+            Framing::UntilClose => {}
         }
         out.extend_from_slice(b"\r\n");
         self.state = Sent::Part(framing);
@@ -285,7 +339,7 @@
         if data.is_empty() {
             return Ok(());
         }
-        if matches!(self.state, Sent::Part(Framing::Length(_))) {
+        if self.state != Sent::Part(Framing::Chunked) {
             return self.write(data).await;
         }
         let mut out = Vec::with_capacity(data.len() + 16);
@@ -301,7 +355,7 @@
     ///
     /// Returns the error of the socket.
     pub async fn finish(&mut self) -> io::Result<()> {
-        if !matches!(self.state, Sent::Part(Framing::Length(_))) {
+        if self.state == Sent::Part(Framing::Chunked) {
             self.write(b"0\r\n\r\n").await?;
         }
         self.state = Sent::Whole;
--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -10,22 +10,28 @@
 /// Connections that wait to be accepted.
 const LISTEN_BACKLOG: i32 = 1024;
 
-/// Listens on an address.
+/// Listens on an address, inside an event loop.
 ///
 /// # Errors
 ///
 /// Returns the error of the socket.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        Some(Protocol::TCP),
-    )?;
+    TcpListener::from_std(bind(address)?)
+}
+
+/// Listens on an address, for an event loop that starts later.
+///
+/// # Errors
+///
+/// Returns the error of the socket.
+pub fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let domain = Domain::for_address(address);
+    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
     socket.listen(LISTEN_BACKLOG)?;
-    TcpListener::from_std(socket.into())
+    Ok(socket.into())
 }
 
 /// Sends small writes at once, and gives up on a peer that acknowledges nothing
--- /dev/null
+++ b/crates/node/src/edge/caller.rs
@@ -0,0 +1,32 @@
+//! A caller that may hang up.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use bamboospur_upstream::Cancel;
+
+/// A caller with a request in progress.
+#[derive(Debug, Default)]
+pub struct Caller {
+    gone: AtomicBool,
+    cancel: Cancel,
+}
+
+impl Caller {
+    /// Returns whether the caller hung up.
+    #[must_use]
+    pub fn is_gone(&self) -> bool {
+        self.gone.load(Ordering::SeqCst)
+    }
+
+    /// Notes that the caller hung up and cancels its call to the target.
+    pub fn hang_up(&self) {
+        self.gone.store(true, Ordering::SeqCst);
+        self.cancel.cancel();
+    }
+
+    /// Returns the handle that cancels the call to the target.
+    #[must_use]
+    pub const fn cancel(&self) -> &Cancel {
+        &self.cancel
+    }
+}
--- a/crates/node/src/edge/incoming.rs
+++ b/crates/node/src/edge/incoming.rs
@@ -1,43 +1,50 @@
 //! One request as it arrived.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, mpsc};
 use std::time::Duration;
 
-use tiny_http::{HTTPVersion, Request};
+use bamboospur_http1::RequestHead;
+use tokio::sync::mpsc::Sender;
 
-use super::answer::{Form, Responder};
-use super::body::{self, BodyError};
+use super::answer::Responder;
+use super::body::BodyError;
+use super::caller::Caller;
+use super::connection::Wish;
 
 /// Request whose head has arrived.
 pub struct Incoming {
-    request: Request,
-    method: String,
-    path: String,
+    head: RequestHead,
     peer: Option<SocketAddr>,
-    unread_bytes: usize,
+    caller: Arc<Caller>,
+    wishes: Sender<Wish>,
 }
 
 impl Incoming {
-    pub(super) fn new(request: Request) -> Self {
+    pub(super) const fn new(
+        head: RequestHead,
+        peer: Option<SocketAddr>,
+        caller: Arc<Caller>,
+        wishes: Sender<Wish>,
+    ) -> Self {
         Self {
-            method: request.method().as_str().to_owned(),
-            path: request.url().to_owned(),
-            peer: request.remote_addr().copied(),
-            unread_bytes: unread_bytes(&request),
-            request,
+            head,
+            peer,
+            caller,
+            wishes,
         }
     }
 
     /// Returns the method.
     #[must_use]
     pub fn method(&self) -> &str {
-        &self.method
+        &self.head.method
     }
 
     /// Returns the path with its query.
     #[must_use]
     pub fn path(&self) -> &str {
-        &self.path
+        &self.head.target
     }
 
     /// Returns the address of the other end.
@@ -46,18 +53,21 @@
         self.peer
     }
 
+    /// Returns the caller, who may hang up.
+    #[must_use]
+    pub fn caller(&self) -> Arc<Caller> {
+        Arc::clone(&self.caller)
+    }
+
     /// Returns the first header of a name.
     #[must_use]
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers()
-            .find(|(field, _)| field.eq_ignore_ascii_case(name))
-            .map(|(_, value)| value)
+        self.head.headers.get(name)
     }
 
     /// Returns all headers.
     pub fn headers(&self) -> impl Iterator<Item = (&str, &str)> {
-        let headers = self.request.headers().iter();
-        headers.map(|h| (h.field.as_str().as_str(), h.value.as_str()))
+        self.head.headers.iter()
     }
 
     /// Reads the whole body.
@@ -70,36 +80,22 @@
         limit_bytes: usize,
         timeout: Duration,
     ) -> Result<Vec<u8>, BodyError> {
-        body::check_framing(self)?;
-        let framing = body::Framing {
-            declared_bytes: self.request.body_length(),
+        let (body, received) = mpsc::sync_channel(1);
+        let wish = Wish::Body {
+            limit_bytes,
+            timeout,
+            body,
         };
-        let body = body::read(self.request.as_reader(), &framing, limit_bytes, timeout)?;
-        self.unread_bytes = 0;
-        Ok(body)
+        let wished = self.wishes.blocking_send(wish).is_ok();
+        match received.recv() {
+            Ok(body) if wished => body,
+            _ => Err(BodyError::Cut),
+        }
     }
 
     /// Gives up the request for its answer.
     #[must_use]
     pub fn into_responder(self) -> Responder {
-        let close = self.header("connection");
-        let form = Form {
-            old_http: *self.request.http_version() < HTTPVersion(1, 1),
-            close: close.is_some_and(|value| value.eq_ignore_ascii_case("close")),
-            head_only: self.method == "HEAD",
-            unread_bytes: self.unread_bytes,
-        };
-        Responder::new(self.request, form)
-    }
-}
-
-/// Bodies up to this size are read by the library before the request is seen.
-const READ_AHEAD_BYTES: usize = 1024;
-
-fn unread_bytes(request: &Request) -> usize {
-    let declared = request.body_length().unwrap_or(0);
-    if declared > READ_AHEAD_BYTES {
-        return declared;
+        Responder::new(self.wishes)
     }
-    0
 }
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -1,21 +1,21 @@
-//! The HTTP edge: `tiny_http` behind own request and answer types.
+//! The HTTP edge: connections on an event loop, requests on threads.
 //!
-//! `tiny_http` sets no time-outs, bounds nothing and cannot close a
-//! connection. [`listener`] and [`server`] add time-outs and bounds, [`body`]
-//! refuses framing that the library reads in a lenient way, [`answer`] never
-//! starts an answer that it cannot end properly, and [`watch`] finds callers
-//! that hung up.
+//! One thread runs an event loop that reads and writes all connections of an
+//! edge ([`server`], [`connection`]). The handler of a request runs on a thread
+//! of its own, because it waits for other parts of the node. It sees the request
+//! as [`Incoming`] and answers through a [`Responder`]; both pass their wishes
+//! to the task of the connection. [`Caller`] tells the handler that the caller
+//! hung up.
 
 pub mod answer;
 pub mod body;
+pub mod caller;
+mod connection;
 pub mod incoming;
-pub mod listener;
 pub mod server;
-mod wake;
-pub mod watch;
 
 pub use answer::{Responder, StreamWriter};
 pub use body::BodyError;
+pub use caller::Caller;
 pub use incoming::Incoming;
 pub use server::{Edge, EdgeSettings};
-pub use watch::{Caller, Watch};
--- a/crates/node/src/request/mod.rs
+++ b/crates/node/src/request/mod.rs
@@ -29,7 +29,7 @@
 /// Serves one request of a caller from its head to its last byte.
 pub fn handle(node: &Arc<Node>, mut incoming: Incoming) {
     let _progress = node.begin();
-    let caller = node.watch_caller(incoming.peer());
+    let caller = incoming.caller();
     let head = accept::read_head(node);
     let prepared = prepare(node, &mut incoming, &head);
     let responder = incoming.into_responder();
--- a/crates/node/src/request/node.rs
+++ b/crates/node/src/request/node.rs
@@ -1,16 +1,14 @@
 //! What all requests of a node share.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime};
 
 use bamboospur_settings::KeyHash;
 use bamboospur_types::{InstanceId, mix64, stable_id};
 use bamboospur_upstream::Client;
 
-use crate::edge::{Caller, Watch};
 use crate::mailbox::Mailbox;
 use crate::metrics::Metrics;
 use crate::settings::NodeSettings;
@@ -36,7 +34,6 @@
     violations: AtomicU64,
     in_progress: AtomicUsize,
     attempts: Mutex<BTreeSet<u64>>,
-    watch: OnceLock<Arc<Watch>>,
 }
 
 impl Node {
@@ -59,7 +56,6 @@
             violations: AtomicU64::new(0),
             in_progress: AtomicUsize::new(0),
             attempts: Mutex::default(),
-            watch: OnceLock::new(),
         }
     }
 
@@ -117,20 +113,6 @@
         stable_id(&self.settings.name)
     }
 
-    /// Sets the watch that finds callers who hung up.
-    pub fn set_watch(&self, watch: Arc<Watch>) {
-        // Set once at the start; a second watch would be a fault in `run`.
-        let _ = self.watch.set(watch);
-    }
-
-    /// Watches a caller until the result is dropped.
-    #[must_use]
-    pub fn watch_caller(&self, peer: Option<SocketAddr>) -> Arc<Caller> {
-        self.watch
-            .get()
-            .map_or_else(Arc::default, |watch| watch.register(peer))
-    }
-
     /// Returns a number that no process of this instance used before.
     ///
     /// The start time in microseconds leaves room for a million numbers a
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -139,7 +139,6 @@
             operators::handle(&serving, incoming);
         })
         .map_err(|error| failed("operators", addresses.operators, &error))?;
-        node.set_watch(Arc::clone(callers.watch()));
         info!(callers = %callers.address(), operators = %operators.address(), "listening");
         Ok(Self { callers, operators })
     }
--- a/crates/node/tests/bad_input.rs
+++ b/crates/node/tests/bad_input.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::io::Write;
+use std::net::Shutdown;
 use std::thread;
 use std::time::Duration;
 
@@ -98,12 +99,36 @@
         is_refused(&caller.raw(request.as_bytes()), Code::BadRequest);
     }
     let records = node.records(&[]);
-    let chunked = caller.clone().key("a").head("POST", "/services/records/x")
-        + "transfer-encoding: chunked\r\n\r\n5\r\nentry\r\n0\r\n\r\n";
-    is_refused(&caller.raw(chunked.as_bytes()), Code::BadRequest);
+    let head = caller.clone().key("a").head("POST", "/services/records/x");
+    for chunks in ["5\r\nentryX\r\n0\r\n\r\n", "z\r\nentry\r\n0\r\n\r\n"] {
+        let request = format!("{head}transfer-encoding: chunked\r\n\r\n{chunks}");
+        is_refused(&caller.raw(request.as_bytes()), Code::BadRequest);
+    }
+    // A body that is cut inside a chunk is not run.
+    let cut = format!("{head}transfer-encoding: chunked\r\n\r\n5\r\nent");
+    let stream = caller.open(cut.as_bytes());
+    stream.shutdown(Shutdown::Write).expect("half closed");
+    thread::sleep(Duration::from_millis(300));
     assert_eq!((engine.runs(), records.runs()), (0, 0));
 }
 
+/// Guards against a body in chunks that is cut, joined wrongly or passed on with
+/// its chunk sizes.
+#[test]
+fn a_body_in_chunks_arrives_whole() {
+    let node = Node::start();
+    let records = node.records(&[]);
+    let caller = node.caller().key("a");
+    let request = caller.head("POST", "/services/records/x")
+        + "transfer-encoding: chunked\r\n\r\n3\r\nent\r\n2;x=y\r\nry\r\n0\r\n\r\n";
+    caller.raw(request.as_bytes()).is("answered", Code::Ok);
+    let seen = records.seen();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].body, "entry");
+    assert_eq!(seen[0].header("content-length").as_deref(), Some("5"));
+    assert_eq!(seen[0].header("transfer-encoding"), None);
+}
+
 /// Guards against an allocation of the declared length, which would end the
 /// process, and against a thread held for ever by a slow body.
 #[test]
--- a/crates/upstream/src/state.rs
+++ b/crates/upstream/src/state.rs
@@ -26,6 +26,7 @@
     reused: AtomicBool,
     head_done: AtomicBool,
     keep: AtomicBool,
+    released: AtomicBool,
     ended: AtomicU8,
     cancel: Cancel,
 }
@@ -39,6 +40,7 @@
             reused: AtomicBool::new(false),
             head_done: AtomicBool::new(false),
             keep: AtomicBool::new(false),
+            released: AtomicBool::new(false),
             ended: AtomicU8::new(Ended::No as u8),
             cancel: cancel.clone(),
         }
@@ -60,13 +62,19 @@
         self.keep.store(true, Ordering::Relaxed);
     }
 
+    /// Whether the connection can be used again. A caller that hangs up after the
+    /// whole answer was read does not matter any more.
     pub fn may_keep(&self) -> bool {
-        self.keep.load(Ordering::Relaxed) && !self.cancel.is_cancelled()
+        let whole = self.released.load(Ordering::Acquire) || !self.cancel.is_cancelled();
+        self.keep.load(Ordering::Relaxed) && whole
     }
 
     /// Ends the hold on the socket: a later cancel leaves it alone.
     pub fn release_socket(&self) {
         self.cancel.detach();
+        if !self.cancel.is_cancelled() {
+            self.released.store(true, Ordering::Release);
+        }
     }
 
     /// Returns how long the next read or write may take, at most.
