--- a/crates/fleet/src/control/accept.rs
+++ b/crates/fleet/src/control/accept.rs
@@ -7,11 +7,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 use tracing::{info, warn};
 
 use super::event::{Event, LinkId};
 use crate::link::{Frame, FrameError, FrameReader, encode};
+use crate::process::accept;
 
 /// The side that dials says something every second.
 const SILENCE: Duration = Duration::from_millis(3_500);
@@ -20,23 +21,14 @@
 /// Frames that wait for a link; when there are more, the link is closed and the
 /// peer starts again from the present state.
 const QUEUE_FRAMES: usize = 512;
-/// Pause after a failed accept, for example without free descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Accepts links for ever.
 pub async fn serve(listener: TcpListener, events: Sender<Event>) {
     let mut next_link: LinkId = 0;
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                next_link += 1;
-                spawn_local(link(stream, next_link, events.clone()));
-            }
-            Err(error) => {
-                warn!(%error, "no link accepted");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = accept(&listener, "links").await;
+        next_link += 1;
+        spawn_local(link(stream, next_link, events.clone()));
     }
 }
 
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -13,10 +13,11 @@
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use tracing::{info, warn};
 
 use super::event::{Event, PutResult};
+use crate::process::accept;
 
 /// Bounds on callers; a configuration with thousands of routes fits.
 const LIMITS: ReadLimits = ReadLimits {
@@ -29,8 +30,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 /// A caller that acknowledges nothing for this time is gone.
 const SILENCE: Duration = Duration::from_secs(5);
-/// Pause after a failed accept, for example without free descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Answer to a call.
 struct Answer {
@@ -57,15 +56,8 @@
 /// Accepts calls for ever.
 pub async fn serve(listener: TcpListener, events: Sender<Event>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(connection(stream, events.clone()));
-            }
-            Err(error) => {
-                warn!(%error, "no call accepted");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = accept(&listener, "operators and targets").await;
+        spawn_local(connection(stream, events.clone()));
     }
 }
 
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -20,11 +20,12 @@
 use bamboospur_http1::socket;
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::sync::oneshot;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::{interval, sleep};
 use tracing::info;
 
 use crate::exposition;
+use crate::process;
 use crate::settings_file::{LOOK_PERIOD, SettingsFile};
 use crate::signals::{Request, Signals};
 use event::Event;
@@ -42,11 +43,7 @@
 ///
 /// Returns a sentence for the person who starts the process.
 pub fn run(metrics_port: Option<u16>) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let runtime = runtime.map_err(|error| format!("no event loop: {error}"))?;
-    LocalSet::new().block_on(&runtime, serve(metrics_port))
+    process::run(serve(metrics_port))
 }
 
 async fn serve(metrics_port: Option<u16>) -> Result<(), String> {
--- a/crates/fleet/src/exposition.rs
+++ b/crates/fleet/src/exposition.rs
@@ -8,13 +8,12 @@
 use bamboospur_http1::socket;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 use tracing::{info, warn};
 
+use crate::process;
+
 /// Path of the counters.
 const PATH: &str = "/metrics";
-/// Pause after a failed accept, for example without free descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(200);
 /// Bounds on those who ask.
 const LIMITS: ReadLimits = ReadLimits {
     head_bytes: 4 * 1024,
@@ -43,15 +42,8 @@
     F: Future<Output = String> + 'static,
 {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(answer(stream, Rc::clone(&text)));
-            }
-            Err(error) => {
-                warn!(%error, "no connection accepted on the metrics address");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = process::accept(&listener, "metrics").await;
+        spawn_local(answer(stream, Rc::clone(&text)));
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod exposition;
 pub mod link;
 pub mod log;
+mod process;
 pub mod router;
 pub mod settings_file;
 pub mod signals;
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -18,25 +18,24 @@
 mod metrics;
 mod pool;
 mod relay;
-mod retry;
 mod serve;
 mod state;
 
 pub use admit::{Admission, Admitted, Refusal, admit};
 pub use evidence::{AttemptLimits, Evidence, Proved};
 pub use lease::Lease;
-pub use retry::{RetryBudget, RetrySettings};
 
 use std::future::ready;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bamboospur_http1::socket;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, interval, sleep};
 use tracing::info;
 
 use crate::exposition;
+use crate::process;
 use crate::settings_file::{LOOK_PERIOD, SettingsFile};
 use crate::signals::{Request, Signals};
 use state::Router;
@@ -57,11 +56,7 @@
 ///
 /// Returns a sentence for the person who starts the process.
 pub fn run(metrics_port: Option<u16>) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let runtime = runtime.map_err(|error| format!("no event loop: {error}"))?;
-    LocalSet::new().block_on(&runtime, start(metrics_port))
+    process::run(start(metrics_port))
 }
 
 async fn start(metrics_port: Option<u16>) -> Result<(), String> {
--- a/crates/fleet/src/router/serve.rs
+++ b/crates/fleet/src/router/serve.rs
@@ -11,18 +11,17 @@
 use bamboospur_types::ResultCode;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout};
 use tracing::{info, warn};
 
 use super::forward::{Trace, forward, own_answer};
 use super::state::Router;
+use crate::process::accept;
 
 /// A caller that acknowledges nothing for this time is gone.
 const SILENCE: Duration = Duration::from_secs(8);
 /// Bytes of further requests that are kept while one is served.
 const PIPELINE_BYTES: usize = 64 * 1024;
-/// Pause after a failed accept, for example without free descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time for which a refused request is still read, so that the refusal is not
 /// lost with a reset.
 const LINGER: Duration = Duration::from_millis(300);
@@ -37,19 +36,11 @@
 /// Accepts callers until connections are to be closed.
 pub async fn callers(listener: TcpListener, router: Rc<Router>) {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = accept(&listener, "callers") => stream,
             () = router.closing() => return,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                spawn_local(caller(stream, Rc::clone(&router)));
-            }
-            Err(error) => {
-                warn!(%error, "no caller accepted");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        spawn_local(caller(stream, Rc::clone(&router)));
     }
 }
 
@@ -133,15 +124,8 @@
 /// Tells the balancer whether new connections should come, for ever.
 pub async fn readiness(listener: TcpListener, router: Rc<Router>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(ready_connection(stream, Rc::clone(&router)));
-            }
-            Err(error) => {
-                warn!(%error, "no connection accepted on the readiness address");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = accept(&listener, "readiness").await;
+        spawn_local(ready_connection(stream, Rc::clone(&router)));
     }
 }
 
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -11,6 +11,7 @@
 use bamboospur_dispatch::{Choice, DispatchSettings, Dispatcher, Outcome};
 use bamboospur_platform::settings::{Bounds, ProcessSettings};
 use bamboospur_registry::{Announcement, Merge, Registry, RegistrySettings};
+use bamboospur_retries::{FleetBudget, FleetBudgetSettings};
 use bamboospur_types::{Rng, stable_id};
 use tokio::sync::watch;
 use tracing::info;
@@ -18,7 +19,6 @@
 use super::lease::Lease;
 use super::metrics::Metrics;
 use super::pool::Pool;
-use super::retry::{RetryBudget, RetrySettings};
 use crate::clock::BootTime;
 
 /// A router hears of silent targets from the control instances.
@@ -37,8 +37,8 @@
     pub pool: RefCell<Pool>,
     pub metrics: RefCell<Metrics>,
     pub rng: RefCell<Rng>,
-    budgets: RefCell<BTreeMap<String, RetryBudget>>,
-    retries: RetrySettings,
+    budgets: RefCell<BTreeMap<String, FleetBudget>>,
+    retries: FleetBudgetSettings,
     routers: Cell<u32>,
     draining: Cell<bool>,
     closing: watch::Sender<bool>,
@@ -64,11 +64,11 @@
             metrics: RefCell::default(),
             rng: RefCell::new(Rng::new(seed)),
             budgets: RefCell::default(),
-            retries: RetrySettings {
+            retries: FleetBudgetSettings {
                 ratio: bounds.retry_ratio,
                 slack: bounds.retry_slack,
                 window: bounds.retry_window,
-                ..RetrySettings::default()
+                ..FleetBudgetSettings::default()
             },
             routers: Cell::new(1),
             draining: Cell::new(false),
--- a/crates/fleet/tests/router.rs
+++ b/crates/fleet/tests/router.rs
@@ -1,12 +1,10 @@
 //! Decisions of a router that need no network.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bamboospur_catalog::{Catalog, CatalogParts, RequestKind, Route, Service, Share, Team};
 use bamboospur_fleet::clock::BootTime;
-use bamboospur_fleet::router::{
-    AttemptLimits, Evidence, Lease, Proved, Refusal, RetryBudget, RetrySettings, admit,
-};
+use bamboospur_fleet::router::{AttemptLimits, Evidence, Lease, Proved, Refusal, admit};
 use bamboospur_platform::request::RequestTerms;
 use quickcheck::quickcheck;
 
@@ -167,34 +165,3 @@
     assert!(served("/x/1", false, false));
     assert!(served("/open/1", false, true));
 }
-
-#[test]
-fn routers_together_stay_within_the_retry_budget() {
-    const ROUTERS: u32 = 7;
-    let settings = RetrySettings {
-        ratio: 0.2,
-        slack: 54.0,
-        ..RetrySettings::default()
-    };
-    let start = Instant::now();
-    let mut budgets = vec![RetryBudget::default(); 7];
-    let mut retries = Vec::new();
-    for step in 0..3_000_u64 {
-        let now = start + Duration::from_millis(step * 10);
-        let budget = &mut budgets[usize::try_from(step % 7).expect("a router")];
-        budget.fresh(&settings, now);
-        // Every request fails as often as the budget allows.
-        while budget.try_retry(&settings, ROUTERS, now) {
-            retries.push(now);
-        }
-    }
-    let window = settings.window;
-    for &from in &retries {
-        let count = retries
-            .iter()
-            .filter(|&&at| at >= from && at < from + window)
-            .count();
-        // A window of ten seconds has 1,000 requests.
-        assert!(count <= 200 + 54, "{count}");
-    }
-}
--- a/crates/fleet/src/router/retry.rs
+++ b/crates/retries/src/fleet.rs
@@ -1,4 +1,4 @@
-//! Share of this router in the fleet's retry budget.
+//! Share of one router in a retry budget of the whole fleet.
 //!
 //! The fleet may send a number of retries in a sliding window: a ratio of the
 //! fresh requests and a slack. Each router takes the ratio of its own requests
@@ -10,7 +10,7 @@
 
 /// Retry budget of the fleet.
 #[derive(Clone, Copy, Debug)]
-pub struct RetrySettings {
+pub struct FleetBudgetSettings {
     /// Retries for each fresh request.
     pub ratio: f64,
     /// Retries in a window besides.
@@ -21,7 +21,7 @@
     pub use_share: f64,
 }
 
-impl Default for RetrySettings {
+impl Default for FleetBudgetSettings {
     fn default() -> Self {
         Self {
             ratio: 0.2,
@@ -34,20 +34,25 @@
 
 /// Fresh requests and retries of one service in the window that ends now.
 #[derive(Clone, Debug, Default)]
-pub struct RetryBudget {
+pub struct FleetBudget {
     fresh: VecDeque<Instant>,
     retries: VecDeque<Instant>,
 }
 
-impl RetryBudget {
+impl FleetBudget {
     /// Counts a fresh request.
-    pub fn fresh(&mut self, settings: &RetrySettings, now: Instant) {
+    pub fn fresh(&mut self, settings: &FleetBudgetSettings, now: Instant) {
         self.advance(settings, now);
         self.fresh.push_back(now);
     }
 
     /// Takes a retry if there is one.
-    pub fn try_retry(&mut self, settings: &RetrySettings, routers: u32, now: Instant) -> bool {
+    pub fn try_retry(
+        &mut self,
+        settings: &FleetBudgetSettings,
+        routers: u32,
+        now: Instant,
+    ) -> bool {
         self.advance(settings, now);
         let count = |list: &VecDeque<Instant>| u32::try_from(list.len()).unwrap_or(u32::MAX);
         let earned = settings.ratio * f64::from(count(&self.fresh));
@@ -60,7 +65,7 @@
         true
     }
 
-    fn advance(&mut self, settings: &RetrySettings, now: Instant) {
+    fn advance(&mut self, settings: &FleetBudgetSettings, now: Instant) {
         for list in [&mut self.fresh, &mut self.retries] {
             while list.front().is_some_and(|&at| now >= at + settings.window) {
                 list.pop_front();
--- a/crates/retries/src/lib.rs
+++ b/crates/retries/src/lib.rs
@@ -10,16 +10,21 @@
 //! 3. `Breaker::allow` before and `Breaker::record` after each attempt at a
 //!    target.
 //!
+//! `FleetBudget` takes the place of `RetryBudget` where all routers together have
+//! one budget in a sliding window.
+//!
 //! `Refusal` computes the `Retry-After` that callers get. All parts are state
 //! machines: the time is an argument and random numbers come from `Rng`.
 
 mod backoff;
 mod breaker;
 mod budget;
+mod fleet;
 mod refusal;
 
 pub use backoff::{Backoff, BackoffSettings};
 pub use bamboospur_types::Rng;
 pub use breaker::{Breaker, BreakerSettings, BreakerState, Permit, Verdict};
 pub use budget::{BudgetSettings, RetryBudget};
+pub use fleet::{FleetBudget, FleetBudgetSettings};
 pub use refusal::{Refusal, RefusalSettings};
