Tell routers of all control instances and of the leader

Control instances now tell when the set changes, and one that cannot answer a question names the leader. Ruled out: the core, which had a leader from second 14 on. The new test of real processes, in which the seeds are replaced one after the other, fails without the change. Reads reserve 4 KB a connection instead of 16 KB.

--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -5,6 +5,7 @@
 mod targets;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bamboospur_group::{Group, GroupInput, GroupOutput, GroupSettings};
@@ -58,6 +59,8 @@
     /// Version that routers were told last.
     published: u64,
     counters: Counters,
+    /// Control instances that routers were told of.
+    told_controls: Vec<SocketAddr>,
     loads: Loads,
     loads_at: Instant,
     round_at: Instant,
@@ -114,6 +117,7 @@
             homes: soft.homes.into(),
             published: 0,
             counters: Counters::default(),
+            told_controls: Vec::new(),
             loads: Loads::default(),
             loads_at: now + LOADS_ROUND,
             round_at: now + ROUND,
@@ -160,6 +164,11 @@
             self.peers.send_to_all(&Frame::Targets(batch));
         }
         self.peers.send_to_all(&Frame::Alive(0));
+        let controls = self.peers.recent(now);
+        if controls != self.told_controls {
+            self.send_to_routers(&Frame::Controls(controls.clone()));
+            self.told_controls = controls;
+        }
         self.find_silent(now);
         self.keep_soft_state(now);
     }
--- a/crates/fleet/src/control/host/config.rs
+++ b/crates/fleet/src/control/host/config.rs
@@ -31,8 +31,11 @@
             let ticket = self.waiters.add(Waiter::Ask { link, asked }, now);
             self.feed(GroupInput::Read { ticket });
         } else if let Some(accepted) = self.links.get(&link) {
+            let leader = self.group.leader();
+            let address = leader.and_then(|leader| self.peers.address_of(leader));
+            let answer = address.map_or(Frame::Alive(asked), Frame::Leader);
             // A full queue holds frames that are a sign of life themselves.
-            let _sent = accepted.frames.try_send(Frame::Alive(asked));
+            let _sent = accepted.frames.try_send(answer);
         }
     }
 
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -128,6 +128,7 @@
             | Frame::Silent(_)
             | Frame::Config(_)
             | Frame::Totals(_)
+            | Frame::Leader(_)
             | Frame::InForce { .. } => {
                 warn!(link, "a frame came that this side does not take");
             }
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -88,6 +88,11 @@
         self.heard.retain(|_, at| now < *at + FORGET_AFTER);
     }
 
+    /// Returns the address of an instance that was heard.
+    pub fn address_of(&self, id: InstanceId) -> Option<SocketAddr> {
+        self.addresses.get(&id).copied()
+    }
+
     /// Sends a frame to an instance; returns whether there was a link with room.
     pub fn send_to(&self, id: InstanceId, frame: Frame) -> bool {
         let link = self.addresses.get(&id).and_then(|a| self.links.get(a));
--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -54,6 +54,8 @@
     Config(Document),
     /// Asks which configuration is in force; the number is returned.
     Ask(u64),
+    /// Where the instance that can answer questions is, from one that cannot.
+    Leader(SocketAddr),
     /// At the time of the question nothing newer than this was accepted.
     InForce {
         /// Number of the question.
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -205,6 +205,7 @@
     fn frame(&mut self, address: SocketAddr, frame: Frame) {
         match frame {
             Frame::Controls(addresses) => self.follow(&addresses),
+            Frame::Leader(address) => self.follow(&[address]),
             Frame::Targets(announcements) => self.router.merge(announcements),
             Frame::Silent(silent) => self.router.silence(&silent),
             Frame::Homes(homes) => {
--- a/crates/http1/src/io.rs
+++ b/crates/http1/src/io.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 
 /// Bytes asked for in one read.
-const READ_BYTES: usize = 16 * 1024;
+const READ_BYTES: usize = 4 * 1024;
 
 /// Reads what has arrived; 0 means that the peer closed its side.
 ///
--- a/crates/node/tests/deployment.rs
+++ b/crates/node/tests/deployment.rs
@@ -165,6 +165,12 @@
     /// Starts three control instances and a router. Each test has a network of
     /// its own.
     fn start(network: u8) -> Self {
+        let mut deployment = Self::without_router(network);
+        deployment.start_router();
+        deployment
+    }
+
+    fn without_router(network: u8) -> Self {
         let name = format!("bamboospur-deployment-{}-{network}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).expect("a folder");
@@ -177,7 +183,6 @@
         for index in 1..=3 {
             deployment.start_control(index, true);
         }
-        deployment.start_router();
         deployment
     }
 
@@ -235,12 +240,19 @@
         let child = Command::new(env!("CARGO_BIN_EXE_bamboospur"))
             .arg(role)
             .env("BAMBOOSPUR_SETTINGS", &path)
-            .stdout(Stdio::null())
+            .stdout(self.log(name))
             .spawn()
             .expect("the program starts");
         self.processes.insert(name.to_owned(), child);
     }
 
+    /// Opens the log of a process; logs stay when a test fails.
+    fn log(&self, name: &str) -> Stdio {
+        let path = self.folder.join(format!("{name}.log"));
+        let file = fs::File::options().create(true).append(true).open(path);
+        file.map_or_else(|_| Stdio::null(), Stdio::from)
+    }
+
     fn kill(&mut self, name: &str) {
         let mut child = self.processes.remove(name).expect("a process");
         child.kill().expect("it is killed");
@@ -268,8 +280,10 @@
         );
         eventually("a report is taken", || {
             let path = format!("/replicas/{name}");
-            let reply = json_call(self.at(1, CONTROL_PORT), "PUT", &path, &body);
-            reply.is_some_and(|r| r.status == 200)
+            (1..=5).any(|control| {
+                let reply = json_call(self.at(control, CONTROL_PORT), "PUT", &path, &body);
+                reply.is_some_and(|r| r.status == 200)
+            })
         });
     }
 
@@ -292,7 +306,11 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        let _ = fs::remove_dir_all(&self.folder);
+        if thread::panicking() {
+            println!("logs are in {}", self.folder.display());
+        } else {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
@@ -424,6 +442,44 @@
     }
 }
 
+#[test]
+fn routers_find_control_instances_that_their_seeds_do_not_name() {
+    let mut deployment = Deployment::start(6);
+    deployment.configure("k1");
+    let one = Target::start(deployment.host(20), "t1", Behaviour::Answer);
+    deployment.report("t1", &one, "s", "ready", 1);
+    deployment.wait_ready();
+    // Two more instances join and replace two of the seeds, one after the other,
+    // so that the group ends with one instance that the router was told of.
+    for (joining, leaving) in [(4, 2), (5, 3)] {
+        deployment.start_control(joining, false);
+        thread::sleep(Duration::from_secs(4));
+        deployment.kill(&format!("control-{leaving}"));
+        thread::sleep(Duration::from_secs(5));
+    }
+    let key = "k2";
+    deployment.version += 1;
+    let body = config(deployment.version, key);
+    eventually("the configuration is accepted", || {
+        [1, 4, 5].iter().any(|&control| {
+            let address = deployment.at(control, CONTROL_PORT);
+            json_call(address, "PUT", "/config", &body).is_some_and(|r| r.status == 200)
+        })
+    });
+    deployment.report("t1", &one, "s", "ready", 2);
+    eventually("the new key works", || {
+        let reply = deployment.request("GET", "/read/1", "id", key);
+        reply.is_some_and(|r| r.status == 200)
+    });
+    // The last seed goes too: the router follows the others alone.
+    deployment.kill("control-1");
+    thread::sleep(Duration::from_secs(6));
+    let reply = deployment
+        .request("GET", "/read/1", "id", key)
+        .expect("a reply");
+    assert_eq!(reply.status, 200, "{}", reply.head);
+}
+
 #[test]
 fn keys_fail_closed_on_a_router_without_control_instances() {
     let mut deployment = Deployment::start(4);
