Add a fault soak of real processes

Three control instances, two routers and five targets behind a proxy; signals and harmed connections by seed; the promises are checked from what callers, targets and operators see.

--- /dev/null
+++ b/crates/node/tests/deployment/main.rs
@@ -0,0 +1,198 @@
+//! Control instances and routers as real processes on loopback addresses.
+
+mod proxy;
+mod soak;
+mod world;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use world::{
+    Behaviour, CONTROL_PORT, Deployment, Target, config, eventually, json_call, read_reply,
+    request_text,
+};
+
+#[test]
+fn requests_pass_through_and_departures_are_heard() {
+    let mut deployment = Deployment::start(1);
+    deployment.configure("k1");
+    let one = Target::start(deployment.host(20), "t1", Behaviour::Answer);
+    let two = Target::start(deployment.host(21), "t2", Behaviour::Answer);
+    deployment.report("t1", &one, "s", "ready", 1);
+    deployment.wait_ready();
+    let reply = deployment
+        .request("GET", "/read/1?q", "id-1", "k1")
+        .expect("a reply");
+    assert_eq!(
+        (reply.status, reply.body.as_str()),
+        (200, "ok"),
+        "{}",
+        reply.head
+    );
+    assert!(
+        reply.head.contains("X-Bamboospur-Replica-Stamp: t1"),
+        "{}",
+        reply.head
+    );
+    let heads = one.heads.lock().expect("the heads");
+    assert!(
+        heads[0].starts_with("GET /read/1?q HTTP/1.1\r\n"),
+        "{}",
+        heads[0]
+    );
+    assert!(
+        heads[0].contains("X-Bamboospur-Tenant: red"),
+        "{}",
+        heads[0]
+    );
+    assert!(!heads[0].contains("k1"), "{}", heads[0]);
+    drop(heads);
+
+    let denied = deployment
+        .request("GET", "/read/1", "id-2", "other")
+        .expect("a reply");
+    assert_eq!(denied.status, 401);
+    let unknown = deployment
+        .request("GET", "/none/1", "id-3", "k1")
+        .expect("a reply");
+    assert_eq!(unknown.status, 404);
+
+    deployment.report("t2", &two, "s", "ready", 1);
+    deployment.report("t1", &one, "s", "draining", 2);
+    thread::sleep(Duration::from_millis(500));
+    let before = one.runs();
+    for index in 0..10 {
+        let id = format!("id-d{index}");
+        let reply = deployment
+            .request("GET", "/read/1", &id, "k1")
+            .expect("a reply");
+        assert_eq!(reply.status, 200);
+    }
+    assert_eq!((one.runs(), two.runs()), (before, 10));
+}
+
+#[test]
+fn a_request_that_is_not_repeatable_runs_once_when_its_answer_is_lost() {
+    let mut deployment = Deployment::start(2);
+    deployment.configure("k1");
+    let one = Target::start(deployment.host(20), "t1", Behaviour::Lose);
+    let two = Target::start(deployment.host(21), "t2", Behaviour::Lose);
+    deployment.report("t1", &one, "lossy", "ready", 1);
+    deployment.report("t2", &two, "lossy", "ready", 1);
+    deployment.wait_ready();
+    let reply = deployment
+        .request("POST", "/submit/1", "id-1", "k1")
+        .expect("a reply");
+    assert_eq!(reply.status, 502, "{}", reply.head);
+    assert_eq!(one.runs() + two.runs(), 1);
+}
+
+#[test]
+fn a_change_survives_the_loss_of_any_control_instance() {
+    let mut deployment = Deployment::start(3);
+    deployment.configure("k1");
+    let one = Target::start(deployment.host(20), "t1", Behaviour::Answer);
+    deployment.report("t1", &one, "s", "ready", 1);
+    deployment.wait_ready();
+    for control in 1..=3 {
+        let name = format!("control-{control}");
+        deployment.kill(&name);
+        let key = format!("key-{control}");
+        deployment.configure(&key);
+        eventually("the new key works", || {
+            let reply = deployment.request("GET", "/read/1", "id", &key);
+            reply.is_some_and(|r| r.status == 200)
+        });
+        deployment.start_control(control, false);
+        eventually("the newest configuration is read back", || {
+            let reply = json_call(deployment.at(control, CONTROL_PORT), "GET", "/config", "");
+            reply.is_some_and(|r| r.status == 200 && r.body.contains(&key))
+        });
+    }
+}
+
+#[test]
+fn routers_find_control_instances_that_their_seeds_do_not_name() {
+    let mut deployment = Deployment::start(6);
+    deployment.configure("k1");
+    let one = Target::start(deployment.host(20), "t1", Behaviour::Answer);
+    deployment.report("t1", &one, "s", "ready", 1);
+    deployment.wait_ready();
+    // Two more instances join and replace two of the seeds, one after the other,
+    // so that the group ends with one instance that the router was told of.
+    for (joining, leaving) in [(4, 2), (5, 3)] {
+        deployment.start_control(joining, false);
+        thread::sleep(Duration::from_secs(4));
+        deployment.kill(&format!("control-{leaving}"));
+        thread::sleep(Duration::from_secs(5));
+    }
+    let key = "k2";
+    deployment.version += 1;
+    let body = config(deployment.version, key);
+    eventually("the configuration is accepted", || {
+        [1, 4, 5].iter().any(|&control| {
+            let address = deployment.at(control, CONTROL_PORT);
+            json_call(address, "PUT", "/config", &body).is_some_and(|r| r.status == 200)
+        })
+    });
+    deployment.report("t1", &one, "s", "ready", 2);
+    eventually("the new key works", || {
+        let reply = deployment.request("GET", "/read/1", "id", key);
+        reply.is_some_and(|r| r.status == 200)
+    });
+    // The last seed goes too: the router follows the others alone.
+    deployment.kill("control-1");
+    thread::sleep(Duration::from_secs(6));
+    let reply = deployment
+        .request("GET", "/read/1", "id", key)
+        .expect("a reply");
+    assert_eq!(reply.status, 200, "{}", reply.head);
+}
+
+#[test]
+fn keys_fail_closed_on_a_router_without_control_instances() {
+    let mut deployment = Deployment::start(4);
+    deployment.configure("k1");
+    let one = Target::start(deployment.host(20), "t1", Behaviour::Answer);
+    deployment.report("t1", &one, "s", "ready", 1);
+    deployment.wait_ready();
+    for control in 1..=3 {
+        deployment.kill(&format!("control-{control}"));
+    }
+    thread::sleep(Duration::from_secs(5));
+    let reply = deployment
+        .request("GET", "/read/1", "id-1", "k1")
+        .expect("a reply");
+    assert_eq!(reply.status, 503, "{}", reply.head);
+    assert!(reply.head.contains("Retry-After: "), "{}", reply.head);
+    assert_eq!(one.runs(), 0);
+}
+
+#[test]
+fn a_stop_finishes_streams_and_ends_in_time() {
+    let mut deployment = Deployment::start(5);
+    deployment.configure("k1");
+    let one = Target::start(deployment.host(20), "t1", Behaviour::Stream);
+    deployment.report("t1", &one, "engine", "ready", 1);
+    deployment.wait_ready();
+    let mut stream = TcpStream::connect(deployment.callers()).expect("a connection");
+    let text = request_text("POST", "/chat/1", "id-1", "k1");
+    stream
+        .write_all(text.as_bytes())
+        .expect("the request is sent");
+    eventually("the stream has begun", || one.runs() == 1);
+    let mut router = deployment.processes.remove("router").expect("the router");
+    let id = i32::try_from(router.id()).expect("a process id");
+    let stopped_at = Instant::now();
+    kill_process(Pid::from_raw(id).expect("a process id"), Signal::TERM).expect("a signal");
+    let reply = read_reply(&mut stream).expect("a whole reply");
+    assert_eq!(reply.body.matches("id: ").count(), 10, "{}", reply.body);
+    assert!(reply.body.ends_with("0\r\n\r\n"), "{}", reply.body);
+    let status = router.wait().expect("it ends");
+    assert!(status.success(), "{status}");
+    assert!(stopped_at.elapsed() < Duration::from_secs(8));
+}
--- a/crates/node/tests/deployment.rs
+++ b/crates/node/tests/deployment/world.rs
@@ -1,4 +1,4 @@
-//! Control instances and a router as real processes on loopback addresses.
+//! Processes of one deployment, stand-in targets, and calls to both.
 
 use std::collections::BTreeMap;
 use std::fs;
@@ -13,22 +13,22 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 
-const CONTROL_PORT: u16 = 9101;
-const CALLER_PORT: u16 = 9102;
-const READY_PORT: u16 = 9103;
+pub const CONTROL_PORT: u16 = 9101;
+pub const CALLER_PORT: u16 = 9102;
+pub const READY_PORT: u16 = 9103;
 const LINK_PORT: u16 = 9110;
 /// Longest wait for a state that the processes reach by themselves.
 const PATIENCE: Duration = Duration::from_secs(15);
 
 /// Answer read from a socket.
 #[derive(Debug)]
-struct Reply {
-    status: u16,
-    head: String,
-    body: String,
+pub struct Reply {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
 }
 
-fn call(address: SocketAddr, text: &str) -> Option<Reply> {
+pub fn call(address: SocketAddr, text: &str) -> Option<Reply> {
     let mut stream = TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(8))).ok()?;
     stream.write_all(text.as_bytes()).ok()?;
@@ -36,7 +36,7 @@
 }
 
 /// Reads until the peer closes, which every request here asks for.
-fn read_reply(stream: &mut TcpStream) -> Option<Reply> {
+pub fn read_reply(stream: &mut TcpStream) -> Option<Reply> {
     let mut text = Vec::new();
     stream.read_to_end(&mut text).ok()?;
     let text = String::from_utf8(text).ok()?;
@@ -49,7 +49,7 @@
     })
 }
 
-fn json_call(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<Reply> {
+pub fn json_call(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<Reply> {
     let length = body.len();
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: c\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}"
@@ -57,7 +57,7 @@
     call(address, &text)
 }
 
-fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
     let end = Instant::now() + PATIENCE;
     while !holds() {
         assert!(Instant::now() < end, "not within {PATIENCE:?}: {what}");
@@ -67,7 +67,7 @@
 
 /// What a stand-in target does with its requests.
 #[derive(Clone, Copy, PartialEq)]
-enum Behaviour {
+pub enum Behaviour {
     Answer,
     /// Runs the request and closes without an answer.
     Lose,
@@ -76,32 +76,37 @@
 }
 
 /// Stand-in target that counts the requests it ran.
-struct Target {
-    address: SocketAddr,
-    runs: Arc<AtomicUsize>,
-    heads: Arc<Mutex<Vec<String>>>,
+pub struct Target {
+    pub address: SocketAddr,
+    pub runs: Arc<AtomicUsize>,
+    pub heads: Arc<Mutex<Vec<String>>>,
+    /// Requests that it ran, by id.
+    pub ids: Arc<Mutex<BTreeMap<String, u32>>>,
 }
 
 impl Target {
-    fn start(host: Ipv4Addr, name: &'static str, behaviour: Behaviour) -> Self {
+    pub fn start(host: Ipv4Addr, name: &'static str, behaviour: Behaviour) -> Self {
         let listener = TcpListener::bind((host, 0)).expect("a free port");
         let address = listener.local_addr().expect("an address");
         let target = Self {
             address,
             runs: Arc::default(),
             heads: Arc::default(),
+            ids: Arc::default(),
         };
         let (runs, heads) = (Arc::clone(&target.runs), Arc::clone(&target.heads));
+        let ids = Arc::clone(&target.ids);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (runs, heads) = (Arc::clone(&runs), Arc::clone(&heads));
-                thread::spawn(move || serve(stream, name, behaviour, &runs, &heads));
+                let ids = Arc::clone(&ids);
+                thread::spawn(move || serve(stream, name, behaviour, &runs, &heads, &ids));
             }
         });
         target
     }
 
-    fn runs(&self) -> usize {
+    pub fn runs(&self) -> usize {
         self.runs.load(Ordering::SeqCst)
     }
 }
@@ -112,6 +117,7 @@
     behaviour: Behaviour,
     runs: &AtomicUsize,
     heads: &Mutex<Vec<String>>,
+    ids: &Mutex<BTreeMap<String, u32>>,
 ) -> Option<()> {
     let mut text = String::new();
     let mut buffer = [0; 4096];
@@ -128,6 +134,7 @@
     assert_eq!(field("x-bamboospur-expect-replica").as_deref(), Some(name));
     heads.lock().ok()?.push(text.clone());
     runs.fetch_add(1, Ordering::SeqCst);
+    *ids.lock().ok()?.entry(id.clone()).or_default() += 1;
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Bamboospur-Request-Id: {id}\r\nX-Bamboospur-Replica-Stamp: {name}\r\n"
     );
@@ -154,23 +161,23 @@
 }
 
 /// Processes of one deployment; they end with it.
-struct Deployment {
+pub struct Deployment {
     network: u8,
-    folder: PathBuf,
-    processes: BTreeMap<String, Child>,
-    version: u64,
+    pub folder: PathBuf,
+    pub processes: BTreeMap<String, Child>,
+    pub version: u64,
 }
 
 impl Deployment {
     /// Starts three control instances and a router. Each test has a network of
     /// its own.
-    fn start(network: u8) -> Self {
+    pub fn start(network: u8) -> Self {
         let mut deployment = Self::without_router(network);
         deployment.start_router();
         deployment
     }
 
-    fn without_router(network: u8) -> Self {
+    pub fn without_router(network: u8) -> Self {
         let name = format!("bamboospur-deployment-{}-{network}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).expect("a folder");
@@ -186,19 +193,19 @@
         deployment
     }
 
-    fn host(&self, index: u8) -> Ipv4Addr {
+    pub fn host(&self, index: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, 77, self.network, index)
     }
 
-    fn at(&self, index: u8, port: u16) -> SocketAddr {
+    pub fn at(&self, index: u8, port: u16) -> SocketAddr {
         SocketAddr::new(self.host(index).into(), port)
     }
 
-    fn callers(&self) -> SocketAddr {
+    pub fn callers(&self) -> SocketAddr {
         self.at(9, CALLER_PORT)
     }
 
-    fn settings(&self, index: u8, first_start: bool, rest: &str) -> String {
+    pub fn settings(&self, index: u8, first_start: bool, rest: &str) -> String {
         let seeds: Vec<String> = (1..=3)
             .map(|control| format!("\"{}\"", self.at(control, CONTROL_PORT)))
             .collect();
@@ -213,7 +220,7 @@
         )
     }
 
-    fn start_control(&mut self, index: u8, first_start: bool) {
+    pub fn start_control(&mut self, index: u8, first_start: bool) {
         let data = self.folder.join(format!("data-{index}"));
         let rest = format!(
             "dataDir = \"{}\"\n[listen]\ncontrolPlane = \"{}\"",
@@ -224,17 +231,22 @@
         self.spawn(&format!("control-{index}"), "control", &settings);
     }
 
-    fn start_router(&mut self) {
+    pub fn start_router(&mut self) {
+        self.start_router_at(9, "router");
+    }
+
+    /// Starts a router on an address of its own.
+    pub fn start_router_at(&mut self, index: u8, name: &str) {
         let rest = format!(
             "[listen]\nfrontend = \"{}\"\nreadiness = \"{}\"",
-            self.callers(),
-            self.at(9, READY_PORT)
+            self.at(index, CALLER_PORT),
+            self.at(index, READY_PORT)
         );
-        let settings = self.settings(9, true, &rest);
-        self.spawn("router", "router", &settings);
+        let settings = self.settings(index, true, &rest);
+        self.spawn(name, "router", &settings);
     }
 
-    fn spawn(&mut self, name: &str, role: &str, settings: &str) {
+    pub fn spawn(&mut self, name: &str, role: &str, settings: &str) {
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("a settings file");
         let child = Command::new(env!("CARGO_BIN_EXE_bamboospur"))
@@ -253,7 +265,20 @@
         file.map_or_else(|_| Stdio::null(), Stdio::from)
     }
 
-    fn kill(&mut self, name: &str) {
+    /// Sends a signal to a process.
+    pub fn signal(&self, name: &str, signal: Signal) {
+        let id = self.processes[name].id();
+        let id = i32::try_from(id).ok().and_then(Pid::from_raw);
+        kill_process(id.expect("a process id"), signal).expect("a signal");
+    }
+
+    /// Waits for a process that was asked to stop; returns whether it ended well.
+    pub fn wait(&mut self, name: &str) -> bool {
+        let mut child = self.processes.remove(name).expect("a process");
+        child.wait().expect("it ends").success()
+    }
+
+    pub fn kill(&mut self, name: &str) {
         let mut child = self.processes.remove(name).expect("a process");
         child.kill().expect("it is killed");
         child.wait().expect("it ends");
@@ -261,7 +286,7 @@
 
     /// Sets a configuration with one route of each kind, through any control
     /// instance that answers.
-    fn configure(&mut self, key: &str) {
+    pub fn configure(&mut self, key: &str) {
         self.version += 1;
         let body = config(self.version, key);
         eventually("the configuration is accepted", || {
@@ -272,7 +297,7 @@
         });
     }
 
-    fn report(&self, name: &str, target: &Target, service: &str, state: &str, sequence: u64) {
+    pub fn report(&self, name: &str, target: &Target, service: &str, state: &str, sequence: u64) {
         let body = format!(
             "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"north\",\"slots\":4,\
              \"state\":\"{state}\",\"seq\":{sequence},\"born\":1}}",
@@ -287,14 +312,14 @@
         });
     }
 
-    fn wait_ready(&self) {
+    pub fn wait_ready(&self) {
         let text = "GET /readyz HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n";
         eventually("the router is ready", || {
             call(self.at(9, READY_PORT), text).is_some_and(|r| r.status == 200)
         });
     }
 
-    fn request(&self, method: &str, path: &str, id: &str, key: &str) -> Option<Reply> {
+    pub fn request(&self, method: &str, path: &str, id: &str, key: &str) -> Option<Reply> {
         call(self.callers(), &request_text(method, path, id, key))
     }
 }
@@ -314,7 +339,7 @@
     }
 }
 
-fn request_text(method: &str, path: &str, id: &str, key: &str) -> String {
+pub fn request_text(method: &str, path: &str, id: &str, key: &str) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nHost: a.example\r\nX-Bamboospur-Request-Id: {id}\r\n\
          X-Bamboospur-Deadline-Ms: 6000\r\nAuthorization: Bearer {key}\r\n\
@@ -322,7 +347,7 @@
     )
 }
 
-fn config(version: u64, key: &str) -> String {
+pub fn config(version: u64, key: &str) -> String {
     let route = |name: &str, kind: &str, service: &str| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"a.example\",\"pathPrefix\":\"/{name}/\",\
@@ -342,184 +367,3 @@
         routes.join(",")
     )
 }
-
-#[test]
-fn requests_pass_through_and_departures_are_heard() {
-    let mut deployment = Deployment::start(1);
-    deployment.configure("k1");
-    let one = Target::start(deployment.host(20), "t1", Behaviour::Answer);
-    let two = Target::start(deployment.host(21), "t2", Behaviour::Answer);
-    deployment.report("t1", &one, "s", "ready", 1);
-    deployment.wait_ready();
-    let reply = deployment
-        .request("GET", "/read/1?q", "id-1", "k1")
-        .expect("a reply");
-    assert_eq!(
-        (reply.status, reply.body.as_str()),
-        (200, "ok"),
-        "{}",
-        reply.head
-    );
-    assert!(
-        reply.head.contains("X-Bamboospur-Replica-Stamp: t1"),
-        "{}",
-        reply.head
-    );
-    let heads = one.heads.lock().expect("the heads");
-    assert!(
-        heads[0].starts_with("GET /read/1?q HTTP/1.1\r\n"),
-        "{}",
-        heads[0]
-    );
-    assert!(
-        heads[0].contains("X-Bamboospur-Tenant: red"),
-        "{}",
-        heads[0]
-    );
-    assert!(!heads[0].contains("k1"), "{}", heads[0]);
-    drop(heads);
-
-    let denied = deployment
-        .request("GET", "/read/1", "id-2", "other")
-        .expect("a reply");
-    assert_eq!(denied.status, 401);
-    let unknown = deployment
-        .request("GET", "/none/1", "id-3", "k1")
-        .expect("a reply");
-    assert_eq!(unknown.status, 404);
-
-    deployment.report("t2", &two, "s", "ready", 1);
-    deployment.report("t1", &one, "s", "draining", 2);
-    thread::sleep(Duration::from_millis(500));
-    let before = one.runs();
-    for index in 0..10 {
-        let id = format!("id-d{index}");
-        let reply = deployment
-            .request("GET", "/read/1", &id, "k1")
-            .expect("a reply");
-        assert_eq!(reply.status, 200);
-    }
-    assert_eq!((one.runs(), two.runs()), (before, 10));
-}
-
-#[test]
-fn a_request_that_is_not_repeatable_runs_once_when_its_answer_is_lost() {
-    let mut deployment = Deployment::start(2);
-    deployment.configure("k1");
-    let one = Target::start(deployment.host(20), "t1", Behaviour::Lose);
-    let two = Target::start(deployment.host(21), "t2", Behaviour::Lose);
-    deployment.report("t1", &one, "lossy", "ready", 1);
-    deployment.report("t2", &two, "lossy", "ready", 1);
-    deployment.wait_ready();
-    let reply = deployment
-        .request("POST", "/submit/1", "id-1", "k1")
-        .expect("a reply");
-    assert_eq!(reply.status, 502, "{}", reply.head);
-    assert_eq!(one.runs() + two.runs(), 1);
-}
-
-#[test]
-fn a_change_survives_the_loss_of_any_control_instance() {
-    let mut deployment = Deployment::start(3);
-    deployment.configure("k1");
-    let one = Target::start(deployment.host(20), "t1", Behaviour::Answer);
-    deployment.report("t1", &one, "s", "ready", 1);
-    deployment.wait_ready();
-    for control in 1..=3 {
-        let name = format!("control-{control}");
-        deployment.kill(&name);
-        let key = format!("key-{control}");
-        deployment.configure(&key);
-        eventually("the new key works", || {
-            let reply = deployment.request("GET", "/read/1", "id", &key);
-            reply.is_some_and(|r| r.status == 200)
-        });
-        deployment.start_control(control, false);
-        eventually("the newest configuration is read back", || {
-            let reply = json_call(deployment.at(control, CONTROL_PORT), "GET", "/config", "");
-            reply.is_some_and(|r| r.status == 200 && r.body.contains(&key))
-        });
-    }
-}
-
-#[test]
-fn routers_find_control_instances_that_their_seeds_do_not_name() {
-    let mut deployment = Deployment::start(6);
-    deployment.configure("k1");
-    let one = Target::start(deployment.host(20), "t1", Behaviour::Answer);
-    deployment.report("t1", &one, "s", "ready", 1);
-    deployment.wait_ready();
-    // Two more instances join and replace two of the seeds, one after the other,
-    // so that the group ends with one instance that the router was told of.
-    for (joining, leaving) in [(4, 2), (5, 3)] {
-        deployment.start_control(joining, false);
-        thread::sleep(Duration::from_secs(4));
-        deployment.kill(&format!("control-{leaving}"));
-        thread::sleep(Duration::from_secs(5));
-    }
-    let key = "k2";
-    deployment.version += 1;
-    let body = config(deployment.version, key);
-    eventually("the configuration is accepted", || {
-        [1, 4, 5].iter().any(|&control| {
-            let address = deployment.at(control, CONTROL_PORT);
-            json_call(address, "PUT", "/config", &body).is_some_and(|r| r.status == 200)
-        })
-    });
-    deployment.report("t1", &one, "s", "ready", 2);
-    eventually("the new key works", || {
-        let reply = deployment.request("GET", "/read/1", "id", key);
-        reply.is_some_and(|r| r.status == 200)
-    });
-    // The last seed goes too: the router follows the others alone.
-    deployment.kill("control-1");
-    thread::sleep(Duration::from_secs(6));
-    let reply = deployment
-        .request("GET", "/read/1", "id", key)
-        .expect("a reply");
-    assert_eq!(reply.status, 200, "{}", reply.head);
-}
-
-#[test]
-fn keys_fail_closed_on_a_router_without_control_instances() {
-    let mut deployment = Deployment::start(4);
-    deployment.configure("k1");
-    let one = Target::start(deployment.host(20), "t1", Behaviour::Answer);
-    deployment.report("t1", &one, "s", "ready", 1);
-    deployment.wait_ready();
-    for control in 1..=3 {
-        deployment.kill(&format!("control-{control}"));
-    }
-    thread::sleep(Duration::from_secs(5));
-    let reply = deployment
-        .request("GET", "/read/1", "id-1", "k1")
-        .expect("a reply");
-    assert_eq!(reply.status, 503, "{}", reply.head);
-    assert!(reply.head.contains("Retry-After: "), "{}", reply.head);
-    assert_eq!(one.runs(), 0);
-}
-
-#[test]
-fn a_stop_finishes_streams_and_ends_in_time() {
-    let mut deployment = Deployment::start(5);
-    deployment.configure("k1");
-    let one = Target::start(deployment.host(20), "t1", Behaviour::Stream);
-    deployment.report("t1", &one, "engine", "ready", 1);
-    deployment.wait_ready();
-    let mut stream = TcpStream::connect(deployment.callers()).expect("a connection");
-    let text = request_text("POST", "/chat/1", "id-1", "k1");
-    stream
-        .write_all(text.as_bytes())
-        .expect("the request is sent");
-    eventually("the stream has begun", || one.runs() == 1);
-    let mut router = deployment.processes.remove("router").expect("the router");
-    let id = i32::try_from(router.id()).expect("a process id");
-    let stopped_at = Instant::now();
-    kill_process(Pid::from_raw(id).expect("a process id"), Signal::TERM).expect("a signal");
-    let reply = read_reply(&mut stream).expect("a whole reply");
-    assert_eq!(reply.body.matches("id: ").count(), 10, "{}", reply.body);
-    assert!(reply.body.ends_with("0\r\n\r\n"), "{}", reply.body);
-    let status = router.wait().expect("it ends");
-    assert!(status.success(), "{status}");
-    assert!(stopped_at.elapsed() < Duration::from_secs(8));
-}
