--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -16,6 +16,9 @@
 
 /// Room is expected within one typical answer.
 const MIN_ROOM_WAIT: Duration = Duration::from_millis(100);
+/// Engines that are all full have more callers than places; a generation takes a
+/// second or two, and those that return before some have ended are refused again.
+const MIN_PROMPT_ROOM_WAIT: Duration = Duration::from_secs(2);
 
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -97,9 +100,12 @@
         let share = demand.connection_share;
         let mut open = healthy;
         open.retain(|c| c.target.load.own < share && !c.target.health.is_full(now));
+        if !demand.prompt.is_empty() {
+            open.retain(|c| has_place(c, settings));
+        }
         if open.is_empty() {
             return Err(NoChoice::Full {
-                room_in: self.room_in(),
+                room_in: self.room_in(demand),
             });
         }
         Ok(if demand.prompt.is_empty() {
@@ -205,9 +211,14 @@
     }
 
     /// Typical time until one of the running requests ends.
-    fn room_in(&self) -> Duration {
+    fn room_in(&self, demand: &Demand<'_>) -> Duration {
         let latencies = self.targets.values().map(|t| t.health.latency_s());
-        Duration::from_secs_f64(mean(latencies).min(60.0)).max(MIN_ROOM_WAIT)
+        let least = if demand.prompt.is_empty() {
+            MIN_ROOM_WAIT
+        } else {
+            MIN_PROMPT_ROOM_WAIT
+        };
+        Duration::from_secs_f64(mean(latencies).min(60.0)).max(least)
     }
 }
 
@@ -228,6 +239,12 @@
         .fold(0, |hash, part| mix64(hash ^ mix64(part.hash)))
 }
 
+/// Whether a target can run another prompt without keeping it waiting.
+fn has_place(candidate: &Candidate<'_>, settings: &DispatchSettings) -> bool {
+    let slots = f64::from(candidate.target.slots);
+    slots < 1.0 || candidate.load + 1.0 <= (slots * settings.slots_factor).max(1.0)
+}
+
 fn by_prompt(
     open: &[Candidate<'_>],
     shared: SharedHash,
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -12,6 +12,10 @@
     pub stay_factor: f64,
     /// Requests above that multiple at which a prompt still stays.
     pub stay_slack: f64,
+    /// A target takes prompts up to this multiple of the requests that it runs at
+    /// once. Beyond it they would wait for a place, and for longer than their
+    /// callers do when the overload lasts.
+    pub slots_factor: f64,
     /// A target takes a new prompt while its load is at most this multiple of the
     /// mean; the paper above shows that 1.25 keeps most keys in place.
     pub load_factor: f64,
@@ -56,6 +60,7 @@
         Self {
             stay_factor: 1.5,
             stay_slack: 1.5,
+            slots_factor: 0.95,
             load_factor: 1.25,
             load_slack: 1.5,
             report_memory: Duration::from_secs(3),
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -23,6 +23,8 @@
 
 /// A router hears of silent targets from the control instances.
 const NEVER: std::time::Duration = std::time::Duration::from_hours(24 * 365);
+/// A router remembers departed targets for longer than a report can be late.
+const DEPARTED_MEMORY: std::time::Duration = std::time::Duration::from_mins(10);
 /// Part of a target's connections that the routers use together; the rest is
 /// for connections that the target has not seen close yet.
 const CONNECTION_USE: f64 = 0.9;
@@ -51,7 +53,7 @@
         let bounds = settings.bounds;
         let registry = RegistrySettings {
             silence: NEVER,
-            memory: NEVER,
+            memory: DEPARTED_MEMORY,
         };
         let dispatch = DispatchSettings::default();
         Self {
@@ -203,8 +205,9 @@
         granted
     }
 
-    /// Closes kept connections that no longer work.
+    /// Closes kept connections that no longer work, and forgets old departures.
     pub fn sweep(&self) {
+        self.registry.borrow_mut().forget_old(Instant::now());
         self.pool.borrow_mut().sweep(tokio::time::Instant::now());
     }
 
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -139,6 +139,7 @@
             return false;
         }
         entry.silent_after = now;
+        entry.forget_after = now + self.settings.memory;
         true
     }
 
@@ -163,6 +164,9 @@
 
     /// Forgets targets that have been silent or gone for long.
     pub fn forget_old(&mut self, now: Instant) {
-        self.entries.retain(|_, entry| now < entry.forget_after);
+        self.entries.retain(|_, entry| {
+            let live = entry.newest.phase != Phase::Gone && now < entry.silent_after;
+            live || now < entry.forget_after
+        });
     }
 }
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -98,6 +98,26 @@
     );
 }
 
+#[test]
+fn only_targets_that_are_gone_or_silent_are_forgotten() {
+    let now = Instant::now();
+    let settings = RegistrySettings {
+        silence: Duration::from_hours(1),
+        memory: Duration::from_mins(1),
+    };
+    let mut registry = Registry::new(settings);
+    for (name, phase) in [("a", Phase::Ready), ("b", Phase::Gone), ("c", Phase::Ready)] {
+        registry.merge(announcement(name, 1, 1, phase), now);
+    }
+    let later = now + settings.memory;
+    assert!(registry.silence(&announcement("c", 1, 1, Phase::Ready), later));
+    registry.forget_old(later);
+    let known: Vec<&str> = registry.all().map(|a| a.name.as_str()).collect();
+    assert_eq!(known, ["a", "c"]);
+    registry.forget_old(later + settings.memory);
+    assert_eq!(registry.all().count(), 1);
+}
+
 quickcheck! {
     fn the_order_of_arrival_does_not_matter(reports: Vec<(u8, u8, u8)>) -> bool {
         let now = Instant::now();
