Name what a newcomer would look up, and drop unused functions

Places of cached prompts are a cache map, orders of a request's thread are commands, a failed target is recorded. No change of behaviour.

--- a/crates/dispatch/src/homes.rs
+++ b/crates/dispatch/src/cache_map.rs
@@ -15,7 +15,7 @@
 
 /// News that a target has read the shared parts of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Home {
+pub struct CachedPrefix {
     /// Shared parts.
     pub shared: SharedHash,
     /// Target.
@@ -36,31 +36,31 @@
 
 /// Known places of shared parts.
 #[derive(Clone, Debug, Default)]
-pub struct Homes {
+pub struct CacheMap {
     entries: BTreeMap<SharedHash, Entry>,
-    news: Vec<Home>,
+    news: Vec<CachedPrefix>,
 }
 
-impl Homes {
+impl CacheMap {
     /// Returns the targets that have the shared parts.
     pub fn caches(&self, shared: SharedHash) -> &[CacheId] {
         self.entries.get(&shared).map_or(&[], |e| &e.caches)
     }
 
     /// Records a request that was sent; it is news when the place is new.
-    pub fn used(&mut self, home: Home, now: Instant) {
-        if self.add(home, now) {
-            self.news.push(home);
+    pub fn used(&mut self, prefix: CachedPrefix, now: Instant) {
+        if self.add(prefix, now) {
+            self.news.push(prefix);
         }
     }
 
     /// Records what another router has done.
-    pub fn learn(&mut self, home: Home, now: Instant) {
-        self.add(home, now);
+    pub fn learn(&mut self, prefix: CachedPrefix, now: Instant) {
+        self.add(prefix, now);
     }
 
     /// Takes the news for other routers.
-    pub fn take_news(&mut self) -> Vec<Home> {
+    pub fn take_news(&mut self) -> Vec<CachedPrefix> {
         std::mem::take(&mut self.news)
     }
 
@@ -72,18 +72,18 @@
         });
     }
 
-    fn add(&mut self, home: Home, now: Instant) -> bool {
+    fn add(&mut self, prefix: CachedPrefix, now: Instant) -> bool {
         if self.entries.len() >= MAX_ENTRIES {
             self.drop_oldest();
         }
-        let entry = self.entries.entry(home.shared).or_insert_with(|| Entry {
+        let entry = self.entries.entry(prefix.shared).or_insert_with(|| Entry {
             caches: Vec::new(),
             used_at: now,
         });
         entry.used_at = now;
-        let new = !entry.caches.contains(&home.cache);
+        let new = !entry.caches.contains(&prefix.cache);
         if new {
-            entry.caches.push(home.cache);
+            entry.caches.push(prefix.cache);
         }
         new
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -7,9 +7,9 @@
 use bamboospur_registry::{Announcement, Start};
 use bamboospur_types::Rng;
 
+use crate::cache_map::{CacheId, CacheMap, CachedPrefix};
 use crate::demand::{Choice, Demand, NoChoice};
 use crate::health::Outcome;
-use crate::homes::{CacheId, Home, Homes};
 use crate::load::LoadReport;
 use crate::pool::{Pool, Target, cache_id, shared_hash};
 use crate::settings::DispatchSettings;
@@ -20,7 +20,7 @@
     settings: DispatchSettings,
     data_centre: String,
     pools: BTreeMap<String, Pool>,
-    homes: Homes,
+    cache_map: CacheMap,
     /// Targets that may have prompts in their caches.
     sources: BTreeMap<CacheId, Source>,
     rng: Rng,
@@ -34,7 +34,7 @@
             settings,
             data_centre: data_centre.to_owned(),
             pools: BTreeMap::new(),
-            homes: Homes::default(),
+            cache_map: CacheMap::default(),
             sources: BTreeMap::new(),
             rng: Rng::new(seed),
         }
@@ -63,7 +63,8 @@
         };
         self.sources = usable.iter().chain(draining).map(source).collect();
         let sources = &self.sources;
-        self.homes.retain(|cache| sources.contains_key(&cache), now);
+        self.cache_map
+            .retain(|cache| sources.contains_key(&cache), now);
     }
 
     /// Chooses a target and counts the attempt as under way.
@@ -78,30 +79,30 @@
             .get_mut(demand.service)
             .ok_or(NoChoice::NoTarget)?;
         let shared = shared_hash(demand.prompt);
-        let homes = self.homes.caches(shared);
-        let mut choice = pool.choose(demand, homes, &self.settings, tie, now)?;
+        let caches = self.cache_map.caches(shared);
+        let mut choice = pool.choose(demand, caches, &self.settings, tie, now)?;
         if let Some(target) = pool.targets.get_mut(&choice.name) {
             target.load.own += 1;
             if !demand.prompt.is_empty() {
                 let cache = target.cache;
-                choice.is_cached = homes.contains(&cache);
-                choice.copy_from = copy_source(homes, cache, &self.sources);
-                self.homes.used(Home { shared, cache }, now);
+                choice.is_cached = caches.contains(&cache);
+                choice.copy_from = copy_source(caches, cache, &self.sources);
+                self.cache_map.used(CachedPrefix { shared, cache }, now);
             }
         }
         Ok(choice)
     }
 
     /// Takes what other routers say about cached prompts.
-    pub fn learn(&mut self, homes: impl IntoIterator<Item = Home>, now: Instant) {
-        for home in homes {
-            self.homes.learn(home, now);
+    pub fn learn(&mut self, prefixes: impl IntoIterator<Item = CachedPrefix>, now: Instant) {
+        for prefix in prefixes {
+            self.cache_map.learn(prefix, now);
         }
     }
 
     /// Takes what other routers do not know about cached prompts.
-    pub fn take_news(&mut self) -> Vec<Home> {
-        self.homes.take_news()
+    pub fn take_news(&mut self) -> Vec<CachedPrefix> {
+        self.cache_map.take_news()
     }
 
     /// Returns the requests of this router at each target that has any, for the
@@ -150,19 +151,13 @@
     }
 
     /// Records a failure of an attempt that has already ended.
-    pub fn blame(&mut self, service: &str, choice: &Choice, now: Instant) {
+    pub fn record_failure(&mut self, service: &str, choice: &Choice, now: Instant) {
         let settings = self.settings;
         if let Some(target) = self.target_mut(service, &choice.name, choice.start) {
             target.health.record(Outcome::Failed, &settings, now);
         }
     }
 
-    /// Returns the number of usable targets of a service.
-    #[must_use]
-    pub fn usable(&self, service: &str) -> usize {
-        self.pools.get(service).map_or(0, |pool| pool.targets.len())
-    }
-
     fn target(&self, service: &str, name: &str, start: Start) -> Option<&Target> {
         let target = self.pools.get(service)?.targets.get(name)?;
         (target.start == start).then_some(target)
@@ -184,15 +179,15 @@
 /// Returns a target to copy from, when the chosen one has not read the shared
 /// parts. A copy within a data centre takes half the time of one between two.
 fn copy_source(
-    homes: &[CacheId],
+    caches: &[CacheId],
     chosen: CacheId,
     sources: &BTreeMap<CacheId, Source>,
 ) -> Option<SocketAddr> {
-    if homes.contains(&chosen) {
+    if caches.contains(&chosen) {
         return None;
     }
     let data_centre = sources.get(&chosen).map(|source| &source.data_centre);
-    let known = homes.iter().filter_map(|cache| sources.get(cache));
+    let known = caches.iter().filter_map(|cache| sources.get(cache));
     let nearest = known.max_by_key(|source| Some(&source.data_centre) == data_centre);
     nearest.map(|source| source.address)
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,17 +15,17 @@
 //! - A target that fails is left out for a while (passive outlier ejection) and
 //!   let back in through single repeatable requests.
 
+mod cache_map;
 mod demand;
 mod dispatcher;
 mod health;
-mod homes;
 mod load;
 mod pool;
 mod settings;
 
+pub use cache_map::{CacheId, CachedPrefix, SharedHash};
 pub use demand::{Choice, Demand, NoChoice, PromptPart};
 pub use dispatcher::Dispatcher;
 pub use health::Outcome;
-pub use homes::{CacheId, Home, SharedHash};
 pub use load::LoadReport;
 pub use settings::DispatchSettings;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -8,9 +8,9 @@
 use bamboospur_registry::{Announcement, Start, TargetName};
 use bamboospur_types::{mix64, stable_id};
 
+use crate::cache_map::{CacheId, SharedHash};
 use crate::demand::{Choice, Demand, NoChoice, PromptPart};
 use crate::health::Health;
-use crate::homes::{CacheId, SharedHash};
 use crate::load::Load;
 use crate::settings::DispatchSettings;
 
@@ -75,7 +75,7 @@
     pub fn choose(
         &self,
         demand: &Demand<'_>,
-        homes: &[CacheId],
+        caches: &[CacheId],
         settings: &DispatchSettings,
         tie: u64,
         now: Instant,
@@ -111,7 +111,7 @@
         Ok(if demand.prompt.is_empty() {
             by_expected_wait(&open, settings, tie, now)
         } else {
-            by_prompt(&open, shared_hash(demand.prompt), homes, mean, settings)
+            by_prompt(&open, shared_hash(demand.prompt), caches, mean, settings)
         })
     }
 
@@ -248,7 +248,7 @@
 fn by_prompt(
     open: &[Candidate<'_>],
     shared: SharedHash,
-    homes: &[CacheId],
+    caches: &[CacheId],
     mean: f64,
     settings: &DispatchSettings,
 ) -> Choice {
@@ -259,11 +259,11 @@
     let least_loaded =
         |a: &(usize, &&Candidate<'_>), b: &(usize, &&Candidate<'_>)| a.1.load.total_cmp(&b.1.load);
     let stay = mean * settings.stay_factor + settings.stay_slack;
-    let at_home = ranked().filter(|(_, c)| homes.contains(&c.target.cache));
-    let home = at_home
+    let warm = ranked().filter(|(_, c)| caches.contains(&c.target.cache));
+    let reuse = warm
         .filter(|(_, c)| c.load + 1.0 <= stay)
         .min_by(least_loaded);
-    if let Some((rank, candidate)) = home {
+    if let Some((rank, candidate)) = reuse {
         return chosen(candidate, stay, rank);
     }
     let bound = mean * settings.load_factor + settings.load_slack;
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -32,7 +32,7 @@
 /// Reports of a target that may be missed before it counts as silent.
 const MISSED_REPORTS: u32 = 5;
 /// Places of cached prompts that are kept for routers that start.
-const MAX_HOMES: usize = 4_096;
+const MAX_CACHED_PREFIXES: usize = 4_096;
 
 struct AcceptedLink {
     hello: Hello,
@@ -55,7 +55,7 @@
     /// Targets that routers were told are silent.
     silent: BTreeSet<String>,
     /// Newest places of cached prompts, oldest first.
-    homes: VecDeque<(u64, u64)>,
+    prefixes: VecDeque<(u64, u64)>,
     /// Version that routers were told last.
     published: u64,
     counters: Counters,
@@ -91,7 +91,7 @@
         let soft = SoftState::decode(opened.soft);
         info!(
             targets = soft.targets.len(),
-            homes = soft.homes.len(),
+            prefixes = soft.prefixes.len(),
             "soft state read"
         );
         for announcement in soft.targets {
@@ -114,7 +114,7 @@
             waiters: Waiters::default(),
             unsent: BTreeMap::new(),
             silent: BTreeSet::new(),
-            homes: soft.homes.into(),
+            prefixes: soft.prefixes.into(),
             published: 0,
             counters: Counters::default(),
             told_controls: Vec::new(),
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -66,7 +66,7 @@
         let state = [
             Frame::Controls(self.peers.recent(now)),
             Frame::Targets(all),
-            Frame::Homes(self.homes.iter().copied().collect()),
+            Frame::CachedPrefixes(self.prefixes.iter().copied().collect()),
         ];
         for frame in state {
             // The queue of a new link has room.
@@ -108,12 +108,12 @@
                 );
             }
             Frame::Targets(announcements) => self.merge(announcements, false, now),
-            Frame::Homes(homes) => self.pass_on_homes(link, homes),
+            Frame::CachedPrefixes(prefixes) => self.pass_on_prefixes(link, prefixes),
             Frame::Loads(counts) if hello.address.is_some() => {
                 self.loads.peer(hello.id, counts, now);
             }
             Frame::Loads(counts) => self.loads.router(hello.id, counts, now),
-            Frame::Want => self.send_config(link),
+            Frame::RequestConfig => self.send_config(link),
             Frame::Ask(asked) => self.asked(link, asked, now),
             Frame::Put { ticket, document } => self.peer_put(hello.id, ticket, document, now),
             Frame::Get { ticket } => self.peer_get(hello.id, ticket, now),
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -5,7 +5,7 @@
 use bamboospur_registry::{Announcement, Merge, Phase};
 use tracing::{error, info};
 
-use super::{Host, MAX_HOMES};
+use super::{Host, MAX_CACHED_PREFIXES};
 use crate::control::disk::Write;
 use crate::control::event::LinkId;
 use crate::control::soft::SoftState;
@@ -36,7 +36,7 @@
         }
         let state = SoftState {
             targets: self.registry.all().cloned().collect(),
-            homes: self.homes.iter().copied().collect(),
+            prefixes: self.prefixes.iter().copied().collect(),
         };
         if let Some(blob) = state.encode()
             && self.writes.send(Write::Soft(blob)).is_err()
@@ -111,11 +111,11 @@
     }
 
     /// Passes on where prompts are cached, and keeps it for routers that start.
-    pub(super) fn pass_on_homes(&mut self, from: LinkId, homes: Vec<(u64, u64)>) {
-        self.homes.extend(homes.iter().copied());
-        let excess = self.homes.len().saturating_sub(MAX_HOMES);
-        self.homes.drain(..excess);
+    pub(super) fn pass_on_prefixes(&mut self, from: LinkId, prefixes: Vec<(u64, u64)>) {
+        self.prefixes.extend(prefixes.iter().copied());
+        let excess = self.prefixes.len().saturating_sub(MAX_CACHED_PREFIXES);
+        self.prefixes.drain(..excess);
         self.soft.changed();
-        self.send_to_routers_but(Some(from), &Frame::Homes(homes));
+        self.send_to_routers_but(Some(from), &Frame::CachedPrefixes(prefixes));
     }
 }
--- a/crates/fleet/src/control/soft.rs
+++ b/crates/fleet/src/control/soft.rs
@@ -19,7 +19,7 @@
     /// Newest announcement of each target.
     pub targets: Vec<Announcement>,
     /// Places of cached prompts, oldest first.
-    pub homes: Vec<(u64, u64)>,
+    pub prefixes: Vec<(u64, u64)>,
 }
 
 impl SoftState {
--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -42,14 +42,14 @@
     Silent(Vec<Announcement>),
     /// Targets that have read the shared parts of prompts: hashes of the parts and
     /// of the target.
-    Homes(Vec<(u64, u64)>),
+    CachedPrefixes(Vec<(u64, u64)>),
     /// Requests of the sender at targets, by hashes of the targets; of a control
     /// instance, the sums over the routers that tell it.
     Loads(Vec<(u64, u32)>),
     /// Requests of all routers at targets.
     Totals(Vec<(u64, u32)>),
     /// A router's wish for the configuration, as it holds an older version.
-    Want,
+    RequestConfig,
     /// The configuration in force at the sender.
     Config(Document),
     /// Asks which configuration is in force; the number is returned.
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bamboospur_dispatch::Home;
+use bamboospur_dispatch::CachedPrefix;
 use bamboospur_group::Document;
 use bamboospur_platform::config;
 use bamboospur_platform::settings::ProcessSettings;
@@ -139,9 +139,12 @@
         };
         let news = self.router.dispatcher.borrow_mut().take_news();
         if !news.is_empty() {
-            let homes = news.iter().map(|home| (home.shared, home.cache)).collect();
+            let prefixes = news
+                .iter()
+                .map(|prefix| (prefix.shared, prefix.cache))
+                .collect();
             // Lost news costs other routers a read of the prompt.
-            let _sent = followed.link.send(Frame::Homes(homes));
+            let _sent = followed.link.send(Frame::CachedPrefixes(prefixes));
         }
     }
 
@@ -163,7 +166,7 @@
     }
 
     /// Asks for the configuration when a newer one than the one held is in force.
-    fn want_newer(&self, address: SocketAddr, version: u64) {
+    fn request_newer(&self, address: SocketAddr, version: u64) {
         let held = self
             .router
             .catalog
@@ -172,7 +175,7 @@
             .map_or(0, |c| c.version());
         if let Some(followed) = self.links.get(&address).filter(|_| version > held) {
             // It is asked for again with the next answer.
-            let _sent = followed.link.send(Frame::Want);
+            let _sent = followed.link.send(Frame::RequestConfig);
         }
     }
 
@@ -208,12 +211,12 @@
             Frame::Leader(address) => self.follow(&[address]),
             Frame::Targets(announcements) => self.router.merge(announcements),
             Frame::Silent(silent) => self.router.silence(&silent),
-            Frame::Homes(homes) => {
-                let homes = homes
+            Frame::CachedPrefixes(prefixes) => {
+                let prefixes = prefixes
                     .into_iter()
-                    .map(|(shared, cache)| Home { shared, cache });
+                    .map(|(shared, cache)| CachedPrefix { shared, cache });
                 let now = Instant::now();
-                self.router.dispatcher.borrow_mut().learn(homes, now);
+                self.router.dispatcher.borrow_mut().learn(prefixes, now);
             }
             Frame::Totals(totals) => {
                 let totals: BTreeMap<u64, u32> = totals.into_iter().collect();
@@ -233,11 +236,11 @@
                     .lease
                     .borrow_mut()
                     .in_force(version, BootTime(asked));
-                self.want_newer(address, version);
+                self.request_newer(address, version);
             }
             Frame::Alive(_)
             | Frame::Loads(_)
-            | Frame::Want
+            | Frame::RequestConfig
             | Frame::Hello(_)
             | Frame::Replica { .. }
             | Frame::Ask(_)
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -222,7 +222,7 @@
                     return self.give_up(ResultCode::DeadlineExceeded, responder).await;
                 }
                 AttemptEnd::Whole(answer) if !answer.is_failure() => {
-                    self.blame_held();
+                    self.record_held_failure();
                     return deliver(responder, &answer).await;
                 }
                 AttemptEnd::Whole(answer) => {
@@ -249,11 +249,11 @@
 
     /// A target whose failure another target does not repeat is at fault; a
     /// failure that all repeat belongs to the request.
-    fn blame_held(&mut self) {
+    fn record_held_failure(&mut self) {
         if let Some((choice, _)) = self.held.take() {
             let mut dispatcher = self.router.dispatcher.borrow_mut();
             let now = std::time::Instant::now();
-            dispatcher.blame(&self.service.name, &choice, now);
+            dispatcher.record_failure(&self.service.name, &choice, now);
         }
     }
 
--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -36,7 +36,7 @@
             slots: 6,
             warm_up: Duration::ZERO,
         }],
-        homes: vec![(1, 2)],
+        prefixes: vec![(1, 2)],
     }
 }
 
@@ -69,7 +69,7 @@
 fn frames_are_read_whatever_the_pieces() {
     let frames = [
         Frame::Alive(7),
-        Frame::Homes(vec![(1, 2), (3, 4)]),
+        Frame::CachedPrefixes(vec![(1, 2), (3, 4)]),
         Frame::Targets(state().targets),
     ];
     let bytes: Vec<u8> = frames.iter().filter_map(encode).flatten().collect();
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -213,12 +213,6 @@
         (responder, watch)
     }
 
-    /// Whether bytes of a further request have arrived.
-    #[must_use]
-    pub fn has_more(&self) -> bool {
-        !self.buffer.is_empty()
-    }
-
     async fn write(&self, bytes: &[u8]) -> io::Result<()> {
         write_all(&self.stream, bytes, &mut 0).await
     }
--- a/crates/node/src/edge/answer.rs
+++ b/crates/node/src/edge/answer.rs
@@ -10,16 +10,16 @@
 use bamboospur_http1::server::own_head;
 use tokio::sync::mpsc::Sender;
 
-use super::connection::{Wish, Write};
+use super::connection::{Command, Write};
 
 /// The place for one answer.
 pub struct Responder {
-    wishes: Sender<Wish>,
+    commands: Sender<Command>,
 }
 
 impl Responder {
-    pub(super) const fn new(wishes: Sender<Wish>) -> Self {
-        Self { wishes }
+    pub(super) const fn new(commands: Sender<Command>) -> Self {
+        Self { commands }
     }
 
     /// Sends a whole answer.
@@ -30,7 +30,7 @@
     pub fn send(self, status: u16, headers: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
         let head = own_head(status, headers);
         let body = body.to_vec();
-        write(&self.wishes, Write::Whole { head, body })
+        write(&self.commands, Write::Whole { head, body })
     }
 
     /// Starts an answer of unknown length.
@@ -40,16 +40,16 @@
     /// Returns the write error when the caller is gone.
     pub fn stream(self, status: u16, headers: &[(&str, &str)]) -> io::Result<StreamWriter> {
         let head: ResponseHead = own_head(status, headers);
-        write(&self.wishes, Write::Begin { head })?;
+        write(&self.commands, Write::Begin { head })?;
         Ok(StreamWriter {
-            wishes: self.wishes,
+            commands: self.commands,
         })
     }
 }
 
 /// Body of an answer of unknown length.
 pub struct StreamWriter {
-    wishes: Sender<Wish>,
+    commands: Sender<Command>,
 }
 
 impl StreamWriter {
@@ -59,7 +59,7 @@
     ///
     /// Returns the write error when the caller is gone or does not read.
     pub fn write(&mut self, part: &[u8]) -> io::Result<()> {
-        write(&self.wishes, Write::Part(part.to_vec()))
+        write(&self.commands, Write::Part(part.to_vec()))
     }
 
     /// Ends the body.
@@ -68,15 +68,15 @@
     ///
     /// Returns the write error when the caller is gone.
     pub fn finish(self) -> io::Result<()> {
-        write(&self.wishes, Write::End)
+        write(&self.commands, Write::End)
     }
 }
 
 /// Has the connection write something and waits for the result.
-fn write(wishes: &Sender<Wish>, write: Write) -> io::Result<()> {
+fn write(commands: &Sender<Command>, write: Write) -> io::Result<()> {
     let gone = || io::Error::from(ErrorKind::BrokenPipe);
     let (written, result) = mpsc::sync_channel(1);
-    let wish = Wish::Write { write, written };
-    wishes.blocking_send(wish).map_err(|_| gone())?;
+    let command = Command::Write { write, written };
+    commands.blocking_send(command).map_err(|_| gone())?;
     result.recv().unwrap_or_else(|_| Err(gone()))
 }
--- a/crates/node/src/edge/connection.rs
+++ b/crates/node/src/edge/connection.rs
@@ -32,8 +32,8 @@
 /// with a reset.
 const LINGER: Duration = Duration::from_millis(500);
 
-/// Wish of a handler.
-pub enum Wish {
+/// Command of a handler.
+pub enum Command {
     /// Read the body.
     Body {
         /// Largest body.
@@ -122,14 +122,14 @@
     let Some(running) = shared.begin_request().await else {
         return false;
     };
-    let (sender, mut wishes) = channel(1);
+    let (sender, mut commands) = channel(1);
     let caller = Arc::new(Caller::default());
     let incoming = Incoming::new(head.clone(), peer, Arc::clone(&caller), sender);
     Shared::spawn_handler(running, incoming);
     let mut body_read = matches!(head.framing(), Ok(Framing::Length(0)));
     let first = loop {
-        match next_wish(&mut wishes, connection.closed(AHEAD_BYTES), &caller).await {
-            Some(Wish::Body {
+        match next_command(&mut commands, connection.closed(AHEAD_BYTES), &caller).await {
+            Some(Command::Body {
                 limit_bytes,
                 timeout: time,
                 body,
@@ -141,11 +141,14 @@
                 // The handler waits for it.
                 let _told = body.send(read.map_err(|end| BodyError::of(end, limit_bytes, time)));
             }
-            Some(Wish::Write { write, written }) => break Some((write, written)),
+            Some(Command::Write { write, written }) => break Some((write, written)),
             None => break None,
         }
     };
-    let keeps = answer(shared, connection, &head, &caller, wishes, first, body_read).await;
+    let keeps = answer(
+        shared, connection, &head, &caller, commands, first, body_read,
+    )
+    .await;
     if !body_read {
         // Either the caller closes or the time is over.
         let _closed = timeout(LINGER, connection.discard()).await;
@@ -155,13 +158,13 @@
 
 type FirstWrite = Option<(Write, SyncSender<io::Result<()>>)>;
 
-/// Writes the answer as the handler wishes.
+/// Writes the answer as the handler commands.
 async fn answer(
     shared: &Shared,
     connection: &mut ServerConnection,
     head: &RequestHead,
     caller: &Caller,
-    mut wishes: Receiver<Wish>,
+    mut commands: Receiver<Command>,
     mut next: FirstWrite,
     body_read: bool,
 ) -> bool {
@@ -184,9 +187,9 @@
             caller.hang_up();
             return false;
         }
-        next = match next_wish(&mut wishes, watch.closed(AHEAD_BYTES), caller).await {
-            Some(Wish::Write { write, written }) => Some((write, written)),
-            Some(Wish::Body { .. }) | None => None,
+        next = match next_command(&mut commands, watch.closed(AHEAD_BYTES), caller).await {
+            Some(Command::Write { write, written }) => Some((write, written)),
+            Some(Command::Body { .. }) | None => None,
         };
     }
     if responder.state() == Sent::Nothing && !caller.is_gone() {
@@ -205,12 +208,12 @@
     }
 }
 
-/// Waits for the next wish, and tells the handler when the caller closes.
-async fn next_wish(
-    wishes: &mut Receiver<Wish>,
+/// Waits for the next command, and tells the handler when the caller closes.
+async fn next_command(
+    commands: &mut Receiver<Command>,
     closed: impl Future<Output = ()>,
     caller: &Caller,
-) -> Option<Wish> {
+) -> Option<Command> {
     let closed = async {
         if !caller.is_gone() {
             closed.await;
@@ -219,7 +222,7 @@
         pending::<()>().await;
     };
     tokio::select! {
-        wish = wishes.recv() => wish,
+        command = commands.recv() => command,
         () = closed => None,
     }
 }
--- a/crates/node/src/edge/incoming.rs
+++ b/crates/node/src/edge/incoming.rs
@@ -10,14 +10,14 @@
 use super::answer::Responder;
 use super::body::BodyError;
 use super::caller::Caller;
-use super::connection::Wish;
+use super::connection::Command;
 
 /// Request whose head has arrived.
 pub struct Incoming {
     head: RequestHead,
     peer: Option<SocketAddr>,
     caller: Arc<Caller>,
-    wishes: Sender<Wish>,
+    commands: Sender<Command>,
 }
 
 impl Incoming {
@@ -25,13 +25,13 @@
         head: RequestHead,
         peer: Option<SocketAddr>,
         caller: Arc<Caller>,
-        wishes: Sender<Wish>,
+        commands: Sender<Command>,
     ) -> Self {
         Self {
             head,
             peer,
             caller,
-            wishes,
+            commands,
         }
     }
 
@@ -81,14 +81,14 @@
         timeout: Duration,
     ) -> Result<Vec<u8>, BodyError> {
         let (body, received) = mpsc::sync_channel(1);
-        let wish = Wish::Body {
+        let command = Command::Body {
             limit_bytes,
             timeout,
             body,
         };
-        let wished = self.wishes.blocking_send(wish).is_ok();
+        let sent = self.commands.blocking_send(command).is_ok();
         match received.recv() {
-            Ok(body) if wished => body,
+            Ok(body) if sent => body,
             _ => Err(BodyError::Cut),
         }
     }
@@ -96,6 +96,6 @@
     /// Gives up the request for its answer.
     #[must_use]
     pub fn into_responder(self) -> Responder {
-        Responder::new(self.wishes)
+        Responder::new(self.commands)
     }
 }
--- a/crates/node/tests/deployment/soak.rs
+++ b/crates/node/tests/deployment/soak.rs
@@ -193,9 +193,9 @@
     digits.parse().unwrap_or(0)
 }
 
-/// Strikes once; faults of control instances never overlap, so that a quorum is
+/// Injects one fault; those of control instances never overlap, so that a quorum is
 /// only lost when all are killed at once.
-fn strike(site: &mut Site, rng: &mut Rng) {
+fn inject_fault(site: &mut Site, rng: &mut Rng) {
     let control = u8::try_from(rng.below(3)).expect("small") + 1;
     let control_name = format!("control-{control}");
     let (router, router_name) = ROUTERS[rng.index(2)];
@@ -300,10 +300,10 @@
     }
     let mut rng = Rng::new(seed);
     let end = Instant::now() + time;
-    let mut strikes = 0;
+    let mut faults_injected = 0;
     while Instant::now() < end {
-        strike(&mut site, &mut rng);
-        strikes += 1;
+        inject_fault(&mut site, &mut rng);
+        faults_injected += 1;
     }
     thread::sleep(RECOVERY);
     let before = record.served.load(Ordering::SeqCst);
@@ -320,7 +320,9 @@
     let faults = check(&site, &record);
     let sent = record.statuses.lock().expect("statuses").len();
     let served = record.served.load(Ordering::SeqCst);
-    println!("seed {seed}: {strikes} faults, {sent} requests, {served} served, version {newest}");
+    println!(
+        "seed {seed}: {faults_injected} faults, {sent} requests, {served} served, version {newest}"
+    );
     assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
 }
 
--- a/crates/registry/src/announcement.rs
+++ b/crates/registry/src/announcement.rs
@@ -1,7 +1,7 @@
 //! One announcement.
 
 use std::net::SocketAddr;
-use std::time::{Duration, UNIX_EPOCH};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -11,14 +11,6 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Start(pub u64);
 
-impl Start {
-    /// Returns the start as a time.
-    #[must_use]
-    pub fn time(self) -> std::time::SystemTime {
-        UNIX_EPOCH + Duration::from_millis(self.0)
-    }
-}
-
 /// Part of a target's life. A later part of one start always replaces an
 /// earlier one, whatever the sequence numbers say.
 #[derive(
