Drop unread state, read the held version in one place, repeat a test's report

routers_find_control_instances... failed once: its target last reported 6.0 s before the check, and silence begins at 6 s (log: silent at 34.97, checked at 35.04). The target now reports again, as real ones do; the assertions stay. The group's applied index was never read. No change of behaviour.

--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -167,12 +167,7 @@
 
     /// Asks for the configuration when a newer one than the one held is in force.
     fn request_newer(&self, address: SocketAddr, version: u64) {
-        let held = self
-            .router
-            .catalog
-            .borrow()
-            .as_ref()
-            .map_or(0, |c| c.version());
+        let held = self.router.config_version();
         if let Some(followed) = self.links.get(&address).filter(|_| version > held) {
             // It is asked for again with the next answer.
             let _sent = followed.link.send(Frame::RequestConfig);
@@ -253,7 +248,7 @@
 }
 
 fn adopt(router: &Router, document: &Document) {
-    let held = router.catalog.borrow().as_ref().map_or(0, |c| c.version());
+    let held = router.config_version();
     if document.version <= held {
         return;
     }
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use bamboospur_catalog::{Catalog, Service};
+use bamboospur_catalog::{Catalog, CatalogVersion, Service};
 use bamboospur_dispatch::{Choice, DispatchSettings, Dispatcher, Outcome};
 use bamboospur_platform::settings::{Bounds, ProcessSettings};
 use bamboospur_registry::{Announcement, Merge, Registry, RegistrySettings};
@@ -117,10 +117,15 @@
         ActiveRequest(Rc::clone(self))
     }
 
+    /// Version of the configuration held; 0 stands for none.
+    pub fn config_version(&self) -> CatalogVersion {
+        self.catalog.borrow().as_ref().map_or(0, |c| c.version())
+    }
+
     /// Takes a configuration if it is newer.
     pub fn adopt(&self, catalog: Catalog) {
         let version = catalog.version();
-        let held = self.catalog.borrow().as_ref().map_or(0, |c| c.version());
+        let held = self.config_version();
         if version > held {
             info!(
                 version,
@@ -213,7 +218,7 @@
 
     /// Text of the metrics address.
     pub fn metrics_text(&self) -> String {
-        let version = self.catalog.borrow().as_ref().map_or(0, |c| c.version());
+        let version = self.config_version();
         let active = u64::try_from(self.active.get()).unwrap_or(u64::MAX);
         let idle = u64::try_from(self.pool.borrow().len()).unwrap_or(u64::MAX);
         let gauges = [
--- a/crates/group/src/group.rs
+++ b/crates/group/src/group.rs
@@ -154,7 +154,6 @@
     settings: GroupSettings,
     replica: Replica,
     document: Document,
-    applied: LogIndex,
     contacts: Contacts,
     leader: Option<InstanceId>,
     waiting: BTreeMap<Ticket, Purpose>,
@@ -176,7 +175,6 @@
             settings,
             replica,
             document: Document::default(),
-            applied: 0,
             contacts: Contacts::default(),
             leader: None,
             waiting: BTreeMap::new(),
@@ -314,7 +312,6 @@
     }
 
     fn apply(&mut self, index: LogIndex, data: &[u8]) -> Option<Input> {
-        self.applied = index;
         match postcard::from_bytes::<Document>(data) {
             Ok(document) => self.adopt(document),
             Err(error) => {
@@ -346,7 +343,6 @@
     }
 
     fn restore(&mut self, index: LogIndex, state: &[u8]) {
-        self.applied = index;
         if state.is_empty() {
             return;
         }
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -147,6 +147,9 @@
     // The last seed goes too: the router follows the others alone.
     deployment.kill("control-1");
     thread::sleep(Duration::from_secs(6));
+    // A target that sends nothing for six seconds is silent.
+    deployment.report("t1", &one, "s", "ready", 3);
+    thread::sleep(Duration::from_millis(500));
     let reply = deployment
         .request("GET", "/read/1", "id", key)
         .expect("a reply");
