--- a/crates/dispatch/src/cache_map.rs
+++ b/crates/dispatch/src/cache_map.rs
@@ -64,6 +64,14 @@
         std::mem::take(&mut self.news)
     }
 
+    /// Returns all known places.
+    pub fn all(&self) -> impl Iterator<Item = CachedPrefix> {
+        self.entries.iter().flat_map(|(&shared, entry)| {
+            let caches = entry.caches.iter();
+            caches.map(move |&cache| CachedPrefix { shared, cache })
+        })
+    }
+
     /// Forgets targets that are not usable and entries that are old.
     pub fn retain(&mut self, usable: impl Fn(CacheId) -> bool, now: Instant) {
         self.entries.retain(|_, entry| {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -105,6 +105,12 @@
         self.cache_map.take_news()
     }
 
+    /// Returns the known places of cached prompts, for a router that knows none.
+    #[must_use]
+    pub fn cached(&self, most: usize) -> Vec<CachedPrefix> {
+        self.cache_map.all().take(most).collect()
+    }
+
     /// Returns the requests of this router at each target that has any, for the
     /// other routers.
     pub fn tell_loads(&mut self) -> Vec<(CacheId, u32)> {
--- a/crates/fleet/src/control/counters.rs
+++ b/crates/fleet/src/control/counters.rs
@@ -32,6 +32,8 @@
     pub targets: usize,
     /// Accepted links.
     pub links: usize,
+    /// Routers that pass news on.
+    pub relays: usize,
 }
 
 impl Counters {
@@ -51,6 +53,7 @@
             ("voters", number(gauges.voters)),
             ("targets_usable", number(gauges.targets)),
             ("links_accepted", number(gauges.links)),
+            ("relays", number(gauges.relays)),
         ];
         let mut text = String::new();
         for (name, value) in lines {
--- a/crates/fleet/src/control/event.rs
+++ b/crates/fleet/src/control/event.rs
@@ -4,14 +4,10 @@
 
 use bamboospur_agreement::Restored;
 use bamboospur_group::Document;
-use bamboospur_registry::{Announcement, Start};
-use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
 
-use crate::link::{Frame, Hello, LinkEvent};
-
-/// Number of an accepted link.
-pub type LinkId = u64;
+use crate::calls::TargetCall;
+use crate::link::{AcceptEvent, LinkEvent};
 
 /// Result of an operator's change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,22 +21,8 @@
 /// Event of a control instance.
 #[derive(Debug)]
 pub enum Event {
-    /// A target reported.
-    Report {
-        /// Report.
-        announcement: Announcement,
-        /// Told when the report is taken.
-        taken: oneshot::Sender<()>,
-    },
-    /// A target leaves.
-    Leave {
-        /// Target.
-        name: String,
-        /// Start that leaves, when the target names it.
-        start: Option<Start>,
-        /// Told when the departure is taken.
-        taken: oneshot::Sender<()>,
-    },
+    /// A target called.
+    Target(TargetCall),
     /// An operator changes the configuration.
     Put {
         /// Change.
@@ -53,27 +35,8 @@
         /// Told the newest configuration, when it is known for certain.
         result: oneshot::Sender<Option<Document>>,
     },
-    /// A peer or a router dialled.
-    Opened {
-        /// Link.
-        link: LinkId,
-        /// Who dialled.
-        hello: Hello,
-        /// Takes frames for it.
-        frames: Sender<Frame>,
-    },
-    /// A frame arrived on an accepted link.
-    Received {
-        /// Link.
-        link: LinkId,
-        /// Frame.
-        frame: Frame,
-    },
-    /// An accepted link ended.
-    Ended {
-        /// Link.
-        link: LinkId,
-    },
+    /// Something happened on an accepted link.
+    Accepted(AcceptEvent),
     /// Something happened on a dialled link.
     Dialed(LinkEvent),
     /// Writes up to this number are on disk.
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -10,7 +10,7 @@
 
 use bamboospur_group::{Group, GroupInput, GroupOutput, GroupSettings};
 use bamboospur_platform::settings::ProcessSettings;
-use bamboospur_registry::{Announcement, Registry, RegistrySettings};
+use bamboospur_registry::{Announcement, Registry, RegistrySettings, Start, TargetName};
 use bamboospur_types::{InstanceId, stable_id};
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::time::sleep_until;
@@ -18,17 +18,23 @@
 
 use super::counters::{Counters, Gauges};
 use super::disk::{self, Write};
-use super::event::{Event, LinkId};
-use super::loads::Loads;
+use super::event::Event;
 use super::operators::{Waiter, Waiters};
 use super::peers::Peers;
 use super::soft::{SoftSchedule, SoftState};
-use crate::link::{Frame, Hello};
+use super::spread::{Spread, SpreadSettings};
+use crate::link::{Frame, Hello, LinkId};
+use crate::loads::Loads;
 
 /// Time between two signs of life to peers, and between batches of reports.
 const ROUND: Duration = Duration::from_millis(500);
 /// Time between two sums of the routers' loads.
 const LOADS_ROUND: Duration = Duration::from_millis(250);
+/// Targets in a sum that is sent in every round; 10 KB.
+const LOADS_ENTRIES: usize = 1_000;
+/// Least time between two batches of news for routers, so that many targets that
+/// start at once cost few frames.
+const NEWS_PERIOD: Duration = Duration::from_millis(50);
 /// Reports of a target that may be missed before it counts as silent.
 const MISSED_REPORTS: u32 = 5;
 /// Places of cached prompts that are kept for routers that start.
@@ -51,7 +57,14 @@
     links: BTreeMap<LinkId, AcceptedLink>,
     waiters: Waiters,
     /// Announcements since the last round that peers have not been sent.
-    unsent: BTreeMap<String, Announcement>,
+    unsent: BTreeMap<TargetName, Announcement>,
+    /// Targets that routers have heard since the last round.
+    heard: BTreeMap<TargetName, (Start, u64)>,
+    spread: Spread,
+    /// News that routers have not been told.
+    news: Vec<Announcement>,
+    /// When the next news can be told.
+    news_at: Instant,
     /// Targets that routers were told are silent.
     silent: BTreeSet<String>,
     /// Newest places of cached prompts, oldest first.
@@ -68,7 +81,11 @@
 
 impl Host {
     /// Opens the data folder and starts the replica.
-    pub fn start(settings: &ProcessSettings, events: Sender<Event>) -> Result<Self, String> {
+    pub fn start(
+        settings: &ProcessSettings,
+        spread: SpreadSettings,
+        events: Sender<Event>,
+    ) -> Result<Self, String> {
         let now = Instant::now();
         let founder = |address: &std::net::SocketAddr| stable_id(&format!("founder {address}"));
         let founders: Vec<InstanceId> = settings.seeds.iter().map(founder).collect();
@@ -113,6 +130,10 @@
             links: BTreeMap::new(),
             waiters: Waiters::default(),
             unsent: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            spread: Spread::new(spread),
+            news: Vec::new(),
+            news_at: now,
             silent: BTreeSet::new(),
             prefixes: soft.prefixes.into(),
             published: 0,
@@ -128,8 +149,7 @@
     pub async fn run(mut self, mut events: Receiver<Event>) {
         self.feed(GroupInput::Tick);
         loop {
-            let rounds = self.round_at.min(self.loads_at);
-            let deadline = self.group.next_deadline().min(rounds);
+            let deadline = self.next_deadline();
             tokio::select! {
                 event = events.recv() => match event {
                     Some(event) => self.handle(event),
@@ -140,14 +160,24 @@
         }
     }
 
+    fn next_deadline(&self) -> Instant {
+        let rounds = self.round_at.min(self.loads_at);
+        let news = (!self.news.is_empty()).then_some(self.news_at);
+        let deadline = self.group.next_deadline().min(rounds);
+        news.map_or(deadline, |at| deadline.min(at))
+    }
+
     fn tick(&mut self) {
         let now = Instant::now();
         if now >= self.group.next_deadline() {
             self.feed(GroupInput::Tick);
         }
+        if now >= self.news_at {
+            self.tell_news(now);
+        }
         if now >= self.loads_at {
-            self.loads_at = now + LOADS_ROUND;
-            self.exchange_loads(now);
+            let entries = self.exchange_loads(now);
+            self.loads_at = now + loads_round(entries);
         }
         if now >= self.round_at {
             self.round_at = now + ROUND;
@@ -163,12 +193,20 @@
         if !batch.is_empty() {
             self.peers.send_to_all(&Frame::Targets(batch));
         }
+        let heard = std::mem::take(&mut self.heard).into_iter();
+        let heard: Vec<_> = heard
+            .map(|(name, (start, seq))| (name, start, seq))
+            .collect();
+        if !heard.is_empty() {
+            self.peers.send_to_all(&Frame::Heard(heard));
+        }
         self.peers.send_to_all(&Frame::Alive(0));
         let controls = self.peers.recent(now);
         if controls != self.told_controls {
             self.send_to_routers(&Frame::Controls(controls.clone()));
             self.told_controls = controls;
         }
+        self.plan_relays();
         self.find_silent(now);
         self.keep_soft_state(now);
     }
@@ -176,22 +214,7 @@
     fn handle(&mut self, event: Event) {
         let now = Instant::now();
         match event {
-            Event::Report {
-                announcement,
-                taken,
-            } => {
-                self.counters.reports += 1;
-                self.merge(vec![announcement], true, now);
-                // The target may have given up waiting.
-                let _told = taken.send(());
-            }
-            Event::Leave { name, start, taken } => {
-                if let Some(gone) = self.registry.leave(&name, start, now) {
-                    self.publish(vec![gone.clone()]);
-                    self.unsent.insert(name, gone);
-                }
-                let _told = taken.send(());
-            }
+            Event::Target(call) => self.target_call(call, now),
             Event::Put { document, result } => {
                 self.counters.operator_calls += 1;
                 self.request(Waiter::Put { result, document }, now);
@@ -200,15 +223,7 @@
                 self.counters.operator_calls += 1;
                 self.request(Waiter::Get { result }, now);
             }
-            Event::Opened {
-                link,
-                hello,
-                frames,
-            } => self.opened(link, hello, frames, now),
-            Event::Received { link, frame } => self.received(link, frame, now),
-            Event::Ended { link } => {
-                self.links.remove(&link);
-            }
+            Event::Accepted(event) => self.accepted(event, now),
             Event::Dialed(event) => self.dialed(event),
             Event::Synced { sequence } => self.feed(GroupInput::Synced { sequence }),
             Event::DiskFailed => {
@@ -237,6 +252,7 @@
             voters: status.voters,
             targets: self.registry.usable(now).len(),
             links: self.links.len(),
+            relays: self.spread.relay_links().count(),
         })
     }
 
@@ -289,6 +305,13 @@
     }
 }
 
+/// Time until the next exchange of loads. Totals of many targets are sent less
+/// often, so that they keep to a small part of the link.
+fn loads_round(entries: usize) -> Duration {
+    let rounds = 1 + entries / LOADS_ENTRIES;
+    LOADS_ROUND * u32::try_from(rounds).unwrap_or(u32::MAX)
+}
+
 /// Seed of election timeouts; instances must differ, and so must restarts.
 fn seed(id: InstanceId) -> u64 {
     id ^ crate::clock::BootTime::now().0
--- a/crates/fleet/src/control/host/config.rs
+++ b/crates/fleet/src/control/host/config.rs
@@ -7,9 +7,9 @@
 use tracing::warn;
 
 use super::{AcceptedLink, Host};
-use crate::control::event::{LinkId, PutResult};
+use crate::control::event::PutResult;
 use crate::control::operators::Waiter;
-use crate::link::{Frame, Ticket};
+use crate::link::{Frame, LinkId, Ticket};
 
 impl Host {
     /// Sends a configuration to the routers that tell their loads here. The
@@ -158,7 +158,7 @@
         let routers = self
             .links
             .values()
-            .filter(|l| l.hello.address.is_none())
+            .filter(|l| l.hello.router().is_some())
             .count();
         let frame = match reply {
             Ok(Reply::Newest { version } | Reply::Accepted { version }) => Frame::InForce {
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -8,24 +8,68 @@
 use tracing::{info, warn};
 
 use super::{AcceptedLink, Host};
-use crate::control::event::LinkId;
-use crate::link::{Frame, Hello, LinkEvent};
+use crate::link::{AcceptEvent, Frame, Hello, LinkEvent, LinkId, Ticket};
 
 impl Host {
+    pub(super) fn accepted(&mut self, event: AcceptEvent, now: Instant) {
+        match event {
+            AcceptEvent::Opened {
+                link,
+                hello,
+                frames,
+            } => self.opened(link, hello, frames, now),
+            AcceptEvent::Received { link, frame } => self.received(link, frame, now),
+            AcceptEvent::Ended { link } => {
+                self.links.remove(&link);
+                if self.spread.relay_links().any(|relay| relay == link) {
+                    self.plan_relays();
+                }
+            }
+        }
+    }
+
+    pub(super) fn routers(&self) -> impl Iterator<Item = (LinkId, &Hello)> {
+        let all = self.links.iter().map(|(&id, link)| (id, &link.hello));
+        all.filter(|(_, hello)| hello.router().is_some())
+    }
+
     pub(super) fn send_to_routers(&mut self, frame: &Frame) {
-        self.send_to_routers_but(None, frame);
+        let ids = self.routers().map(|(id, _)| id).collect();
+        self.send_to(ids, frame);
     }
 
-    pub(super) fn send_to_routers_but(&mut self, but: Option<LinkId>, frame: &Frame) {
-        let is_router = |link: &AcceptedLink| link.hello.address.is_none();
-        let links = self
-            .links
-            .iter()
-            .filter(|&(&id, link)| is_router(link) && but != Some(id));
-        let ids: Vec<LinkId> = links.map(|(&id, _)| id).collect();
+    /// Sends to the routers that pass it on, or to all routers without any.
+    pub(super) fn send_down(&mut self, but: Option<LinkId>, frame: &Frame) {
+        let mut ids: Vec<LinkId> = if self.spread.is_relayed() {
+            self.spread.relay_links().collect()
+        } else {
+            self.routers().map(|(id, _)| id).collect()
+        };
+        ids.retain(|&id| but != Some(id));
         self.send_to(ids, frame);
     }
 
+    /// Chooses the relays anew and tells everyone when they change.
+    pub(super) fn plan_relays(&mut self) {
+        let routers = self.links.iter().map(|(&id, link)| (id, &link.hello));
+        let Some(new) = self.spread.plan(routers, self.registry.len()) else {
+            return;
+        };
+        let relays = self.spread.relays();
+        info!(?relays, "relays changed");
+        for link in new.iter().filter_map(|id| self.links.get(id)) {
+            self.send_state(&link.frames);
+        }
+        let is_relayed = !relays.is_empty();
+        self.send_to_routers(&Frame::Relays(relays));
+        if !is_relayed {
+            // Routers have heard nothing from here since there were relays.
+            for accepted in self.links.values().filter(|l| l.hello.router().is_some()) {
+                self.send_state(&accepted.frames);
+            }
+        }
+    }
+
     /// Closes links that have no room, which makes a router start from the
     /// present state.
     pub(super) fn send_to(&mut self, ids: Vec<LinkId>, frame: &Frame) {
@@ -45,31 +89,37 @@
         frames: Sender<Frame>,
         now: Instant,
     ) {
-        let accepted = AcceptedLink { hello, frames };
-        if let Some(address) = hello.address {
-            self.heard(hello.id, address, now);
-        } else {
-            self.greet(&accepted.frames, now);
-        }
         info!(
             link,
             peer = hello.id,
-            control = hello.address.is_some(),
+            control = hello.control().is_some(),
             "a link opened"
         );
-        self.links.insert(link, accepted);
+        if let Some(address) = hello.control() {
+            self.heard(hello.id, address, now);
+        } else {
+            self.greet(&frames, now);
+        }
+        self.links.insert(link, AcceptedLink { hello, frames });
     }
 
-    /// Sends the present state to a router.
-    pub(super) fn greet(&self, frames: &Sender<Frame>, now: Instant) {
+    /// Sends the present state to a router, or who will send it.
+    fn greet(&self, frames: &Sender<Frame>, now: Instant) {
+        // The queue of a new link has room.
+        let _sent = frames.try_send(Frame::Controls(self.peers.recent(now)));
+        if self.spread.is_relayed() {
+            let _sent = frames.try_send(Frame::Relays(self.spread.relays()));
+        } else {
+            self.send_state(frames);
+        }
+    }
+
+    /// Sends everything that is known of targets.
+    fn send_state(&self, frames: &Sender<Frame>) {
         let all = self.registry.all().cloned().collect();
-        let state = [
-            Frame::Controls(self.peers.recent(now)),
-            Frame::Targets(all),
-            Frame::CachedPrefixes(self.prefixes.iter().copied().collect()),
-        ];
-        for frame in state {
-            // The queue of a new link has room.
+        let prefixes = self.prefixes.iter().copied().collect();
+        for frame in [Frame::Targets(all), Frame::CachedPrefixes(prefixes)] {
+            // A link without room is closed by the next news.
             let _sent = frames.try_send(frame);
         }
     }
@@ -83,8 +133,8 @@
         let Some(accepted) = self.links.get(&link) else {
             return;
         };
-        let hello = accepted.hello;
-        if let Some(address) = hello.address {
+        let hello = accepted.hello.clone();
+        if let Some(address) = hello.control() {
             self.heard(hello.id, address, now);
         }
         match frame {
@@ -107,24 +157,30 @@
                     "a message for the former instance at this address"
                 );
             }
-            Frame::Targets(announcements) => self.merge(announcements, false, now),
             Frame::CachedPrefixes(prefixes) => self.pass_on_prefixes(link, prefixes),
-            Frame::Loads(counts) if hello.address.is_some() => {
+            Frame::Loads(counts) if hello.control().is_some() => {
                 self.loads.peer(hello.id, counts, now);
             }
             Frame::Loads(counts) => self.loads.router(hello.id, counts, now),
             Frame::RequestConfig => self.send_config(link),
             Frame::Ask(asked) => self.asked(link, asked, now),
-            Frame::Put { ticket, document } => self.peer_put(hello.id, ticket, document, now),
-            Frame::Get { ticket } => self.peer_get(hello.id, ticket, now),
-            Frame::PutDone { ticket, accepted } => self.put_done(ticket, accepted),
-            Frame::GetDone { ticket, document } => self.get_done(ticket, document),
             Frame::Controls(addresses) => {
                 for address in addresses {
                     self.peers.learn(address);
                 }
             }
+            Frame::Put { .. }
+            | Frame::PutDone { .. }
+            | Frame::Get { .. }
+            | Frame::GetDone { .. } => {
+                self.operator_frame(hello.id, frame, now);
+            }
+            Frame::Targets(_) | Frame::Heard(_) | Frame::Report { .. } | Frame::Leave { .. } => {
+                self.target_frame(link, hello.router().is_some(), frame, now);
+            }
             Frame::Hello(_)
+            | Frame::Relays(_)
+            | Frame::Taken { .. }
             | Frame::Silent(_)
             | Frame::Config(_)
             | Frame::Totals(_)
@@ -135,6 +191,51 @@
         }
     }
 
+    /// Takes what a peer passes on for its operators, or the answer to that.
+    fn operator_frame(&mut self, peer: InstanceId, frame: Frame, now: Instant) {
+        match frame {
+            Frame::Put { ticket, document } => self.peer_put(peer, ticket, document, now),
+            Frame::Get { ticket } => self.peer_get(peer, ticket, now),
+            Frame::PutDone { ticket, accepted } => self.put_done(ticket, accepted),
+            Frame::GetDone { ticket, document } => self.get_done(ticket, document),
+            _ => {}
+        }
+    }
+
+    /// Takes what routers and peers say of targets. What routers say is passed on
+    /// to peers.
+    fn target_frame(&mut self, link: LinkId, from_router: bool, frame: Frame, now: Instant) {
+        match frame {
+            Frame::Targets(announcements) => self.merge(announcements, from_router, now),
+            Frame::Heard(targets) => self.take_heard(targets, from_router, now),
+            Frame::Report {
+                ticket,
+                announcement,
+            } => {
+                self.merge(vec![*announcement], true, now);
+                self.taken(link, ticket, now);
+            }
+            Frame::Leave {
+                ticket,
+                name,
+                start,
+            } => {
+                self.leave(&name, start, now);
+                self.taken(link, ticket, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Tells a router that what it passed on is taken.
+    fn taken(&mut self, link: LinkId, ticket: Ticket, now: Instant) {
+        self.tell_news(now);
+        if let Some(accepted) = self.links.get(&link) {
+            // Without an answer the router refuses, and the target calls again.
+            let _sent = accepted.frames.try_send(Frame::Taken { ticket });
+        }
+    }
+
     pub(super) fn dialed(&mut self, event: LinkEvent) {
         match event {
             LinkEvent::Up(address) => {
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -2,23 +2,90 @@
 
 use std::time::Instant;
 
-use bamboospur_registry::{Announcement, Merge, Phase};
+use bamboospur_registry::{Announcement, Merge, Phase, Start, TargetName};
 use tracing::{error, info};
 
-use super::{Host, MAX_CACHED_PREFIXES};
+use super::{Host, MAX_CACHED_PREFIXES, NEWS_PERIOD};
+use crate::calls::{TargetCall, TargetNews};
 use crate::control::disk::Write;
-use crate::control::event::LinkId;
 use crate::control::soft::SoftState;
-use crate::link::Frame;
+use crate::link::{Frame, LinkId};
+
+/// Departures, times routers, that are also sent to every router when relays pass
+/// news on: a router whose relays all froze hears of a few departures at once.
+const DEPARTURE_ENTRIES: usize = 600;
 
 impl Host {
-    pub(super) fn exchange_loads(&mut self, now: Instant) {
+    /// Takes the call of a target and tells it where to report next.
+    pub(super) fn target_call(&mut self, call: TargetCall, now: Instant) {
+        let next = match call.news {
+            TargetNews::Report(announcement) => {
+                self.counters.reports += 1;
+                let next = self.reports_to(&announcement);
+                self.merge(vec![announcement], true, now);
+                next
+            }
+            TargetNews::Leave { name, start } => {
+                self.leave(&name, start, now);
+                None
+            }
+        };
+        // The target may have given up waiting.
+        let _told = call.taken.send(next);
+    }
+
+    fn reports_to(&self, announcement: &Announcement) -> Option<std::net::SocketAddr> {
+        if announcement.phase != Phase::Ready {
+            return None;
+        }
+        let routers = self.routers().map(|(_, hello)| hello);
+        let (name, data_centre) = (&announcement.name, &announcement.data_centre);
+        self.spread
+            .reports_to(routers, name, data_centre, self.registry.len())
+    }
+
+    pub(super) fn leave(&mut self, name: &str, start: Option<Start>, now: Instant) {
+        if let Some(gone) = self.registry.leave(name, start, now) {
+            self.unsent.insert(name.to_owned(), gone.clone());
+            self.publish(vec![gone], now);
+        }
+    }
+
+    /// Takes word of targets that report to routers. `direct` ones came from the
+    /// routers themselves and are passed on to peers.
+    pub(super) fn take_heard(
+        &mut self,
+        targets: Vec<(TargetName, Start, u64)>,
+        direct: bool,
+        now: Instant,
+    ) {
+        let mut back = Vec::new();
+        for (name, start, sequence) in targets {
+            let merge = self.registry.heard(&name, start, sequence, now);
+            if merge == Merge::Old {
+                continue;
+            }
+            if merge == Merge::News {
+                info!(target_name = name, "a silent target is back");
+                back.extend(self.registry.get(&name).cloned());
+            }
+            if direct {
+                self.heard.insert(name, (start, sequence));
+            }
+        }
+        self.publish(back, now);
+    }
+
+    /// Returns the number of targets in the totals.
+    pub(super) fn exchange_loads(&mut self, now: Instant) -> usize {
         self.loads.drop_old(now);
         if !self.loads.has_routers() {
-            return;
+            return 0;
         }
         self.peers.send_to_all(&Frame::Loads(self.loads.own_sums()));
-        let totals = Frame::Totals(self.loads.totals());
+        let totals = self.loads.totals();
+        let entries = totals.len();
+        let totals = Frame::Totals(totals);
         let loads = &self.loads;
         let told = self
             .links
@@ -28,6 +95,7 @@
             // A router that misses totals gets the next ones.
             let _sent = link.frames.try_send(totals.clone());
         }
+        entries
     }
 
     pub(super) fn keep_soft_state(&mut self, now: Instant) {
@@ -58,7 +126,7 @@
         if !news.is_empty() {
             let names: Vec<&str> = news.iter().map(|a| a.name.as_str()).collect();
             info!(?names, "targets are silent");
-            self.send_to_routers(&Frame::Silent(news));
+            self.send_down(None, &Frame::Silent(news));
         }
     }
 
@@ -89,24 +157,48 @@
                 news.push(announcement);
             }
         }
-        if direct && !news.is_empty() {
-            self.peers.send_to_all(&Frame::Targets(news.clone()));
-        }
-        self.publish(news);
+        self.publish(news, now);
     }
 
-    /// Tells routers of changed targets.
-    pub(super) fn publish(&mut self, news: Vec<Announcement>) {
-        if !news.is_empty() {
-            for announcement in &news {
-                self.silent.remove(&announcement.name);
-                match announcement.phase {
-                    Phase::Ready => self.soft.changed(),
-                    Phase::Draining | Phase::Gone => self.soft.departed(),
-                }
+    /// Tells routers of changed targets, now or with the next batch.
+    fn publish(&mut self, news: Vec<Announcement>, now: Instant) {
+        if news.is_empty() {
+            return;
+        }
+        for announcement in &news {
+            self.silent.remove(&announcement.name);
+            match announcement.phase {
+                Phase::Ready => self.soft.changed(),
+                Phase::Draining | Phase::Gone => self.soft.departed(),
             }
-            self.keep_soft_state(Instant::now());
-            self.send_to_routers(&Frame::Targets(news));
+        }
+        self.keep_soft_state(now);
+        self.news.extend(news);
+        if now >= self.news_at {
+            self.tell_news(now);
+        }
+    }
+
+    /// Sends the waiting news to routers, and what came from targets to peers.
+    pub(super) fn tell_news(&mut self, now: Instant) {
+        if self.news.is_empty() {
+            return;
+        }
+        self.news_at = now + NEWS_PERIOD;
+        self.plan_relays();
+        let news = std::mem::take(&mut self.news);
+        let own = news.iter().filter(|a| self.unsent.contains_key(&a.name));
+        let own: Vec<Announcement> = own.cloned().collect();
+        if !own.is_empty() {
+            self.peers.send_to_all(&Frame::Targets(own));
+        }
+        let departed = news.iter().filter(|a| a.phase != Phase::Ready);
+        let departed: Vec<Announcement> = departed.cloned().collect();
+        self.send_down(None, &Frame::Targets(news));
+        let entries = departed.len().saturating_mul(self.routers().count());
+        let few = (1..=DEPARTURE_ENTRIES).contains(&entries);
+        if self.spread.is_relayed() && few {
+            self.send_to_routers(&Frame::Targets(departed));
         }
     }
 
@@ -116,6 +208,6 @@
         let excess = self.prefixes.len().saturating_sub(MAX_CACHED_PREFIXES);
         self.prefixes.drain(..excess);
         self.soft.changed();
-        self.send_to_routers_but(Some(from), &Frame::CachedPrefixes(prefixes));
+        self.send_down(Some(from), &Frame::CachedPrefixes(prefixes));
     }
 }
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -2,18 +2,17 @@
 //!
 //! One task owns the state ([`host`]). It hears of everything through one queue
 //! of events: calls of operators and targets ([`calls`]), links that others
-//! dialled ([`accept`]), links of its own, and finished writes ([`disk`]).
+//! dialled ([`link`]), links of its own, and finished writes ([`disk`]).
 
-mod accept;
 mod calls;
 mod counters;
 mod disk;
 mod event;
 mod host;
-mod loads;
 mod operators;
 mod peers;
 mod soft;
+mod spread;
 
 use std::time::Duration;
 
@@ -25,28 +24,38 @@
 use tracing::info;
 
 use crate::exposition;
+use crate::link;
 use crate::process;
 use crate::settings_file::{LOOK_PERIOD, SettingsFile};
 use crate::signals::{Request, Signals};
 use event::Event;
-pub use loads::{Counts, Loads};
 pub use soft::{SoftSchedule, SoftState};
+pub use spread::{Spread, SpreadSettings};
 
 /// Events that wait for the host; senders wait for room.
 const QUEUE_EVENTS: usize = 1_024;
 /// Time for a handover of leadership and the last answers before the end.
 const STOP_TIME: Duration = Duration::from_millis(1_200);
 
-/// Runs a control instance until it is stopped, with its counters on a port.
+/// Settings of a control instance that its deployment does not give.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ControlSettings {
+    /// Port for counters.
+    pub metrics_port: Option<u16>,
+    /// Who is told of targets, and who takes their reports.
+    pub spread: SpreadSettings,
+}
+
+/// Runs a control instance until it is stopped.
 ///
 /// # Errors
 ///
 /// Returns a sentence for the person who starts the process.
-pub fn run(metrics_port: Option<u16>) -> Result<(), String> {
-    process::run(serve(metrics_port))
+pub fn run(own: ControlSettings) -> Result<(), String> {
+    process::run(serve(own))
 }
 
-async fn serve(metrics_port: Option<u16>) -> Result<(), String> {
+async fn serve(own: ControlSettings) -> Result<(), String> {
     let mut file = SettingsFile::open()?;
     let settings = file.settings.clone();
     let failed = |what: &'static str| move |error| format!("{what}: {error}");
@@ -57,7 +66,7 @@
     let calls = socket::listen(operators).map_err(failed("address for operators"))?;
     let links = socket::listen(settings.links).map_err(failed("address for links"))?;
     let (events, receiver) = channel(QUEUE_EVENTS);
-    let host = host::Host::start(&settings, events.clone())?;
+    let host = host::Host::start(&settings, own.spread, events.clone())?;
     info!(
         instance = settings.instance,
         data_centre = settings.data_centre,
@@ -68,10 +77,10 @@
         "control instance started"
     );
     spawn_local(calls::serve(calls, events.clone()));
-    spawn_local(accept::serve(links, events.clone()));
+    spawn_local(link::serve(links, events.clone(), Event::Accepted));
     spawn_local(host.run(receiver));
 
-    if let Some(port) = metrics_port {
+    if let Some(port) = own.metrics_port {
         let events = events.clone();
         exposition::start(settings.ip, port, move || metrics_text(events.clone()));
     }
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc::Sender;
 
 use super::event::Event;
-use crate::link::{Dialed, Frame, Hello, dial};
+use crate::link::{Dialed, Frame, Hello, Role, dial};
 
 /// An address that is no seed and was not heard for this time is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
@@ -34,7 +34,7 @@
     ) -> Self {
         let hello = Hello {
             id,
-            address: Some(own_address),
+            role: Role::Control { links: own_address },
         };
         let mut peers = Self {
             hello,
@@ -61,7 +61,12 @@
         if address == self.own_address || self.links.contains_key(&address) {
             return;
         }
-        let link = dial(address, self.hello, self.events.clone(), Event::Dialed);
+        let link = dial(
+            address,
+            self.hello.clone(),
+            self.events.clone(),
+            Event::Dialed,
+        );
         self.links.insert(address, link);
         self.heard.entry(address).or_insert_with(Instant::now);
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,12 +8,16 @@
 //! [`router`] shows the way of a request; [`control`] the way of a change and of
 //! a target's report; [`link`] how the processes talk.
 
+mod calls;
 pub mod clock;
 pub mod control;
 mod exposition;
 pub mod link;
+mod loads;
 pub mod log;
 mod process;
 pub mod router;
 pub mod settings_file;
 pub mod signals;
+
+pub use loads::{Counts, Loads};
--- a/crates/fleet/src/control/accept.rs
+++ b/crates/fleet/src/link/accept.rs
@@ -1,4 +1,4 @@
-//! Links that peers and routers dial.
+//! The side of a link that accepts.
 
 use std::time::Duration;
 
@@ -10,10 +10,39 @@
 use tokio::time::{Instant, sleep_until, timeout};
 use tracing::{info, warn};
 
-use super::event::{Event, LinkId};
-use crate::link::{Frame, FrameError, FrameReader, encode};
+use super::codec::{FrameError, FrameReader, encode};
+use super::frame::{Frame, Hello};
 use crate::process::accept;
 
+/// Number of an accepted link.
+pub type LinkId = u64;
+
+/// What happens on accepted links.
+#[derive(Debug)]
+pub enum AcceptEvent {
+    /// Someone dialled.
+    Opened {
+        /// Link.
+        link: LinkId,
+        /// Who dialled.
+        hello: Hello,
+        /// Takes frames for it.
+        frames: Sender<Frame>,
+    },
+    /// A frame arrived.
+    Received {
+        /// Link.
+        link: LinkId,
+        /// Frame.
+        frame: Frame,
+    },
+    /// A link ended.
+    Ended {
+        /// Link.
+        link: LinkId,
+    },
+}
+
 /// The side that dials says something every second.
 const SILENCE: Duration = Duration::from_millis(3_500);
 /// Time for the first frame.
@@ -23,16 +52,27 @@
 const QUEUE_FRAMES: usize = 512;
 
 /// Accepts links for ever.
-pub async fn serve(listener: TcpListener, events: Sender<Event>) {
+///
+/// `convert` turns link events into messages of the owner.
+pub async fn serve<E: 'static>(
+    listener: TcpListener,
+    events: Sender<E>,
+    convert: fn(AcceptEvent) -> E,
+) {
     let mut next_link: LinkId = 0;
     loop {
         let stream = accept(&listener, "links").await;
         next_link += 1;
-        spawn_local(link(stream, next_link, events.clone()));
+        spawn_local(link(stream, next_link, events.clone(), convert));
     }
 }
 
-async fn link(stream: TcpStream, link: LinkId, events: Sender<Event>) {
+async fn link<E>(
+    stream: TcpStream,
+    link: LinkId,
+    events: Sender<E>,
+    convert: fn(AcceptEvent) -> E,
+) {
     let mut reader = FrameReader::default();
     let first = timeout(HELLO_TIMEOUT, reader.next(&stream)).await;
     let Ok(Ok(Frame::Hello(hello))) = first else {
@@ -44,27 +84,30 @@
         return;
     }
     let (frames, mut receiver) = channel(QUEUE_FRAMES);
-    let opened = Event::Opened {
+    let (peer, control) = (hello.id, hello.control().is_some());
+    let opened = AcceptEvent::Opened {
         link,
         hello,
         frames,
     };
-    if events.send(opened).await.is_err() {
+    if events.send(convert(opened)).await.is_err() {
         return;
     }
-    if let Err(error) = exchange(&stream, &mut reader, link, &mut receiver, &events).await {
-        info!(link, peer = hello.id, control = hello.address.is_some(), %error, "a link ended");
+    let convert_frame = |frame| convert(AcceptEvent::Received { link, frame });
+    if let Err(error) = exchange(&stream, &mut reader, &mut receiver, &events, convert_frame).await
+    {
+        info!(link, peer, control, %error, "a link ended");
     }
-    // The host has ended when nobody hears this.
-    let _sent = events.send(Event::Ended { link }).await;
+    // The owner has ended when nobody hears this.
+    let _sent = events.send(convert(AcceptEvent::Ended { link })).await;
 }
 
-async fn exchange(
+async fn exchange<E>(
     stream: &TcpStream,
     reader: &mut FrameReader,
-    link: LinkId,
     frames: &mut Receiver<Frame>,
-    events: &Sender<Event>,
+    events: &Sender<E>,
+    convert_frame: impl Fn(Frame) -> E,
 ) -> Result<(), FrameError> {
     let timed_out = || FrameError::Io(std::io::ErrorKind::TimedOut.into());
     let mut silent_at = Instant::now() + SILENCE;
@@ -80,8 +123,7 @@
             }
             frame = reader.next(stream) => {
                 silent_at = Instant::now() + SILENCE;
-                let event = Event::Received { link, frame: frame? };
-                if events.send(event).await.is_err() {
+                if events.send(convert_frame(frame?)).await.is_err() {
                     return Ok(());
                 }
             }
--- a/crates/fleet/src/link/codec.rs
+++ b/crates/fleet/src/link/codec.rs
@@ -1,4 +1,5 @@
-//! Frames as bytes: a length of four bytes, then the frame.
+//! Frames as bytes: a length of four bytes, then the frame. Long frames are
+//! compressed, which the highest bit of the length tells.
 
 use std::io;
 
@@ -13,6 +14,10 @@
 /// Largest frame; a snapshot chunk with a large configuration fits.
 const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
 const LENGTH_BYTES: usize = 4;
+/// Bit of the length that marks a compressed frame.
+const COMPRESSED: u32 = 1 << 31;
+/// Frames from this size on are compressed; announcements shrink to a third.
+const COMPRESS_FROM_BYTES: usize = 1_024;
 
 quick_error! {
     /// Why no frame was read.
@@ -37,17 +42,40 @@
 /// Returns a frame as bytes, or `None` when it is too large.
 #[must_use]
 pub fn encode(frame: &Frame) -> Option<Vec<u8>> {
-    let payload = postcard::to_stdvec(frame).ok()?;
-    let length = u32::try_from(payload.len()).ok()?;
-    if payload.len() > MAX_FRAME_BYTES {
+    let plain = postcard::to_stdvec(frame).ok()?;
+    if plain.len() > MAX_FRAME_BYTES {
         return None;
     }
+    let (payload, flag) = compressed(plain);
+    let length = u32::try_from(payload.len()).ok()? | flag;
     let mut bytes = Vec::with_capacity(payload.len() + LENGTH_BYTES);
     bytes.extend_from_slice(&length.to_be_bytes());
     bytes.extend_from_slice(&payload);
     Some(bytes)
 }
 
+/// Returns a payload in its shorter form and the flag of that form.
+fn compressed(plain: Vec<u8>) -> (Vec<u8>, u32) {
+    if plain.len() < COMPRESS_FROM_BYTES {
+        return (plain, 0);
+    }
+    let payload = lz4_flex::compress_prepend_size(&plain);
+    if payload.len() < plain.len() {
+        (payload, COMPRESSED)
+    } else {
+        (plain, 0)
+    }
+}
+
+fn decompressed(payload: &[u8]) -> Result<Vec<u8>, FrameError> {
+    let size = payload.first_chunk().ok_or(FrameError::Malformed)?;
+    let size = usize::try_from(u32::from_le_bytes(*size));
+    if size.map_err(|_| FrameError::Malformed)? > MAX_FRAME_BYTES {
+        return Err(FrameError::Malformed);
+    }
+    lz4_flex::decompress_size_prepended(payload).map_err(|_| FrameError::Malformed)
+}
+
 /// Reads frames from a connection. A read that is dropped loses nothing.
 #[derive(Debug, Default)]
 pub struct FrameReader {
@@ -80,8 +108,8 @@
         let Some(prefix) = self.buffer.first_chunk::<LENGTH_BYTES>() else {
             return Ok(None);
         };
-        let length = u32::from_be_bytes(*prefix);
-        let length = usize::try_from(length).map_err(|_| FrameError::Malformed)?;
+        let prefix = u32::from_be_bytes(*prefix);
+        let length = usize::try_from(prefix & !COMPRESSED).map_err(|_| FrameError::Malformed)?;
         if length > MAX_FRAME_BYTES {
             return Err(FrameError::Malformed);
         }
@@ -90,8 +118,12 @@
         }
         self.buffer.advance(LENGTH_BYTES);
         let payload = self.buffer.split_to(length);
-        let frame = postcard::from_bytes(&payload).map_err(|_| FrameError::Malformed)?;
-        Ok(Some(frame))
+        let frame = if prefix & COMPRESSED == 0 {
+            postcard::from_bytes(&payload)
+        } else {
+            postcard::from_bytes(&decompressed(&payload)?)
+        };
+        frame.map(Some).map_err(|_| FrameError::Malformed)
     }
 
     /// Adds bytes, for tests of the codec.
--- a/crates/fleet/src/link/dial.rs
+++ b/crates/fleet/src/link/dial.rs
@@ -73,7 +73,7 @@
                     events: &events,
                     convert,
                 };
-                let Err(error) = link.run(hello, &mut receiver).await else {
+                let Err(error) = link.run(hello.clone(), &mut receiver).await else {
                     return;
                 };
                 if events
--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -4,7 +4,7 @@
 
 use bamboospur_agreement::Message;
 use bamboospur_group::Document;
-use bamboospur_registry::Announcement;
+use bamboospur_registry::{Announcement, Start, TargetName};
 use bamboospur_types::InstanceId;
 use serde::{Deserialize, Serialize};
 
@@ -12,12 +12,55 @@
 pub type Ticket = u64;
 
 /// Who dials.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
     /// Instance.
     pub id: InstanceId,
-    /// Address for links, on a control instance; routers have none.
-    pub address: Option<SocketAddr>,
+    /// Its role.
+    pub role: Role,
+}
+
+/// Role of an instance, and where others reach it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Role {
+    /// Control instance.
+    Control {
+        /// Address for links.
+        links: SocketAddr,
+    },
+    /// Router.
+    Router(RouterPlace),
+}
+
+/// Where a router is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouterPlace {
+    /// Data centre.
+    pub data_centre: String,
+    /// Address for links of other routers.
+    pub links: SocketAddr,
+    /// Address for reports of targets.
+    pub reports: SocketAddr,
+}
+
+impl Hello {
+    /// Returns the address for links of a control instance.
+    #[must_use]
+    pub const fn control(&self) -> Option<SocketAddr> {
+        match self.role {
+            Role::Control { links } => Some(links),
+            Role::Router(_) => None,
+        }
+    }
+
+    /// Returns where a router is.
+    #[must_use]
+    pub const fn router(&self) -> Option<&RouterPlace> {
+        match &self.role {
+            Role::Control { .. } => None,
+            Role::Router(place) => Some(place),
+        }
+    }
 }
 
 /// One frame.
@@ -36,15 +79,42 @@
         /// Message.
         message: Box<Message>,
     },
+    /// Routers that pass on what control instances tell, with their data centres.
+    /// Without any, control instances tell every router themselves.
+    Relays(Vec<(String, SocketAddr)>),
     /// Announcements that are news to the sender.
     Targets(Vec<Announcement>),
     /// Targets that have announced nothing for long.
     Silent(Vec<Announcement>),
+    /// Targets that reported to the sender since its last frame of this kind, with
+    /// the sequence numbers of their newest reports. Nothing else has changed.
+    Heard(Vec<(TargetName, Start, u64)>),
+    /// A report that a router took and that says something new.
+    Report {
+        /// Returned when the report is taken.
+        ticket: Ticket,
+        /// Report.
+        announcement: Box<Announcement>,
+    },
+    /// A departure that a router took.
+    Leave {
+        /// Returned when the departure is taken.
+        ticket: Ticket,
+        /// Target.
+        name: TargetName,
+        /// Start that leaves, when the target names it.
+        start: Option<Start>,
+    },
+    /// A report or a departure is taken.
+    Taken {
+        /// Its ticket.
+        ticket: Ticket,
+    },
     /// Targets that have read the shared parts of prompts: hashes of the parts and
     /// of the target.
     CachedPrefixes(Vec<(u64, u64)>),
     /// Requests of the sender at targets, by hashes of the targets; of a control
-    /// instance, the sums over the routers that tell it.
+    /// instance or a relay, the sums over the routers that tell it.
     Loads(Vec<(u64, u32)>),
     /// Requests of all routers at targets.
     Totals(Vec<(u64, u32)>),
--- a/crates/fleet/src/link/mod.rs
+++ b/crates/fleet/src/link/mod.rs
@@ -2,14 +2,16 @@
 //!
 //! A link is a TCP connection with length-prefixed frames. Control instances
 //! dial each other in both directions and send on the connection that they
-//! dialled; routers dial control instances and both sides send. Every side that
-//! dials sends something at least once a second and expects an answer, so a
+//! dialled; routers dial control instances, and other routers that relay for them,
+//! and both sides send. Every side that dials sends something at least once a second and expects an answer, so a
 //! connection that went silent is noticed and replaced.
 
+mod accept;
 mod codec;
 mod dial;
 mod frame;
 
+pub use accept::{AcceptEvent, LinkId, serve};
 pub use codec::{FrameError, FrameReader, encode};
 pub use dial::{Dialed, LinkEvent, dial};
-pub use frame::{Frame, Hello, Ticket};
+pub use frame::{Frame, Hello, Role, RouterPlace, Ticket};
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -1,6 +1,7 @@
-//! Links to the control instances.
+//! Links to the control instances and to routers that relay for them, and what
+//! this router passes on.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -10,20 +11,30 @@
 use bamboospur_platform::config;
 use bamboospur_platform::settings::ProcessSettings;
 use bamboospur_types::{mix64, stable_id};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::task::spawn_local;
 use tokio::time::interval;
-use tracing::{error, info};
+use tracing::{error, info, warn};
 
+use super::followers::Followers;
+use super::reports::{self, Reports};
 use super::state::Router;
+use crate::calls::TargetCall;
 use crate::clock::BootTime;
-use crate::link::{Dialed, Frame, Hello, LinkEvent, dial};
+use crate::link::{
+    self, AcceptEvent, Dialed, Frame, Hello, LinkEvent, LinkId, Role, RouterPlace, dial,
+};
 
 /// Events that wait; links wait for room.
 const QUEUE_EVENTS: usize = 256;
 /// Time between two questions what is in force. Several fit into a lease, so
 /// that one lost answer or an election changes nothing.
 const ASK_PERIOD: Duration = Duration::from_millis(800);
+/// Questions a second that the fleet asks at most: 250 to each control instance.
+const ASK_PERIOD_A_ROUTER: Duration = Duration::from_millis(4);
+/// Longest time between two questions; a lease of 4.75 s bears three lost ones.
+const MAX_ASK_PERIOD: Duration = Duration::from_millis(1_400);
 /// The same while the lease has not begun or has ended.
 const ASK_PERIOD_WITHOUT_LEASE: Duration = Duration::from_millis(200);
 /// An address that no control instance has named for this time is forgotten.
@@ -32,9 +43,17 @@
 const NEWS_PERIOD: Duration = Duration::from_millis(100);
 /// Time between two reports of the requests at targets.
 const LOADS_PERIOD: Duration = Duration::from_millis(250);
+/// Time between two batches of reports without news; a target that reports every
+/// second or two stays well below five missed reports.
+const HEARD_PERIOD: Duration = Duration::from_millis(1_500);
+/// Places of cached prompts that a follower starts from.
+const MAX_CACHED_PREFIXES: usize = 4_096;
 
 enum Event {
-    Link(LinkEvent),
+    Control(LinkEvent),
+    Relay(LinkEvent),
+    Accepted(AcceptEvent),
+    Target(TargetCall),
     Seeds(Vec<SocketAddr>),
 }
 
@@ -50,19 +69,38 @@
     }
 }
 
-/// Starts to follow the control instances.
-pub fn start(router: Rc<Router>, settings: &ProcessSettings) -> Seeds {
+/// Starts to follow the control instances, and takes links of other routers and
+/// reports of targets.
+pub fn start(
+    router: Rc<Router>,
+    settings: &ProcessSettings,
+    links: TcpListener,
+    reports: TcpListener,
+) -> Seeds {
     let (events, receiver) = channel(QUEUE_EVENTS);
+    let place = RouterPlace {
+        data_centre: settings.data_centre.clone(),
+        links: settings.links,
+        reports: settings.reports,
+    };
     let mut follower = Follower {
+        reports: Reports::new(Rc::clone(&router)),
         router,
         hello: Hello {
             id: stable_id(&settings.instance),
-            address: None,
+            role: Role::Router(place.clone()),
         },
+        place,
         events: events.clone(),
-        links: BTreeMap::new(),
+        controls: BTreeMap::new(),
+        named_relays: BTreeMap::new(),
+        relays: BTreeMap::new(),
+        followers: Followers::default(),
+        prefixes: Vec::new(),
     };
     follower.follow(&settings.seeds);
+    spawn_local(link::serve(links, events.clone(), Event::Accepted));
+    spawn_local(reports::serve(reports, events.clone(), Event::Target));
     spawn_local(follower.run(receiver));
     Seeds(events)
 }
@@ -76,8 +114,16 @@
 struct Follower {
     router: Rc<Router>,
     hello: Hello,
+    place: RouterPlace,
     events: Sender<Event>,
-    links: BTreeMap<SocketAddr, FollowedLink>,
+    controls: BTreeMap<SocketAddr, FollowedLink>,
+    /// Relays that each control instance names.
+    named_relays: BTreeMap<SocketAddr, Vec<(String, SocketAddr)>>,
+    relays: BTreeMap<SocketAddr, FollowedLink>,
+    followers: Followers,
+    reports: Reports,
+    /// Places of cached prompts that followers told, for the control instances.
+    prefixes: Vec<(u64, u64)>,
 }
 
 impl Follower {
@@ -86,141 +132,214 @@
         let mut asked_at = Instant::now();
         let mut news = interval(NEWS_PERIOD);
         let mut loads = interval(LOADS_PERIOD);
+        let mut heard = interval(HEARD_PERIOD);
         loop {
             tokio::select! {
                 event = events.recv() => match event {
-                    Some(Event::Link(event)) => self.link(event),
-                    Some(Event::Seeds(seeds)) => self.follow(&seeds),
+                    Some(event) => self.handle(event),
                     None => return,
                 },
                 _ = ask.tick() => {
                     let valid = self.router.lease.borrow().is_valid(BootTime::now());
-                    if !valid || asked_at.elapsed() >= ASK_PERIOD {
+                    if !valid || asked_at.elapsed() >= ask_period(self.router.routers()) {
                         asked_at = Instant::now();
                         self.ask();
                     }
                 }
                 _ = news.tick() => self.send_news(),
                 _ = loads.tick() => self.send_loads(),
+                _ = heard.tick() => self.send_heard(),
             }
         }
     }
 
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Control(event) => self.control(event),
+            Event::Relay(event) => self.relay(event),
+            Event::Accepted(event) => self.accepted(event),
+            Event::Target(call) => self.target_call(call),
+            Event::Seeds(seeds) => self.follow(&seeds),
+        }
+    }
+
     fn follow(&mut self, addresses: &[SocketAddr]) {
         let named_until = Instant::now() + FORGET_AFTER;
         for &address in addresses {
-            let (hello, events) = (self.hello, &self.events);
-            let followed = self.links.entry(address).or_insert_with(|| FollowedLink {
-                link: dial(address, hello, events.clone(), Event::Link),
+            let (hello, events) = (&self.hello, &self.events);
+            let followed = self
+                .controls
+                .entry(address)
+                .or_insert_with(|| FollowedLink {
+                    link: dial(address, hello.clone(), events.clone(), Event::Control),
+                    up: false,
+                    named_until,
+                });
+            followed.named_until = named_until;
+        }
+    }
+
+    /// Follows the relays of this data centre. A relay itself follows none.
+    fn follow_relays(&mut self) {
+        let all = self.named_relays.values().flatten();
+        let near = all.filter(|(data_centre, _)| *data_centre == self.place.data_centre);
+        let mut near: BTreeSet<SocketAddr> = near.map(|&(_, address)| address).collect();
+        if near.contains(&self.place.links) {
+            near.clear();
+        }
+        self.relays.retain(|address, _| near.contains(address));
+        for address in near {
+            let (hello, events) = (&self.hello, &self.events);
+            self.relays.entry(address).or_insert_with(|| FollowedLink {
+                link: dial(address, hello.clone(), events.clone(), Event::Relay),
                 up: false,
-                named_until,
+                named_until: Instant::now(),
             });
-            followed.named_until = named_until;
         }
     }
 
     fn ask(&mut self) {
         let now = Instant::now();
-        if self.links.len() > 1 {
-            self.links.retain(|_, followed| now < followed.named_until);
+        if self.controls.len() > 1 {
+            self.controls
+                .retain(|_, followed| now < followed.named_until);
         }
         let asked = BootTime::now();
-        for followed in self.links.values() {
+        for followed in self.controls.values() {
             // A link that is down or full is asked again next time.
             let _sent = followed.link.send(Frame::Ask(asked.0));
         }
+        for followed in self.relays.values() {
+            let _sent = followed.link.send(Frame::Alive(asked.0));
+        }
     }
 
-    /// Tells the other routers, through one control instance, where prompts are
-    /// cached.
+    /// Tells the other routers where prompts are cached.
     fn send_news(&mut self) {
-        let Some(followed) = self.partner() else {
+        if self.partner().is_none() {
             return;
-        };
+        }
         let news = self.router.dispatcher.borrow_mut().take_news();
-        if !news.is_empty() {
-            let prefixes = news
-                .iter()
-                .map(|prefix| (prefix.shared, prefix.cache))
-                .collect();
+        let own: Vec<_> = news.iter().map(|news| (news.shared, news.cache)).collect();
+        if !own.is_empty() {
+            let frame = Frame::CachedPrefixes(own.clone());
+            self.followers.tell_partners(None, &frame);
+        }
+        let mut prefixes = std::mem::take(&mut self.prefixes);
+        prefixes.extend(own);
+        if let Some(partner) = self.partner().filter(|_| !prefixes.is_empty()) {
             // Lost news costs other routers a read of the prompt.
-            let _sent = followed.link.send(Frame::CachedPrefixes(prefixes));
+            let _sent = partner.link.send(Frame::CachedPrefixes(prefixes));
         }
     }
 
-    /// Returns the link over which this router tells and is told. Routers spread
-    /// over the control instances.
+    /// Returns the link over which this router tells and is told: that of a relay,
+    /// or else of a control instance. Routers spread over them.
     fn partner(&self) -> Option<&FollowedLink> {
+        let relay = self.first_choice(&self.relays);
+        relay.or_else(|| self.first_choice(&self.controls))
+    }
+
+    fn first_choice<'a>(
+        &self,
+        links: &'a BTreeMap<SocketAddr, FollowedLink>,
+    ) -> Option<&'a FollowedLink> {
         let rank = |address: &SocketAddr| mix64(self.hello.id ^ stable_id(&address.to_string()));
-        let up = self.links.iter().filter(|(_, followed)| followed.up);
+        let up = links.iter().filter(|(_, followed)| followed.up);
         up.max_by_key(|(address, _)| rank(address))
             .map(|(_, followed)| followed)
     }
 
     fn send_loads(&mut self) {
-        if let Some(partner) = self.partner() {
-            let loads = self.router.dispatcher.borrow_mut().tell_loads();
-            // Lost loads are told again.
-            let _sent = partner.link.send(Frame::Loads(loads));
+        let Some(link) = self.partner().map(|partner| partner.link.clone()) else {
+            return;
+        };
+        let own = self.router.dispatcher.borrow_mut().tell_loads();
+        let sums = self.followers.sums(self.hello.id, own, Instant::now());
+        // Lost loads are told again.
+        let _sent = link.send(Frame::Loads(sums));
+    }
+
+    /// Tells a control instance which targets report here.
+    fn send_heard(&mut self) {
+        let heard = self.reports.take_heard(Instant::now());
+        if let Some(frame) = heard
+            && let Some(control) = self.first_choice(&self.controls)
+        {
+            // The next batch follows before the targets count as silent.
+            let _sent = control.link.send(frame);
+        }
+    }
+
+    /// Takes a call of a target. Without a control instance it is refused, and the
+    /// target calls another instance.
+    fn target_call(&mut self, call: TargetCall) {
+        let Some(link) = self.first_choice(&self.controls).map(|c| c.link.clone()) else {
+            info!("a report is refused without a control instance");
+            return;
+        };
+        if let Some(frame) = self.reports.take(call, Instant::now()) {
+            // Without an answer the target calls again.
+            let _sent = link.send(frame);
         }
     }
 
     /// Asks for the configuration when a newer one than the one held is in force.
     fn request_newer(&self, address: SocketAddr, version: u64) {
         let held = self.router.config_version();
-        if let Some(followed) = self.links.get(&address).filter(|_| version > held) {
+        if let Some(followed) = self.controls.get(&address).filter(|_| version > held) {
             // It is asked for again with the next answer.
             let _sent = followed.link.send(Frame::RequestConfig);
         }
     }
 
-    fn set_up(&mut self, address: SocketAddr, up: bool) {
-        if let Some(followed) = self.links.get_mut(&address) {
-            followed.up = up;
-        }
-    }
-
-    fn link(&mut self, event: LinkEvent) {
+    fn control(&mut self, event: LinkEvent) {
         match event {
             LinkEvent::Up(address) => {
                 info!(%address, "link to a control instance is up");
-                self.set_up(address, true);
+                if let Some(followed) = self.controls.get_mut(&address) {
+                    followed.up = true;
+                    let reporting = self.reports.reporting();
+                    if !reporting.is_empty() {
+                        // The targets report again, too.
+                        let _sent = followed.link.send(Frame::Targets(reporting));
+                    }
+                }
                 self.ask();
             }
             LinkEvent::Down(address, error) => {
                 info!(%address, %error, "link to a control instance is down");
-                self.set_up(address, false);
+                if let Some(followed) = self.controls.get_mut(&address) {
+                    followed.up = false;
+                }
+                // The last list stays, as only relays tell of targets then.
+                if self.named_relays.len() > 1 {
+                    self.named_relays.remove(&address);
+                    self.follow_relays();
+                }
             }
             LinkEvent::Frame(address, frame) => {
-                if let Some(followed) = self.links.get_mut(&address) {
+                if let Some(followed) = self.controls.get_mut(&address) {
                     followed.named_until = Instant::now() + FORGET_AFTER;
                 }
-                self.frame(address, frame);
+                self.control_frame(address, frame);
             }
         }
     }
 
-    fn frame(&mut self, address: SocketAddr, frame: Frame) {
+    fn control_frame(&mut self, address: SocketAddr, frame: Frame) {
         match frame {
             Frame::Controls(addresses) => self.follow(&addresses),
             Frame::Leader(address) => self.follow(&[address]),
-            Frame::Targets(announcements) => self.router.merge(announcements),
-            Frame::Silent(silent) => self.router.silence(&silent),
-            Frame::CachedPrefixes(prefixes) => {
-                let prefixes = prefixes
-                    .into_iter()
-                    .map(|(shared, cache)| CachedPrefix { shared, cache });
-                let now = Instant::now();
-                self.router.dispatcher.borrow_mut().learn(prefixes, now);
-            }
-            Frame::Totals(totals) => {
-                let totals: BTreeMap<u64, u32> = totals.into_iter().collect();
-                self.router
-                    .dispatcher
-                    .borrow_mut()
-                    .totals(&totals, Instant::now());
+            Frame::Relays(relays) => {
+                if relays.is_empty() {
+                    self.named_relays.remove(&address);
+                } else {
+                    self.named_relays.insert(address, relays);
+                }
+                self.follow_relays();
             }
-            Frame::Config(document) => adopt(&self.router, &document),
+            Frame::Taken { ticket } => self.reports.taken(ticket),
             Frame::InForce {
                 asked,
                 version,
@@ -233,34 +352,135 @@
                     .in_force(version, BootTime(asked));
                 self.request_newer(address, version);
             }
-            Frame::Alive(_)
-            | Frame::Loads(_)
-            | Frame::RequestConfig
-            | Frame::Hello(_)
-            | Frame::Replica { .. }
-            | Frame::Ask(_)
-            | Frame::Put { .. }
-            | Frame::PutDone { .. }
-            | Frame::Get { .. }
-            | Frame::GetDone { .. } => {}
+            frame => self.told(frame),
         }
     }
+
+    fn relay(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Up(address) => {
+                info!(%address, "link to a relay is up");
+                self.set_relay_up(address, true);
+            }
+            LinkEvent::Down(address, error) => {
+                info!(%address, %error, "link to a relay is down");
+                self.set_relay_up(address, false);
+            }
+            LinkEvent::Frame(_, frame) => self.told(frame),
+        }
+    }
+
+    fn set_relay_up(&mut self, address: SocketAddr, up: bool) {
+        if let Some(followed) = self.relays.get_mut(&address) {
+            followed.up = up;
+        }
+    }
+
+    /// Takes what control instances tell, and passes it on to followers.
+    fn told(&mut self, frame: Frame) {
+        match frame {
+            Frame::Targets(announcements) => {
+                let news = self.router.merge(announcements);
+                if !news.is_empty() {
+                    self.followers.tell_all(&Frame::Targets(news));
+                }
+            }
+            Frame::Silent(silent) if self.router.silence(&silent) => {
+                self.followers.tell_all(&Frame::Silent(silent));
+            }
+            Frame::CachedPrefixes(prefixes) => self.learn(None, prefixes),
+            Frame::Totals(totals) => {
+                self.followers
+                    .tell_partners(None, &Frame::Totals(totals.clone()));
+                let totals: BTreeMap<u64, u32> = totals.into_iter().collect();
+                self.router
+                    .dispatcher
+                    .borrow_mut()
+                    .totals(&totals, Instant::now());
+            }
+            Frame::Config(document) if adopt(&self.router, &document) => {
+                let frame = Frame::Config(document);
+                self.followers.tell_partners(None, &frame);
+            }
+            _ => {}
+        }
+    }
+
+    fn learn(&mut self, from: Option<LinkId>, prefixes: Vec<(u64, u64)>) {
+        let places = prefixes
+            .iter()
+            .map(|&(shared, cache)| CachedPrefix { shared, cache });
+        self.router
+            .dispatcher
+            .borrow_mut()
+            .learn(places, Instant::now());
+        self.followers
+            .tell_partners(from, &Frame::CachedPrefixes(prefixes));
+    }
+
+    fn accepted(&mut self, event: AcceptEvent) {
+        match event {
+            AcceptEvent::Opened {
+                link,
+                hello,
+                frames,
+            } => {
+                let state = self.state();
+                self.followers.opened(link, hello.id, frames, state);
+            }
+            AcceptEvent::Received { link, frame } => match frame {
+                Frame::Alive(number) => self.followers.alive(link, number),
+                Frame::Loads(counts) => {
+                    self.followers.told_loads(link, counts, Instant::now());
+                }
+                Frame::CachedPrefixes(prefixes) => {
+                    self.prefixes.extend(prefixes.iter().copied());
+                    self.learn(Some(link), prefixes);
+                }
+                _ => warn!(link, "a follower sent a frame that this side does not take"),
+            },
+            AcceptEvent::Ended { link } => self.followers.ended(link),
+        }
+    }
+
+    /// What a follower starts from.
+    fn state(&self) -> [Frame; 2] {
+        let targets = self.router.registry.borrow().all().cloned().collect();
+        let cached = self.router.dispatcher.borrow().cached(MAX_CACHED_PREFIXES);
+        let cached = cached.into_iter().map(|news| (news.shared, news.cache));
+        [
+            Frame::Targets(targets),
+            Frame::CachedPrefixes(cached.collect()),
+        ]
+    }
+}
+
+/// Time between two questions what is in force. The questions of a large fleet
+/// would take most of a leader's processor.
+fn ask_period(routers: u32) -> Duration {
+    (ASK_PERIOD_A_ROUTER * routers).clamp(ASK_PERIOD, MAX_ASK_PERIOD)
 }
 
-fn adopt(router: &Router, document: &Document) {
-    let held = router.config_version();
-    if document.version <= held {
-        return;
+/// Takes a configuration if it is newer; returns whether it is.
+fn adopt(router: &Router, document: &Document) -> bool {
+    if document.version <= router.config_version() {
+        return false;
     }
     let text = lz4_flex::decompress_size_prepended(&document.content);
     let catalog = text
         .map_err(|error| error.to_string())
         .and_then(|text| config::catalog(&text).map_err(|error| error.to_string()));
     match catalog {
-        Ok(catalog) => router.adopt(catalog),
-        Err(error) => error!(
-            version = document.version,
-            error, "a configuration is unreadable"
-        ),
+        Ok(catalog) => {
+            router.adopt(catalog);
+            true
+        }
+        Err(error) => {
+            error!(
+                version = document.version,
+                error, "a configuration is unreadable"
+            );
+            false
+        }
     }
 }
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -5,6 +5,9 @@
 //! retries, [`attempt`] exchanges it with one target over a connection from
 //! [`pool`], and [`relay`] passes a stream of events on.
 //!
+//! [`reports`] takes reports of targets for the control instances of a large
+//! deployment, and [`followers`] has the routers that this one relays to.
+//!
 //! [`follow`] keeps links to control instances and learns the configuration and
 //! the targets from them; [`lease`] says how long the configuration can be
 //! trusted after a link went silent.
@@ -13,11 +16,13 @@
 mod attempt;
 mod evidence;
 mod follow;
+mod followers;
 mod forward;
 mod lease;
 mod metrics;
 mod pool;
 mod relay;
+mod reports;
 mod serve;
 mod state;
 
@@ -72,6 +77,8 @@
     let mut signals = Signals::new().map_err(failed("signals"))?;
     let callers_listener = socket::listen(callers).map_err(failed("address for callers"))?;
     let ready_listener = socket::listen(readiness).map_err(failed("address for readiness"))?;
+    let links = socket::listen(settings.links).map_err(failed("address for links"))?;
+    let reports = socket::listen(settings.reports).map_err(failed("address for reports"))?;
     let router = Rc::new(Router::new(&settings));
     info!(
         instance = settings.instance,
@@ -80,7 +87,7 @@
         seeds = ?settings.seeds,
         "router started"
     );
-    let seeds = follow::start(Rc::clone(&router), &settings);
+    let seeds = follow::start(Rc::clone(&router), &settings, links, reports);
     spawn_local(serve::callers(callers_listener, Rc::clone(&router)));
     spawn_local(serve::readiness(ready_listener, Rc::clone(&router)));
 
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -10,7 +10,7 @@
 use bamboospur_catalog::{Catalog, CatalogVersion, Service};
 use bamboospur_dispatch::{Choice, DispatchSettings, Dispatcher, Outcome};
 use bamboospur_platform::settings::{Bounds, ProcessSettings};
-use bamboospur_registry::{Announcement, Merge, Registry, RegistrySettings};
+use bamboospur_registry::{Announcement, Merge, Registry, RegistrySettings, Start};
 use bamboospur_retries::{FleetBudget, FleetBudgetSettings};
 use bamboospur_types::{Rng, stable_id};
 use tokio::sync::watch;
@@ -137,25 +137,53 @@
         self.lease.borrow_mut().hold(version.max(held));
     }
 
-    /// Takes announcements of targets.
-    pub fn merge(&self, announcements: Vec<Announcement>) {
+    /// Takes announcements of targets and returns those that are news.
+    pub fn merge(&self, announcements: Vec<Announcement>) -> Vec<Announcement> {
         let now = Instant::now();
-        let mut changed = false;
+        let mut changed = Vec::new();
         for news in announcements {
-            let name = news.name.clone();
-            let (phase, start, sequence) = (news.phase, news.start.0, news.sequence);
-            if self.registry.borrow_mut().merge(news, now) == Merge::News {
-                info!(target_name = name, %phase, start, sequence, "target changed");
-                changed = true;
+            if self.merge_quietly(&news, now) == Merge::News {
+                changed.push(news);
             }
         }
-        if changed {
+        if !changed.is_empty() {
+            self.update_targets(now);
+        }
+        changed
+    }
+
+    /// Takes the report of a target.
+    pub fn merge_one(&self, report: &Announcement) -> Merge {
+        let now = Instant::now();
+        let merge = self.merge_quietly(report, now);
+        if merge == Merge::News {
+            self.update_targets(now);
+        }
+        merge
+    }
+
+    fn merge_quietly(&self, news: &Announcement, now: Instant) -> Merge {
+        let merge = self.registry.borrow_mut().merge(news.clone(), now);
+        if merge == Merge::News {
+            let (phase, start) = (news.phase, news.start.0);
+            info!(target_name = news.name, %phase, start, sequence = news.sequence, "target changed");
+        }
+        merge
+    }
+
+    /// Takes the departure of a target that told it here.
+    pub fn leave(&self, name: &str, start: Option<Start>) {
+        let now = Instant::now();
+        let left = self.registry.borrow_mut().leave(name, start, now);
+        if left.is_some() {
+            info!(target_name = name, "target leaves");
             self.update_targets(now);
         }
     }
 
-    /// Takes word of targets that announced nothing for long.
-    pub fn silence(&self, silent: &[Announcement]) {
+    /// Takes word of targets that announced nothing for long. Returns whether that
+    /// is news.
+    pub fn silence(&self, silent: &[Announcement]) -> bool {
         let now = Instant::now();
         let mut changed = false;
         for target in silent {
@@ -167,6 +195,7 @@
         if changed {
             self.update_targets(now);
         }
+        changed
     }
 
     fn update_targets(&self, now: Instant) {
@@ -176,6 +205,10 @@
         dispatcher.update(&registry.usable(now), &draining, now);
     }
 
+    pub fn routers(&self) -> u32 {
+        self.routers.get()
+    }
+
     pub fn set_routers(&self, routers: u32) {
         self.routers.set(routers.max(1));
     }
--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use bamboospur_fleet::control::{Loads, SoftSchedule, SoftState};
+use bamboospur_fleet::Loads;
+use bamboospur_fleet::control::{SoftSchedule, SoftState};
 use bamboospur_fleet::link::{Frame, FrameReader, encode};
 use bamboospur_registry::{Announcement, Phase, Start};
 use quickcheck::quickcheck;
--- a/crates/node/src/args.rs
+++ b/crates/node/src/args.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use bamboospur_fleet::control::{ControlSettings, SpreadSettings};
 
 /// Router between callers and targets.
 ///
@@ -71,4 +72,26 @@
     /// port for counters as text, at /metrics
     #[argh(option)]
     pub metrics: Option<u16>,
+
+    /// announcements, summed over routers, up to which each control instance tells
+    /// every router of every target itself
+    #[argh(option, default = "SpreadSettings::default().direct_entries")]
+    pub direct_entries: usize,
+
+    /// targets up to which the control instances take all reports themselves
+    #[argh(option, default = "SpreadSettings::default().own_targets")]
+    pub own_targets: usize,
+}
+
+impl From<ControlRole> for ControlSettings {
+    fn from(role: ControlRole) -> Self {
+        Self {
+            metrics_port: role.metrics,
+            spread: SpreadSettings {
+                direct_entries: role.direct_entries,
+                own_targets: role.own_targets,
+                ..SpreadSettings::default()
+            },
+        }
+    }
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -42,7 +42,7 @@
     bamboospur_fleet::log::start();
     let ended = match role {
         Role::Router(role) => bamboospur_fleet::router::run(role.metrics),
-        Role::Control(role) => bamboospur_fleet::control::run(role.metrics),
+        Role::Control(role) => bamboospur_fleet::control::run(role.into()),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -81,6 +81,23 @@
         if news { Merge::News } else { Merge::Alive }
     }
 
+    /// Records that a known target is alive, as another instance heard: it has
+    /// reported up to this sequence number, and nothing else has changed.
+    pub fn heard(&mut self, name: &str, start: crate::Start, sequence: u64, now: Instant) -> Merge {
+        let Some(known) = self.entries.get(name) else {
+            return Merge::Old;
+        };
+        let newest = &known.newest;
+        if newest.start != start || newest.phase != Phase::Ready {
+            return Merge::Old;
+        }
+        let announcement = Announcement {
+            sequence,
+            ..newest.clone()
+        };
+        self.merge(announcement, now)
+    }
+
     /// Records that a target leaves. Without a start, the known one leaves.
     /// Returns the announcement that says so when it is news.
     pub fn leave(
@@ -156,6 +173,18 @@
         self.entries.values().map(|e| &e.newest)
     }
 
+    /// Number of known targets, the departed ones included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no target is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Returns the newest announcement of a target.
     #[must_use]
     pub fn get(&self, name: &str) -> Option<&Announcement> {
