--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -96,3 +96,25 @@
         true
     }
 }
+
+#[test]
+fn long_frames_are_compressed_and_damage_is_found() {
+    let targets = (0..200).map(|index| {
+        let mut target = state().targets.remove(0);
+        target.name = format!("target-{index}");
+        target
+    });
+    let frame = Frame::Targets(targets.collect());
+    let plain = postcard::to_stdvec(&frame).expect("bytes").len();
+    let bytes = encode(&frame).expect("bytes");
+    assert!(bytes.len() * 2 < plain, "{} of {plain}", bytes.len());
+    let mut reader = FrameReader::default();
+    reader.push(&bytes);
+    assert_eq!(reader.take().expect("a frame"), Some(frame));
+    // The size of the text before compression follows the length.
+    let mut damaged = bytes;
+    damaged[4..8].copy_from_slice(&u32::MAX.to_le_bytes());
+    let mut reader = FrameReader::default();
+    reader.push(&damaged);
+    assert!(reader.take().is_err());
+}
--- a/crates/node/src/args.rs
+++ b/crates/node/src/args.rs
@@ -78,6 +78,10 @@
     #[argh(option, default = "SpreadSettings::default().direct_entries")]
     pub direct_entries: usize,
 
+    /// routers of a data centre that pass news on in a larger deployment
+    #[argh(option, default = "SpreadSettings::default().relays")]
+    pub relays: usize,
+
     /// targets up to which the control instances take all reports themselves
     #[argh(option, default = "SpreadSettings::default().own_targets")]
     pub own_targets: usize,
@@ -89,8 +93,8 @@
             metrics_port: role.metrics,
             spread: SpreadSettings {
                 direct_entries: role.direct_entries,
+                relays: role.relays,
                 own_targets: role.own_targets,
-                ..SpreadSettings::default()
             },
         }
     }
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -1,6 +1,7 @@
 //! Control instances and routers as real processes on loopback addresses.
 
 mod proxy;
+mod relays;
 mod soak;
 mod world;
 
--- a/crates/node/tests/deployment/soak.rs
+++ b/crates/node/tests/deployment/soak.rs
@@ -2,7 +2,8 @@
 //!
 //! Processes are killed, stopped, paused and restarted, and connections to targets
 //! are delayed, cut one way, held and closed. The promises are checked from what
-//! callers and targets see. `SOAK_SEED` and `SOAK_SECONDS` choose a longer run.
+//! callers and targets see. With even seeds one router relays to the other, and
+//! targets report to routers. `SOAK_SEED` and `SOAK_SECONDS` choose a longer run.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,8 +17,8 @@
 
 use super::proxy::{Mode, Proxy};
 use super::world::{
-    Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, Target, call, config, eventually, json_call,
-    request_text,
+    Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, RELAYED, Target, call, config, eventually,
+    json_call, next_reports, report_body, request_text,
 };
 
 const CALLERS: u64 = 6;
@@ -48,8 +49,8 @@
     targets: Vec<(&'static str, &'static str, Target, Proxy)>,
 }
 
-fn start(network: u8) -> Site {
-    let mut deployment = Deployment::without_router(network);
+fn start(network: u8, control_options: &'static [&'static str]) -> Site {
+    let mut deployment = Deployment::with_options(network, control_options);
     for (index, name) in ROUTERS {
         deployment.start_router_at(index, name);
     }
@@ -72,18 +73,27 @@
     }
 }
 
-/// Reports all targets every half second, as they would themselves.
+/// Reports all targets every half second, as they would themselves: to the address
+/// that the last answer named, and to the control instances when that fails.
 fn report(controls: Vec<SocketAddr>, bodies: Vec<(String, String)>, seen: Arc<Seen>) {
     thread::spawn(move || {
         let mut sequence = 0;
+        let mut named: BTreeMap<String, SocketAddr> = BTreeMap::new();
         while !seen.done.load(Ordering::SeqCst) {
             sequence += 1;
             for (path, body) in &bodies {
                 let body = body.replace("SEQUENCE", &sequence.to_string());
-                let mut controls = controls.iter();
-                controls.any(|&control| {
-                    json_call(control, "PUT", path, &body).is_some_and(|r| r.status == 200)
-                });
+                let put = |address| {
+                    let reply = json_call(address, "PUT", path, &body)?;
+                    (reply.status == 200).then(|| (address, next_reports(&reply.body)))
+                };
+                let addresses = named.remove(path).into_iter().chain(controls.clone());
+                let taken = addresses.into_iter().find_map(put);
+                if let Some((address, next)) = taken {
+                    let is_router = !controls.contains(&address);
+                    let next = next.or_else(|| is_router.then_some(address));
+                    named.extend(next.map(|next| (path.clone(), next)));
+                }
             }
             thread::sleep(Duration::from_millis(500));
         }
@@ -278,18 +288,15 @@
 }
 
 fn soak(seed: u64, network: u8, time: Duration) {
-    let mut site = start(network);
+    let options = if seed % 2 == 0 { RELAYED } else { &[] };
+    let mut site = start(network, options);
     let record = Arc::new(Seen::default());
     let controls: Vec<SocketAddr> = (1..=3)
         .map(|control| site.deployment.at(control, CONTROL_PORT))
         .collect();
     let routers = ROUTERS.map(|(index, _)| site.deployment.at(index, CALLER_PORT));
     let bodies = site.targets.iter().map(|(name, service, _, proxy)| {
-        let body = format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"north\",\"slots\":4,\
-             \"state\":\"ready\",\"seq\":SEQUENCE,\"born\":1}}",
-            proxy.address
-        );
+        let body = report_body(proxy.address, service, "ready", "SEQUENCE");
         (format!("/replicas/{name}"), body)
     });
     report(controls.clone(), bodies.collect(), Arc::clone(&record));
@@ -330,6 +337,11 @@
     std::env::var(name).ok()?.parse().ok()
 }
 
+#[test]
+fn promises_hold_under_faults_with_relays() {
+    soak(2, 98, Duration::from_secs(12));
+}
+
 #[test]
 fn promises_hold_under_faults() {
     let seed = variable("SOAK_SEED").unwrap_or(1);
--- a/crates/node/tests/deployment/world.rs
+++ b/crates/node/tests/deployment/world.rs
@@ -166,8 +166,20 @@
     pub folder: PathBuf,
     pub processes: BTreeMap<String, Child>,
     pub version: u64,
+    /// Options of the control instances.
+    control_options: &'static [&'static str],
 }
 
+/// Options with which one router relays to all others, and routers take all reports.
+pub const RELAYED: &[&str] = &[
+    "--direct-entries",
+    "0",
+    "--relays",
+    "1",
+    "--own-targets",
+    "0",
+];
+
 impl Deployment {
     /// Starts three control instances and a router. Each test has a network of
     /// its own.
@@ -178,6 +190,10 @@
     }
 
     pub fn without_router(network: u8) -> Self {
+        Self::with_options(network, &[])
+    }
+
+    pub fn with_options(network: u8, control_options: &'static [&'static str]) -> Self {
         let name = format!("bamboospur-deployment-{}-{network}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).expect("a folder");
@@ -186,6 +202,7 @@
             folder,
             processes: BTreeMap::new(),
             version: 0,
+            control_options,
         };
         for index in 1..=3 {
             deployment.start_control(index, true);
@@ -249,8 +266,13 @@
     pub fn spawn(&mut self, name: &str, role: &str, settings: &str) {
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("a settings file");
+        let options = match role {
+            "control" => self.control_options,
+            _ => &[],
+        };
         let child = Command::new(env!("CARGO_BIN_EXE_bamboospur"))
             .arg(role)
+            .args(options)
             .env("BAMBOOSPUR_SETTINGS", &path)
             .stdout(self.log(name))
             .spawn()
@@ -298,11 +320,7 @@
     }
 
     pub fn report(&self, name: &str, target: &Target, service: &str, state: &str, sequence: u64) {
-        let body = format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"north\",\"slots\":4,\
-             \"state\":\"{state}\",\"seq\":{sequence},\"born\":1}}",
-            target.address
-        );
+        let body = report_body(target.address, service, state, &sequence.to_string());
         eventually("a report is taken", || {
             let path = format!("/replicas/{name}");
             (1..=5).any(|control| {
@@ -312,13 +330,18 @@
         });
     }
 
-    pub fn wait_ready(&self) {
+    /// Waits until the router at this index takes new connections.
+    pub fn wait_ready_at(&self, index: u8) {
         let text = "GET /readyz HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n";
         eventually("the router is ready", || {
-            call(self.at(9, READY_PORT), text).is_some_and(|r| r.status == 200)
+            call(self.at(index, READY_PORT), text).is_some_and(|r| r.status == 200)
         });
     }
 
+    pub fn wait_ready(&self) {
+        self.wait_ready_at(9);
+    }
+
     pub fn request(&self, method: &str, path: &str, id: &str, key: &str) -> Option<Reply> {
         call(self.callers(), &request_text(method, path, id, key))
     }
@@ -339,6 +362,20 @@
     }
 }
 
+/// Body of a target's report.
+pub fn report_body(address: SocketAddr, service: &str, state: &str, sequence: &str) -> String {
+    format!(
+        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"north\",\"slots\":4,\
+         \"state\":\"{state}\",\"seq\":{sequence},\"born\":1}}"
+    )
+}
+
+/// Address for later reports in the answer to a report, if it names one.
+pub fn next_reports(body: &str) -> Option<SocketAddr> {
+    let rest = body.split_once("\"heartbeatAddr\":\"")?.1;
+    rest.split_once('"')?.0.parse().ok()
+}
+
 pub fn request_text(method: &str, path: &str, id: &str, key: &str) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nHost: a.example\r\nX-Bamboospur-Request-Id: {id}\r\n\
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -48,6 +48,27 @@
     assert_eq!(usable(&registry, now), ["a"]);
 }
 
+#[test]
+fn a_target_that_another_instance_hears_is_not_silent() {
+    let now = Instant::now();
+    let settings = RegistrySettings::default();
+    let mut registry = Registry::new(settings);
+    registry.merge(announcement("a", 1, 5, Phase::Ready), now);
+    let later = now + settings.silence / 2;
+    assert_eq!(registry.heard("a", Start(1), 5, later), Merge::Old);
+    assert_eq!(registry.heard("a", Start(0), 9, later), Merge::Old);
+    assert_eq!(registry.heard("b", Start(1), 9, later), Merge::Old);
+    assert_eq!(registry.heard("a", Start(1), 9, later), Merge::Alive);
+    let end = now + settings.silence;
+    assert_eq!(usable(&registry, end), ["a"]);
+    let silent = later + settings.silence;
+    assert!(usable(&registry, silent).is_empty());
+    assert_eq!(registry.heard("a", Start(1), 10, silent), Merge::News);
+    assert_eq!(usable(&registry, silent), ["a"]);
+    registry.merge(announcement("a", 1, 11, Phase::Draining), silent);
+    assert_eq!(registry.heard("a", Start(1), 12, silent), Merge::Old);
+}
+
 #[test]
 fn a_departure_of_an_earlier_start_is_ignored() {
     let now = Instant::now();
