Send configurations through relays, and greet a restarted fleet through them

Cause: after a kill of all processes, a control instance sent all targets to every router that came back before it had chosen relays, and every router asked it for the configuration: 30 MB and 2 MB on a link of 6 Mbit/s. Each of three control instances sent all targets to each relay.

Relays are chosen when routers link, a relay asks one control instance for the targets, configurations go through relays, and routers without a lease ask every 0.4 s and at once when a leader names itself, instead of every 0.2 s.

--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -56,6 +56,8 @@
     peers: Peers,
     links: BTreeMap<LinkId, AcceptedLink>,
     waiters: Waiters,
+    /// Routers whose questions came while no leader was known.
+    unanswered: BTreeSet<LinkId>,
     /// Announcements since the last round that peers have not been sent.
     unsent: BTreeMap<TargetName, Announcement>,
     /// Targets that routers have heard since the last round.
@@ -129,6 +131,7 @@
             peers: Peers::new(opened.id, settings.links, &settings.seeds, events),
             links: BTreeMap::new(),
             waiters: Waiters::default(),
+            unanswered: BTreeSet::new(),
             unsent: BTreeMap::new(),
             heard: BTreeMap::new(),
             spread: Spread::new(spread),
@@ -293,6 +296,7 @@
                     for waiter in self.waiters.take_own() {
                         self.request(waiter, Instant::now());
                     }
+                    self.name_leader();
                 }
             }
             GroupOutput::MembersChanged { voters } => info!(?voters, "members changed"),
--- a/crates/fleet/src/control/host/config.rs
+++ b/crates/fleet/src/control/host/config.rs
@@ -30,12 +30,29 @@
         if self.is_leader() {
             let ticket = self.waiters.add(Waiter::Ask { link, asked }, now);
             self.feed(GroupInput::Read { ticket });
-        } else if let Some(accepted) = self.links.get(&link) {
-            let leader = self.group.leader();
-            let address = leader.and_then(|leader| self.peers.address_of(leader));
-            let answer = address.map_or(Frame::Alive(asked), Frame::Leader);
-            // A full queue holds frames that are a sign of life themselves.
-            let _sent = accepted.frames.send(&answer);
+        } else if let Some(address) = self.leader_address() {
+            self.tell(link, &Frame::Leader(address));
+        } else {
+            self.unanswered.insert(link);
+            self.tell(link, &Frame::Alive(asked));
+        }
+    }
+
+    /// Address of the leader, if there is one and it is known.
+    fn leader_address(&self) -> Option<std::net::SocketAddr> {
+        let leader = self.group.leader()?;
+        if leader == self.id {
+            Some(self.peers.own_address())
+        } else {
+            self.peers.address_of(leader)
+        }
+    }
+
+    /// Tells routers that asked without an answer whom to ask now.
+    pub(super) fn name_leader(&mut self) {
+        if let Some(address) = self.leader_address() {
+            let ids = std::mem::take(&mut self.unanswered).into_iter().collect();
+            self.send_to(ids, &Frame::Leader(address));
         }
     }
 
@@ -72,12 +89,7 @@
     }
 
     pub(super) fn send_config(&self, link: LinkId) {
-        if let Some(accepted) = self.links.get(&link) {
-            // A router that gets nothing asks again.
-            let _sent = accepted
-                .frames
-                .send(&Frame::Config(self.group.document().clone()));
-        }
+        self.tell(link, &Frame::Config(self.group.document().clone()));
     }
 
     pub(super) fn peer_put(
@@ -152,9 +164,6 @@
         asked: u64,
         reply: Result<Reply, Unavailable>,
     ) {
-        let Some(accepted) = self.links.get(&link) else {
-            return;
-        };
         let routers = self
             .links
             .values()
@@ -168,7 +177,6 @@
             },
             Err(_) => Frame::Alive(asked),
         };
-        // A router that gets no answer asks again.
-        let _sent = accepted.frames.send(&frame);
+        self.tell(link, &frame);
     }
 }
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -48,20 +48,17 @@
         self.send_to(ids, frame);
     }
 
-    /// Chooses the relays anew and tells everyone when they change.
+    /// Chooses the relays anew and tells everyone when they change. A router that
+    /// becomes a relay asks for what it may have missed.
     pub(super) fn plan_relays(&mut self) {
         let routers = self.links.iter().map(|(&id, link)| (id, &link.hello));
-        let Some(new) = self.spread.plan(routers, self.registry.len()) else {
+        if !self.spread.plan(routers, self.registry.len()) {
             return;
-        };
+        }
         let relays = self.spread.relays();
         info!(?relays, "relays changed");
-        for link in new.iter().filter_map(|id| self.links.get(id)) {
-            self.send_state(&link.frames);
-        }
-        let is_relayed = !relays.is_empty();
         self.send_to_routers(&Frame::Relays(relays));
-        if !is_relayed {
+        if !self.spread.is_relayed() {
             // Routers have heard nothing from here since there were relays.
             for accepted in self.links.values().filter(|l| l.hello.router().is_some()) {
                 self.send_state(&accepted.frames);
@@ -95,12 +92,18 @@
             control = hello.control().is_some(),
             "a link opened"
         );
+        let accepted = AcceptedLink { hello, frames };
+        let (hello, frames) = (accepted.hello.clone(), accepted.frames.clone());
+        self.links.insert(link, accepted);
         if let Some(address) = hello.control() {
             self.heard(hello.id, address, now);
         } else {
+            if !self.spread.is_relayed() {
+                // Many routers that start at once would all be sent everything.
+                self.plan_relays();
+            }
             self.greet(&frames, now);
         }
-        self.links.insert(link, AcceptedLink { hello, frames });
     }
 
     /// Sends the present state to a router, or who will send it.
@@ -138,13 +141,7 @@
             self.heard(hello.id, address, now);
         }
         match frame {
-            Frame::Alive(number) => {
-                // A full queue holds frames that are a sign of life themselves.
-                let _sent = self
-                    .links
-                    .get(&link)
-                    .map(|l| l.frames.send(&Frame::Alive(number)));
-            }
+            Frame::Alive(number) => self.tell(link, &Frame::Alive(number)),
             Frame::Replica { to, message } if to == self.id => {
                 let message = *message;
                 let from = hello.id;
@@ -163,6 +160,11 @@
             }
             Frame::Loads(counts) => self.loads.router(hello.id, counts, now),
             Frame::RequestConfig => self.send_config(link),
+            Frame::RequestTargets => {
+                if let Some(relay) = self.links.get(&link) {
+                    self.send_state(&relay.frames);
+                }
+            }
             Frame::Ask(asked) => self.asked(link, asked, now),
             Frame::Controls(addresses) => {
                 for address in addresses {
@@ -191,6 +193,15 @@
         }
     }
 
+    /// Sends an answer on a link.
+    pub(super) fn tell(&self, link: LinkId, frame: &Frame) {
+        if let Some(accepted) = self.links.get(&link) {
+            // A full queue holds frames that are a sign of life themselves, and what
+            // is missing is asked for again.
+            let _sent = accepted.frames.send(frame);
+        }
+    }
+
     /// Takes what a peer passes on for its operators, or the answer to that.
     fn operator_frame(&mut self, peer: InstanceId, frame: Frame, now: Instant) {
         match frame {
@@ -230,10 +241,8 @@
     /// Tells a router that what it passed on is taken.
     fn taken(&mut self, link: LinkId, ticket: Ticket, now: Instant) {
         self.tell_news(now);
-        if let Some(accepted) = self.links.get(&link) {
-            // Without an answer the router refuses, and the target calls again.
-            let _sent = accepted.frames.send(&Frame::Taken { ticket });
-        }
+        // Without an answer the router refuses, and the target calls again.
+        self.tell(link, &Frame::Taken { ticket });
     }
 
     pub(super) fn dialed(&mut self, event: LinkEvent) {
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -188,7 +188,9 @@
             return;
         }
         self.news_at = now + NEWS_PERIOD;
-        self.plan_relays();
+        if !self.spread.is_relayed() {
+            self.plan_relays();
+        }
         let news = std::mem::take(&mut self.news);
         let own = news.iter().filter(|a| self.unsent.contains_key(&a.name));
         let own: Vec<Announcement> = own.cloned().collect();
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -93,6 +93,11 @@
         self.heard.retain(|_, at| now < *at + FORGET_AFTER);
     }
 
+    /// Address for links of this instance.
+    pub const fn own_address(&self) -> SocketAddr {
+        self.own_address
+    }
+
     /// Returns the address of an instance that was heard.
     pub fn address_of(&self, id: InstanceId) -> Option<SocketAddr> {
         self.addresses.get(&id).copied()
--- a/crates/fleet/src/control/spread.rs
+++ b/crates/fleet/src/control/spread.rs
@@ -6,7 +6,7 @@
 //! relays, which control instances tell and which tell the other routers, and
 //! routers take the reports of the targets in their data centre.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use bamboospur_types::{mix64, stable_id};
@@ -74,15 +74,14 @@
             .collect()
     }
 
-    /// Chooses the relays anew. Returns the links of those that were none before,
-    /// or `None` when nothing changed.
+    /// Chooses the relays anew; returns whether they changed.
     ///
     /// Control instances that have links to the same routers choose the same ones.
     pub fn plan<'a>(
         &mut self,
         routers: impl Iterator<Item = (LinkId, &'a Hello)>,
         targets: usize,
-    ) -> Option<Vec<LinkId>> {
+    ) -> bool {
         let routers: Vec<(LinkId, u64, &RouterPlace)> = routers
             .filter_map(|(link, hello)| Some((link, mix64(hello.id), hello.router()?)))
             .collect();
@@ -97,16 +96,9 @@
         } else {
             BTreeMap::new()
         };
-        if relays == self.relays {
-            return None;
-        }
-        let before: BTreeSet<LinkId> = self.relay_links().collect();
+        let changed = relays != self.relays;
         self.relays = relays;
-        Some(
-            self.relay_links()
-                .filter(|link| !before.contains(link))
-                .collect(),
-        )
+        changed
     }
 
     /// Returns where a target sends its later reports, if not to a control instance.
--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -82,6 +82,8 @@
     /// Routers that pass on what control instances tell, with their data centres.
     /// Without any, control instances tell every router themselves.
     Relays(Vec<(String, SocketAddr)>),
+    /// A relay's wish for everything that is known of targets.
+    RequestTargets,
     /// Announcements that are news to the sender.
     Targets(Vec<Announcement>),
     /// Targets that have announced nothing for long.
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -35,8 +35,9 @@
 const ASK_PERIOD_A_ROUTER: Duration = Duration::from_millis(4);
 /// Longest time between two questions; a lease of 4.75 s bears three lost ones.
 const MAX_ASK_PERIOD: Duration = Duration::from_millis(1_400);
-/// The same while the lease has not begun or has ended.
-const ASK_PERIOD_WITHOUT_LEASE: Duration = Duration::from_millis(200);
+/// The same while the lease has not begun or has ended. A control instance that
+/// comes up is asked at once, and so is one that is elected.
+const ASK_PERIOD_WITHOUT_LEASE: Duration = Duration::from_millis(400);
 /// An address that no control instance has named for this time is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Time between two batches of news about cached prompts.
@@ -95,6 +96,9 @@
         controls: BTreeMap::new(),
         named_relays: BTreeMap::new(),
         relays: BTreeMap::new(),
+        is_relay: false,
+        requested: 0,
+        document: None,
         followers: Followers::default(),
         prefixes: Vec::new(),
     };
@@ -120,6 +124,12 @@
     /// Relays that each control instance names.
     named_relays: BTreeMap<SocketAddr, Vec<(String, SocketAddr)>>,
     relays: BTreeMap<SocketAddr, FollowedLink>,
+    /// Whether control instances name this router as a relay.
+    is_relay: bool,
+    /// Version that a relay was asked for last.
+    requested: u64,
+    /// Configuration held, for followers.
+    document: Option<Document>,
     followers: Followers,
     reports: Reports,
     /// Places of cached prompts that followers told, for the control instances.
@@ -187,9 +197,14 @@
         let all = self.named_relays.values().flatten();
         let near = all.filter(|(data_centre, _)| *data_centre == self.place.data_centre);
         let mut near: BTreeSet<SocketAddr> = near.map(|&(_, address)| address).collect();
-        if near.contains(&self.place.links) {
+        let is_relay = near.contains(&self.place.links);
+        if is_relay {
             near.clear();
         }
+        if is_relay && !self.is_relay {
+            self.request_targets();
+        }
+        self.is_relay = is_relay;
         self.relays.retain(|address, _| near.contains(address));
         for address in near {
             let (hello, events) = (&self.hello, &self.events);
@@ -201,6 +216,16 @@
         }
     }
 
+    /// Asks one control instance for everything that is known of targets; the
+    /// others send news only.
+    fn request_targets(&self) {
+        if let Some(control) = self.first_choice(&self.controls) {
+            info!("this router relays");
+            // The queue of a link that is up has room.
+            let _sent = control.link.send(Frame::RequestTargets);
+        }
+    }
+
     fn ask(&mut self) {
         let now = Instant::now();
         if self.controls.len() > 1 {
@@ -217,6 +242,13 @@
         }
     }
 
+    fn ask_one(&self, address: SocketAddr) {
+        if let Some(followed) = self.controls.get(&address) {
+            // It is asked again with all others.
+            let _sent = followed.link.send(Frame::Ask(BootTime::now().0));
+        }
+    }
+
     /// Tells the other routers where prompts are cached.
     fn send_news(&mut self) {
         if self.partner().is_none() {
@@ -287,13 +319,19 @@
         }
     }
 
-    /// Asks for the configuration when a newer one than the one held is in force.
-    fn request_newer(&self, address: SocketAddr, version: u64) {
-        let held = self.router.config_version();
-        if let Some(followed) = self.controls.get(&address).filter(|_| version > held) {
+    /// Asks for the configuration when a newer one than the one held is in force:
+    /// first a relay, so that a control instance need not send it to every router.
+    fn request_newer(&mut self, address: SocketAddr, version: u64) {
+        if version <= self.router.config_version() {
+            return;
+        }
+        let relay = self.first_choice(&self.relays);
+        let relay = relay.filter(|_| version > self.requested);
+        if let Some(followed) = relay.or_else(|| self.controls.get(&address)) {
             // It is asked for again with the next answer.
             let _sent = followed.link.send(Frame::RequestConfig);
         }
+        self.requested = version;
     }
 
     fn control(&mut self, event: LinkEvent) {
@@ -308,7 +346,10 @@
                         let _sent = followed.link.send(Frame::Targets(reporting));
                     }
                 }
-                self.ask();
+                if self.is_relay && self.controls.values().filter(|c| c.up).count() == 1 {
+                    self.request_targets();
+                }
+                self.ask_one(address);
             }
             LinkEvent::Down(address, error) => {
                 info!(%address, %error, "link to a control instance is down");
@@ -333,7 +374,13 @@
     fn control_frame(&mut self, address: SocketAddr, frame: Frame) {
         match frame {
             Frame::Controls(addresses) => self.follow(&addresses),
-            Frame::Leader(address) => self.follow(&[address]),
+            Frame::Leader(leader) => {
+                self.follow(&[leader]);
+                // One that names itself has just been elected.
+                if leader == address {
+                    self.ask_one(leader);
+                }
+            }
             Frame::Relays(relays) => {
                 if relays.is_empty() {
                     self.named_relays.remove(&address);
@@ -402,8 +449,8 @@
                     .totals(&totals, Instant::now());
             }
             Frame::Config(document) if adopt(&self.router, &document) => {
-                let frame = Frame::Config(document);
-                self.followers.tell_partners(None, &frame);
+                self.followers.tell_all(&Frame::Config(document.clone()));
+                self.document = Some(document);
             }
             _ => {}
         }
@@ -432,10 +479,15 @@
                 self.followers.opened(link, hello.id, frames, state);
             }
             AcceptEvent::Received { link, frame } => match frame {
-                Frame::Alive(number) => self.followers.alive(link, number),
+                Frame::Alive(number) => self.followers.tell(link, &Frame::Alive(number)),
                 Frame::Loads(counts) => {
                     self.followers.told_loads(link, counts, Instant::now());
                 }
+                Frame::RequestConfig => {
+                    if let Some(document) = &self.document {
+                        self.followers.tell(link, &Frame::Config(document.clone()));
+                    }
+                }
                 Frame::CachedPrefixes(prefixes) => {
                     self.prefixes.extend(prefixes.iter().copied());
                     self.learn(Some(link), prefixes);
@@ -447,14 +499,16 @@
     }
 
     /// What a follower starts from.
-    fn state(&self) -> [Frame; 2] {
+    fn state(&self) -> Vec<Frame> {
         let targets = self.router.registry.borrow().all().cloned().collect();
         let cached = self.router.dispatcher.borrow().cached(MAX_CACHED_PREFIXES);
         let cached = cached.into_iter().map(|news| (news.shared, news.cache));
-        [
+        let mut state = vec![
             Frame::Targets(targets),
             Frame::CachedPrefixes(cached.collect()),
-        ]
+        ];
+        state.extend(self.document.clone().map(Frame::Config));
+        state
     }
 }
 
--- a/crates/fleet/src/router/followers.rs
+++ b/crates/fleet/src/router/followers.rs
@@ -47,11 +47,12 @@
         self.links.remove(&link);
     }
 
-    /// Answers a sign of life.
-    pub fn alive(&self, link: LinkId, number: u64) {
+    /// Sends an answer to a follower.
+    pub fn tell(&self, link: LinkId, frame: &Frame) {
         if let Some(follower) = self.links.get(&link) {
-            // A full queue holds frames that are a sign of life themselves.
-            let _sent = follower.frames.send(&Frame::Alive(number));
+            // A full queue holds frames that are a sign of life themselves, and
+            // what is missing is asked for again.
+            let _sent = follower.frames.send(frame);
         }
     }
 
