Share the wait for a stop, test callers that leave, lose disks in the soak

The loop that waits for signals and changed settings stood in both roles. The soak loses disks of control instances, at most one in ten seconds, which is what a group of three bears, and takes the number of routers from SOAK_ROUTERS.

--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -17,17 +17,18 @@
 use std::time::Duration;
 
 use bamboospur_http1::socket;
+use bamboospur_platform::settings::ProcessSettings;
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use tokio::time::{interval, sleep};
+use tokio::time::sleep;
 use tracing::info;
 
 use crate::exposition;
 use crate::link;
 use crate::process;
-use crate::settings_file::{LOOK_PERIOD, SettingsFile};
-use crate::signals::{Request, Signals};
+use crate::settings_file::SettingsFile;
+use crate::signals::Signals;
 use event::Event;
 pub use soft::{SoftSchedule, SoftState};
 pub use spread::{Spread, SpreadSettings};
@@ -85,22 +86,11 @@
         exposition::start(settings.ip, port, move || metrics_text(events.clone()));
     }
 
-    let mut look = interval(LOOK_PERIOD);
-    loop {
-        let reload = tokio::select! {
-            request = signals.next() => match request {
-                Request::Stop => break,
-                Request::Reload => true,
-            },
-            _ = look.tick() => file.has_changed(),
-        };
-        if reload {
-            file.reload();
-            let seeds = file.settings.seeds.clone();
-            // A full queue delays the new seeds until the next change or start.
-            let _sent = events.send(Event::Seeds(seeds)).await;
-        }
-    }
+    let changed = async |settings: &ProcessSettings| {
+        // The host lives as long as the process.
+        let _sent = events.send(Event::Seeds(settings.seeds.clone())).await;
+    };
+    process::until_stopped(&mut file, &mut signals, changed).await;
     info!("control instance stops");
     let _sent = events.send(Event::Stop).await;
     sleep(STOP_TIME).await;
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -2,11 +2,15 @@
 
 use std::time::Duration;
 
+use bamboospur_platform::settings::ProcessSettings;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
-use tokio::time::sleep;
+use tokio::time::{interval, sleep};
 use tracing::warn;
 
+use crate::settings_file::{LOOK_PERIOD, SettingsFile};
+use crate::signals::{Request, Signals};
+
 /// Pause after a failed accept, for example without free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -23,6 +27,28 @@
     LocalSet::new().block_on(&runtime, role)
 }
 
+/// Waits for a stop. Settings that change meanwhile go to `changed`.
+pub async fn until_stopped(
+    file: &mut SettingsFile,
+    signals: &mut Signals,
+    changed: impl AsyncFn(&ProcessSettings),
+) {
+    let mut look = interval(LOOK_PERIOD);
+    loop {
+        let reload = tokio::select! {
+            request = signals.next() => match request {
+                Request::Stop => return,
+                Request::Reload => true,
+            },
+            _ = look.tick() => file.has_changed(),
+        };
+        if reload {
+            file.reload();
+            changed(&file.settings).await;
+        }
+    }
+}
+
 /// Accepts the next connection of callers of one kind.
 pub async fn accept(listener: &TcpListener, who: &'static str) -> TcpStream {
     loop {
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -35,14 +35,15 @@
 use std::time::Duration;
 
 use bamboospur_http1::socket;
+use bamboospur_platform::settings::ProcessSettings;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, interval, sleep};
 use tracing::info;
 
 use crate::exposition;
 use crate::process;
-use crate::settings_file::{LOOK_PERIOD, SettingsFile};
-use crate::signals::{Request, Signals};
+use crate::settings_file::SettingsFile;
+use crate::signals::Signals;
 use state::Router;
 
 /// A balancer needs two looks, a second apart, to notice that a router stops;
@@ -96,27 +97,19 @@
         exposition::start(settings.ip, port, move || ready(router.metrics_text()));
     }
 
-    let mut look = interval(LOOK_PERIOD);
+    spawn_local(sweep(Rc::clone(&router)));
+    let changed = async |settings: &ProcessSettings| seeds.change(&settings.seeds).await;
+    process::until_stopped(&mut file, &mut signals, changed).await;
+    drain(&router, settings.bounds.stop_grace).await;
+    Ok(())
+}
+
+async fn sweep(router: Rc<Router>) {
     let mut sweep = interval(SWEEP_PERIOD);
     loop {
-        let reload = tokio::select! {
-            request = signals.next() => match request {
-                Request::Stop => break,
-                Request::Reload => true,
-            },
-            _ = look.tick() => file.has_changed(),
-            _ = sweep.tick() => {
-                router.sweep();
-                false
-            }
-        };
-        if reload {
-            file.reload();
-            seeds.change(&file.settings.seeds).await;
-        }
+        sweep.tick().await;
+        router.sweep();
     }
-    drain(&router, settings.bounds.stop_grace).await;
-    Ok(())
 }
 
 /// Finishes the requests under way and takes those that still come.
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -1,5 +1,6 @@
 //! Control instances and routers as real processes on loopback addresses.
 
+mod callers;
 mod proxy;
 mod relays;
 mod soak;
--- a/crates/node/tests/deployment/soak.rs
+++ b/crates/node/tests/deployment/soak.rs
@@ -1,9 +1,10 @@
 //! Real processes under random faults from outside them.
 //!
-//! Processes are killed, stopped, paused and restarted, and connections to targets
-//! are delayed, cut one way, held and closed. The promises are checked from what
-//! callers and targets see. With even seeds one router relays to the other, and
-//! targets report to routers. `SOAK_SEED` and `SOAK_SECONDS` choose a longer run.
+//! Processes are killed, stopped, paused and restarted, control instances lose their
+//! disks, and connections to targets are delayed, cut one way, held and closed. The
+//! promises are checked from what callers and targets see. With even seeds one
+//! router relays to the others, and targets report to routers. `SOAK_SEED`,
+//! `SOAK_SECONDS` and `SOAK_ROUTERS` choose a longer or larger run.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,7 +23,11 @@
 };
 
 const CALLERS: u64 = 6;
-const ROUTERS: [(u8, &str); 2] = [(9, "router-9"), (10, "router-10")];
+/// Index of the first router; others follow.
+const FIRST_ROUTER: u8 = 30;
+/// Time between two lost disks. By then a group of three has replaced the voter, so
+/// that it bears the next loss.
+const DISK_RECOVERY: Duration = Duration::from_secs(10);
 /// Time without faults after which everything is served again.
 const RECOVERY: Duration = Duration::from_secs(6);
 /// Statuses that promise that the request did not run and will not.
@@ -46,13 +51,21 @@
 
 struct Site {
     deployment: Deployment,
+    /// Indexes of the routers.
+    routers: Vec<u8>,
+    disk_lost_at: Option<Instant>,
     targets: Vec<(&'static str, &'static str, Target, Proxy)>,
 }
 
-fn start(network: u8, control_options: &'static [&'static str]) -> Site {
+fn router_name(index: u8) -> String {
+    format!("router-{index}")
+}
+
+fn start(network: u8, routers: u8, control_options: &'static [&'static str]) -> Site {
     let mut deployment = Deployment::with_options(network, control_options);
-    for (index, name) in ROUTERS {
-        deployment.start_router_at(index, name);
+    let routers: Vec<u8> = (FIRST_ROUTER..).take(routers.into()).collect();
+    for &index in &routers {
+        deployment.start_router_at(index, &router_name(index));
     }
     deployment.configure("k1");
     let kinds = [
@@ -69,6 +82,8 @@
     });
     Site {
         deployment,
+        routers,
+        disk_lost_at: None,
         targets: targets.into(),
     }
 }
@@ -101,7 +116,7 @@
 }
 
 /// Sends requests one after the other to random routers.
-fn request(first_seed: u64, caller: u64, entries: [SocketAddr; 2], seen: Arc<Seen>) {
+fn request(first_seed: u64, caller: u64, entries: Vec<SocketAddr>, seen: Arc<Seen>) {
     thread::spawn(move || {
         let mut rng = Rng::new(first_seed * 1_000 + caller);
         let mut number = 0;
@@ -113,7 +128,7 @@
                 ("POST", "/submit/1"),
                 ("POST", "/chat/1"),
             ][rng.index(if caller == 0 { 3 } else { 2 })];
-            let router = entries[rng.index(2)];
+            let router = entries[rng.index(entries.len())];
             let reply = call(router, &request_text(method, path, &id, "k1"));
             let status = reply.as_ref().map_or(0, |reply| reply.status);
             seen.statuses
@@ -203,26 +218,30 @@
     digits.parse().unwrap_or(0)
 }
 
-/// Injects one fault; those of control instances never overlap, so that a quorum is
-/// only lost when all are killed at once.
+/// Injects one fault.
 fn inject_fault(site: &mut Site, rng: &mut Rng) {
+    match rng.below(10) {
+        kind @ 0..=3 => harm_control(site, rng, kind),
+        kind @ 4..=7 => harm_router(site, rng, kind),
+        _ => harm_target(site, rng),
+    }
+    thread::sleep(Duration::from_millis(rng.below(700)));
+}
+
+/// Harms a control instance. These faults never overlap, so that a quorum is only
+/// lost when all are killed at once.
+fn harm_control(site: &mut Site, rng: &mut Rng, kind: u64) {
     let control = u8::try_from(rng.below(3)).expect("small") + 1;
-    let control_name = format!("control-{control}");
-    let (router, router_name) = ROUTERS[rng.index(2)];
+    let name = format!("control-{control}");
     let pause = Duration::from_millis(rng.below(1_500));
     let deployment = &mut site.deployment;
-    match rng.below(9) {
+    match kind {
         0 => {
-            deployment.kill(&control_name);
+            deployment.signal(&name, Signal::STOP);
             thread::sleep(pause);
-            deployment.start_control(control, false);
+            deployment.signal(&name, Signal::CONT);
         }
         1 => {
-            deployment.signal(&control_name, Signal::STOP);
-            thread::sleep(pause);
-            deployment.signal(&control_name, Signal::CONT);
-        }
-        2 => {
             for control in 1..=3 {
                 deployment.kill(&format!("control-{control}"));
             }
@@ -230,35 +249,58 @@
                 deployment.start_control(control, false);
             }
         }
-        3 => {
-            deployment.kill(router_name);
-            deployment.start_router_at(router, router_name);
+        2 if site
+            .disk_lost_at
+            .is_none_or(|at| at.elapsed() > DISK_RECOVERY) =>
+        {
+            deployment.kill(&name);
+            deployment.lose_disk(control);
+            deployment.start_control(control, false);
+            site.disk_lost_at = Some(Instant::now());
         }
+        _ => {
+            deployment.kill(&name);
+            thread::sleep(pause);
+            deployment.start_control(control, false);
+        }
+    }
+}
+
+fn harm_router(site: &mut Site, rng: &mut Rng, kind: u64) {
+    let router = site.routers[rng.index(site.routers.len())];
+    let name = &router_name(router);
+    let deployment = &mut site.deployment;
+    match kind {
         4 => {
-            deployment.signal(router_name, Signal::STOP);
-            thread::sleep(pause * 4);
-            deployment.signal(router_name, Signal::CONT);
+            deployment.kill(name);
+            deployment.start_router_at(router, name);
         }
         5 => {
-            deployment.signal(router_name, Signal::TERM);
-            assert!(deployment.wait(router_name), "a stopped router fails");
-            deployment.start_router_at(router, router_name);
+            deployment.signal(name, Signal::STOP);
+            thread::sleep(Duration::from_millis(rng.below(6_000)));
+            deployment.signal(name, Signal::CONT);
         }
-        6 => deployment.signal(router_name, Signal::HUP),
-        _ => {
-            let modes = [
-                Mode::Reset,
-                Mode::Hold,
-                Mode::HoldAnswers,
-                Mode::Delay(Duration::from_millis(80)),
-            ];
-            let proxy = &site.targets[rng.index(site.targets.len())].3;
-            proxy.set(modes[rng.index(modes.len())]);
-            thread::sleep(pause);
-            proxy.set(Mode::Pass);
+        6 => {
+            deployment.signal(name, Signal::TERM);
+            assert!(deployment.wait(name), "a stopped router fails");
+            deployment.start_router_at(router, name);
         }
+        _ => deployment.signal(name, Signal::HUP),
     }
-    thread::sleep(Duration::from_millis(rng.below(700)));
+}
+
+/// Harms the connections to a target.
+fn harm_target(site: &Site, rng: &mut Rng) {
+    let modes = [
+        Mode::Reset,
+        Mode::Hold,
+        Mode::HoldAnswers,
+        Mode::Delay(Duration::from_millis(80)),
+    ];
+    let proxy = &site.targets[rng.index(site.targets.len())].3;
+    proxy.set(modes[rng.index(modes.len())]);
+    thread::sleep(Duration::from_millis(rng.below(1_500)));
+    proxy.set(Mode::Pass);
 }
 
 /// Returns what was found to be wrong.
@@ -289,12 +331,17 @@
 
 fn soak(seed: u64, network: u8, time: Duration) {
     let options = if seed.is_multiple_of(2) { RELAYED } else { &[] };
-    let mut site = start(network, options);
+    let routers = variable("SOAK_ROUTERS").unwrap_or(2);
+    let routers = u8::try_from(routers).expect("at most 200 routers");
+    let mut site = start(network, routers, options);
     let record = Arc::new(Seen::default());
     let controls: Vec<SocketAddr> = (1..=3)
         .map(|control| site.deployment.at(control, CONTROL_PORT))
         .collect();
-    let routers = ROUTERS.map(|(index, _)| site.deployment.at(index, CALLER_PORT));
+    let routers = site.routers.iter();
+    let routers: Vec<SocketAddr> = routers
+        .map(|&index| site.deployment.at(index, CALLER_PORT))
+        .collect();
     let bodies = site.targets.iter().map(|(name, service, _, proxy)| {
         let body = report_body(proxy.address, service, "ready", "SEQUENCE");
         (format!("/replicas/{name}"), body)
@@ -303,7 +350,7 @@
     let version = site.deployment.version;
     let accepted = operate(seed, controls.clone(), version, Arc::clone(&record));
     for caller in 0..CALLERS {
-        request(seed, caller, routers, Arc::clone(&record));
+        request(seed, caller, routers.clone(), Arc::clone(&record));
     }
     let mut rng = Rng::new(seed);
     let end = Instant::now() + time;
--- a/crates/node/tests/deployment/world.rs
+++ b/crates/node/tests/deployment/world.rs
@@ -73,8 +73,15 @@
     Lose,
     /// Sends events with pauses.
     Stream,
+    /// Answers nothing until the router closes.
+    Hold,
+    /// Answers before it has read the body, which it reads after a pause.
+    AnswerEarly,
 }
 
+/// Pause of a target between an early answer and the reading of the body.
+const EARLY_PAUSE: Duration = Duration::from_millis(300);
+
 /// Stand-in target that counts the requests it ran.
 pub struct Target {
     pub address: SocketAddr,
@@ -82,6 +89,20 @@
     pub heads: Arc<Mutex<Vec<String>>>,
     /// Requests that it ran, by id.
     pub ids: Arc<Mutex<BTreeMap<String, u32>>>,
+    /// When routers closed connections on which an answer was due.
+    pub left: Arc<Mutex<Vec<Instant>>>,
+    /// What came on connections after the heads that were answered early.
+    pub bodies: Arc<Mutex<Vec<Vec<u8>>>>,
+}
+
+/// What the connections of a target record.
+#[derive(Clone)]
+struct Records {
+    runs: Arc<AtomicUsize>,
+    heads: Arc<Mutex<Vec<String>>>,
+    ids: Arc<Mutex<BTreeMap<String, u32>>>,
+    left: Arc<Mutex<Vec<Instant>>>,
+    bodies: Arc<Mutex<Vec<Vec<u8>>>>,
 }
 
 impl Target {
@@ -93,14 +114,20 @@
             runs: Arc::default(),
             heads: Arc::default(),
             ids: Arc::default(),
+            left: Arc::default(),
+            bodies: Arc::default(),
+        };
+        let records = Records {
+            runs: Arc::clone(&target.runs),
+            heads: Arc::clone(&target.heads),
+            ids: Arc::clone(&target.ids),
+            left: Arc::clone(&target.left),
+            bodies: Arc::clone(&target.bodies),
         };
-        let (runs, heads) = (Arc::clone(&target.runs), Arc::clone(&target.heads));
-        let ids = Arc::clone(&target.ids);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (runs, heads) = (Arc::clone(&runs), Arc::clone(&heads));
-                let ids = Arc::clone(&ids);
-                thread::spawn(move || serve(stream, name, behaviour, &runs, &heads, &ids));
+                let records = records.clone();
+                thread::spawn(move || serve(stream, name, behaviour, &records));
             }
         });
         target
@@ -111,20 +138,14 @@
     }
 }
 
-fn serve(
-    mut stream: TcpStream,
-    name: &str,
-    behaviour: Behaviour,
-    runs: &AtomicUsize,
-    heads: &Mutex<Vec<String>>,
-    ids: &Mutex<BTreeMap<String, u32>>,
-) -> Option<()> {
+fn serve(mut stream: TcpStream, name: &str, behaviour: Behaviour, records: &Records) -> Option<()> {
     let mut text = String::new();
     let mut buffer = [0; 4096];
     while !text.contains("\r\n\r\n") {
         let count = stream.read(&mut buffer).ok().filter(|&count| count > 0)?;
         text.push_str(std::str::from_utf8(&buffer[..count]).ok()?);
     }
+    let body = text.split_once("\r\n\r\n")?.1.as_bytes().to_vec();
     let field = |wanted: &str| {
         let lines = text.lines().filter_map(|line| line.split_once(": "));
         let mut fields = lines.filter(|(name, _)| name.eq_ignore_ascii_case(wanted));
@@ -132,14 +153,28 @@
     };
     let id = field("x-bamboospur-request-id")?;
     assert_eq!(field("x-bamboospur-expect-replica").as_deref(), Some(name));
-    heads.lock().ok()?.push(text.clone());
-    runs.fetch_add(1, Ordering::SeqCst);
-    *ids.lock().ok()?.entry(id.clone()).or_default() += 1;
+    records.heads.lock().ok()?.push(text.clone());
+    records.runs.fetch_add(1, Ordering::SeqCst);
+    *records.ids.lock().ok()?.entry(id.clone()).or_default() += 1;
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Bamboospur-Request-Id: {id}\r\nX-Bamboospur-Replica-Stamp: {name}\r\n"
     );
     match behaviour {
         Behaviour::Lose => {}
+        Behaviour::Hold => {
+            while stream.read(&mut buffer).is_ok_and(|count| count > 0) {}
+            records.left.lock().ok()?.push(Instant::now());
+        }
+        Behaviour::AnswerEarly => {
+            stream
+                .write_all(format!("{head}Content-Length: 2\r\n\r\nok").as_bytes())
+                .ok()?;
+            thread::sleep(EARLY_PAUSE);
+            let mut rest = body;
+            // A connection that is reset ends what came, too.
+            let _ = stream.read_to_end(&mut rest);
+            records.bodies.lock().ok()?.push(rest);
+        }
         Behaviour::Answer => {
             stream
                 .write_all(format!("{head}Content-Length: 2\r\n\r\nok").as_bytes())
@@ -151,7 +186,10 @@
             for event in 1..=10 {
                 let data = format!("id: {event}\ndata: x\n\n");
                 let chunk = format!("{:x}\r\n{data}\r\n", data.len());
-                stream.write_all(chunk.as_bytes()).ok()?;
+                if stream.write_all(chunk.as_bytes()).is_err() {
+                    records.left.lock().ok()?.push(Instant::now());
+                    return None;
+                }
                 thread::sleep(Duration::from_millis(200));
             }
             stream.write_all(b"0\r\n\r\n").ok()?;
@@ -237,8 +275,17 @@
         )
     }
 
+    fn data_folder(&self, index: u8) -> PathBuf {
+        self.folder.join(format!("data-{index}"))
+    }
+
+    /// Removes the data folder of a control instance that does not run.
+    pub fn lose_disk(&self, index: u8) {
+        fs::remove_dir_all(self.data_folder(index)).expect("the folder is removed");
+    }
+
     pub fn start_control(&mut self, index: u8, first_start: bool) {
-        let data = self.folder.join(format!("data-{index}"));
+        let data = self.data_folder(index);
         let rest = format!(
             "dataDir = \"{}\"\n[listen]\ncontrolPlane = \"{}\"",
             data.display(),
