Spread prompts by the arrivals that other routers are about to send

Loads are half a second old, and 65 routers all send to the engine that had the least then.

Expected arrivals are spread so that they level the loads.

--- /dev/null
+++ b/crates/dispatch/src/arrivals.rs
@@ -0,0 +1,72 @@
+//! Requests that other routers send before their loads are heard.
+//!
+//! Loads of other routers are some hundred milliseconds old. When all routers send
+//! to the target that had the least load then, it gets all requests of that time.
+//! Instead the arrivals that are expected until the next report are spread so that
+//! the loads would be level at its end: M. Dahlin, "Interpreting Stale Load
+//! Information", IEEE Transactions on Parallel and Distributed Systems, 2000. With
+//! few arrivals that is the least loaded target, with many it is nearly any.
+
+use std::time::{Duration, Instant};
+
+/// Time over which the rate of arrivals is smoothed.
+const SMOOTHING: Duration = Duration::from_secs(1);
+
+/// Requests of this router for the targets of a pool.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Arrivals {
+    rate_per_s: f64,
+    counted_at: Option<Instant>,
+}
+
+impl Arrivals {
+    /// Counts a request.
+    pub fn count(&mut self, now: Instant) {
+        self.rate_per_s = self.rate_per_s(now) + 1.0 / SMOOTHING.as_secs_f64();
+        self.counted_at = Some(now);
+    }
+
+    /// Requests expected in a time.
+    pub fn expected(&self, time: Duration, now: Instant) -> f64 {
+        self.rate_per_s(now) * time.as_secs_f64()
+    }
+
+    fn rate_per_s(&self, now: Instant) -> f64 {
+        let Some(at) = self.counted_at else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(at);
+        self.rate_per_s * (-age.as_secs_f64() / SMOOTHING.as_secs_f64()).exp()
+    }
+}
+
+/// Chooses one of the loads so that `arrivals` chosen in this way level them.
+/// `random` is in [0, 1).
+pub fn level(loads: &[f64], arrivals: f64, random: f64) -> Option<usize> {
+    let surface = surface(loads, arrivals);
+    let room = |load: &f64| (surface - load).max(0.0);
+    let mut left = random * loads.iter().map(room).sum::<f64>();
+    let chosen = loads.iter().position(|load| {
+        left -= room(load);
+        left < 0.0
+    });
+    let least = || (0..loads.len()).min_by(|&a, &b| loads[a].total_cmp(&loads[b]));
+    chosen.or_else(least)
+}
+
+/// Level up to which the arrivals fill the lowest loads.
+fn surface(loads: &[f64], arrivals: f64) -> f64 {
+    let mut sorted = loads.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let (mut sum, mut count) = (0.0, 0.0);
+    let mut surface = f64::NEG_INFINITY;
+    for load in sorted {
+        if count > 0.0 && surface <= load {
+            break;
+        }
+        sum += load;
+        count += 1.0;
+        surface = (sum + arrivals) / count;
+    }
+    surface
+}
--- a/crates/dispatch/src/cache_map.rs
+++ b/crates/dispatch/src/cache_map.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::arrivals::Arrivals;
+
 /// Hash of the parts that a prompt shares with others.
 pub type SharedHash = u64;
 /// Identity of one start of a target.
@@ -32,6 +34,8 @@
 struct Entry {
     caches: Vec<CacheId>,
     used_at: Instant,
+    /// Requests of this router.
+    arrivals: Arrivals,
 }
 
 /// Known places of shared parts.
@@ -47,6 +51,15 @@
         self.entries.get(&shared).map_or(&[], |e| &e.caches)
     }
 
+    /// Counts a request with known shared parts, and returns how many have come.
+    pub fn count(&mut self, shared: SharedHash, now: Instant) -> Arrivals {
+        let entry = self.entries.get_mut(&shared);
+        entry.map_or_else(Arrivals::default, |entry| {
+            entry.arrivals.count(now);
+            entry.arrivals
+        })
+    }
+
     /// Records a request that was sent; it is news when the place is new.
     pub fn used(&mut self, prefix: CachedPrefix, now: Instant) {
         if self.add(prefix, now) {
@@ -87,6 +100,7 @@
         let entry = self.entries.entry(prefix.shared).or_insert_with(|| Entry {
             caches: Vec::new(),
             used_at: now,
+            arrivals: Arrivals::default(),
         });
         entry.used_at = now;
         let new = !entry.caches.contains(&prefix.cache);
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -7,11 +7,12 @@
 use bamboospur_registry::{Announcement, Start};
 use bamboospur_types::Rng;
 
+use crate::arrivals::Arrivals;
 use crate::cache_map::{CacheId, CacheMap, CachedPrefix};
 use crate::demand::{Choice, Demand, NoChoice};
 use crate::health::Outcome;
 use crate::load::LoadReport;
-use crate::pool::{Pool, Target, cache_id, shared_hash};
+use crate::pool::{Pool, Situation, Target, cache_id, shared_hash};
 use crate::settings::DispatchSettings;
 
 /// Chooses targets for the requests of one router.
@@ -24,6 +25,8 @@
     /// Targets that may have prompts in their caches.
     sources: BTreeMap<CacheId, Source>,
     rng: Rng,
+    /// Routers that send to the same targets, this one included.
+    routers: u32,
 }
 
 impl Dispatcher {
@@ -37,9 +40,15 @@
             cache_map: CacheMap::default(),
             sources: BTreeMap::new(),
             rng: Rng::new(seed),
+            routers: 1,
         }
     }
 
+    /// Sets the number of routers that send to the same targets.
+    pub fn set_routers(&mut self, routers: u32) {
+        self.routers = routers.max(1);
+    }
+
     /// Replaces the usable targets; those that stay keep their state. Draining
     /// ones take no requests, but prompts can be copied from them.
     pub fn update(&mut self, usable: &[&Announcement], draining: &[&Announcement], now: Instant) {
@@ -53,6 +62,11 @@
             let pool = pools.entry(news.service.clone()).or_default();
             pool.targets.insert(news.name.clone(), target);
         }
+        for (service, pool) in &mut pools {
+            if let Some(known) = self.pools.get(service) {
+                pool.arrivals = known.arrivals;
+            }
+        }
         self.pools = pools;
         let source = |news: &&Announcement| {
             let source = Source {
@@ -73,14 +87,27 @@
     ///
     /// Returns why there is none.
     pub fn choose(&mut self, demand: &Demand<'_>, now: Instant) -> Result<Choice, NoChoice> {
-        let tie = self.rng.next_u64();
+        let situation = Situation {
+            settings: &self.settings,
+            routers: self.routers,
+            random: self.rng.next_u64(),
+            now,
+        };
         let pool = self
             .pools
             .get_mut(demand.service)
             .ok_or(NoChoice::NoTarget)?;
         let shared = shared_hash(demand.prompt);
+        let is_first = demand.tried.is_empty();
+        if is_first {
+            pool.arrivals.count(now);
+        }
+        let alike = match demand.prompt {
+            [_, ..] if is_first => self.cache_map.count(shared, now),
+            _ => Arrivals::default(),
+        };
         let caches = self.cache_map.caches(shared);
-        let mut choice = pool.choose(demand, caches, &self.settings, tie, now)?;
+        let mut choice = pool.choose(demand, caches, alike, situation)?;
         if let Some(target) = pool.targets.get_mut(&choice.name) {
             target.load.own += 1;
             if !demand.prompt.is_empty() {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 //! - A target that fails is left out for a while (passive outlier ejection) and
 //!   let back in through single repeatable requests.
 
+mod arrivals;
 mod cache_map;
 mod demand;
 mod dispatcher;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -8,6 +8,7 @@
 use bamboospur_registry::{Announcement, Start, TargetName};
 use bamboospur_types::{mix64, stable_id};
 
+use crate::arrivals::{Arrivals, level};
 use crate::cache_map::{CacheId, SharedHash};
 use crate::demand::{Choice, Demand, NoChoice, PromptPart};
 use crate::health::Health;
@@ -62,6 +63,27 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     pub targets: BTreeMap<TargetName, Target>,
+    /// Requests of this router.
+    pub arrivals: Arrivals,
+}
+
+/// What is known besides the targets.
+#[derive(Clone, Copy, Debug)]
+pub struct Situation<'a> {
+    pub settings: &'a DispatchSettings,
+    /// Routers that send to the same targets, this one included.
+    pub routers: u32,
+    /// A random number.
+    pub random: u64,
+    pub now: Instant,
+}
+
+impl Situation<'_> {
+    /// Returns a number in [0, 1).
+    #[expect(clippy::cast_precision_loss, reason = "53 bits are kept on purpose")]
+    fn unit(&self, salt: u64) -> f64 {
+        (mix64(self.random ^ salt) >> 11) as f64 / (1_u64 << 53) as f64
+    }
 }
 
 /// A target that can take the request now.
@@ -76,10 +98,10 @@
         &self,
         demand: &Demand<'_>,
         caches: &[CacheId],
-        settings: &DispatchSettings,
-        tie: u64,
-        now: Instant,
+        alike: Arrivals,
+        situation: Situation<'_>,
     ) -> Result<Choice, NoChoice> {
+        let Situation { settings, now, .. } = situation;
         let loads = self.loads(settings, now);
         let all: Vec<Candidate<'_>> = self
             .targets
@@ -106,9 +128,15 @@
             });
         }
         Ok(if demand.prompt.is_empty() {
-            by_expected_wait(&open, settings, tie, now)
+            by_expected_wait(&open, settings, situation.random, now)
         } else {
-            by_prompt(&open, shared_hash(demand.prompt), caches, mean, settings)
+            let prompt = Prompt {
+                shared: shared_hash(demand.prompt),
+                caches: caches.iter().copied().collect(),
+                alike: others(alike, situation),
+                arrivals: others(self.arrivals, situation) / count(&loads),
+            };
+            by_prompt(&open, &prompt, mean, situation)
         })
     }
 
@@ -239,42 +267,91 @@
         .fold(0, |hash, part| mix64(hash ^ mix64(part.hash)))
 }
 
+#[expect(clippy::cast_precision_loss, reason = "a pool has few targets")]
+fn count<T>(all: &[T]) -> f64 {
+    all.len().max(1) as f64
+}
+
+/// Prompts that a target takes.
+fn places(target: &Target, settings: &DispatchSettings) -> f64 {
+    let slots = f64::from(target.slots);
+    if slots < 1.0 {
+        f64::INFINITY
+    } else {
+        (slots * settings.slots_factor).max(1.0)
+    }
+}
+
 /// Whether a target can run another prompt without keeping it waiting.
 fn has_place(candidate: &Candidate<'_>, settings: &DispatchSettings) -> bool {
-    let slots = f64::from(candidate.target.slots);
-    slots < 1.0 || candidate.load + 1.0 <= (slots * settings.slots_factor).max(1.0)
+    candidate.load + 1.0 <= places(candidate.target, settings)
 }
 
+/// Requests that other routers send before their loads are heard.
+fn others(own: Arrivals, situation: Situation<'_>) -> f64 {
+    let own = own.expected(situation.settings.report_age, situation.now);
+    own * f64::from(situation.routers.saturating_sub(1))
+}
+
+/// A prompt that needs a target.
+struct Prompt {
+    shared: SharedHash,
+    /// Targets that have read its shared parts.
+    caches: BTreeSet<CacheId>,
+    /// Requests with the same shared parts that other routers are about to send.
+    alike: f64,
+    /// Requests that other routers are about to send to each target.
+    arrivals: f64,
+}
+
+/// Chooses a target that has read the prompt's shared parts. Those that the targets
+/// cannot take below their bound go to the next ones in the prompt's order.
 fn by_prompt(
     open: &[Candidate<'_>],
-    shared: SharedHash,
-    caches: &[CacheId],
+    prompt: &Prompt,
     mean: f64,
-    settings: &DispatchSettings,
+    situation: Situation<'_>,
 ) -> Choice {
-    let score = |c: &Candidate<'_>| score_mixed(shared, c.target.hash, 1.0);
+    let settings = situation.settings;
+    let score = |c: &Candidate<'_>| score_mixed(prompt.shared, c.target.hash, 1.0);
     let scored = open.iter().map(|candidate| (score(candidate), candidate));
-    let mut scored: Vec<(f64, &Candidate<'_>)> = scored.collect();
-    scored.sort_by(|(a, _), (b, _)| b.total_cmp(a));
-    let order: Vec<&Candidate<'_>> = scored.into_iter().map(|(_, c)| c).collect();
-    let caches: BTreeSet<CacheId> = caches.iter().copied().collect();
-    let ranked = || order.iter().enumerate();
-    let least_loaded =
-        |a: &(usize, &&Candidate<'_>), b: &(usize, &&Candidate<'_>)| a.1.load.total_cmp(&b.1.load);
+    let mut order: Vec<(f64, &Candidate<'_>)> = scored.collect();
+    order.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+    let ranked = || order.iter().map(|&(_, c)| c).enumerate();
+    let pick = |among: &[(usize, &Candidate<'_>)], bound: f64| {
+        let loads: Vec<f64> = among.iter().map(|(_, c)| c.load).collect();
+        let arrivals = prompt.alike.max(prompt.arrivals * count(&loads));
+        let picked = level(&loads, arrivals, situation.unit(1))?;
+        let (rank, candidate) = among[picked];
+        Some(chosen(candidate, bound, rank))
+    };
     let stay = mean * settings.stay_factor + settings.stay_slack;
-    let warm = ranked().filter(|(_, c)| caches.contains(&c.target.cache));
-    let reuse = warm
-        .filter(|(_, c)| c.load + 1.0 <= stay)
-        .min_by(least_loaded);
-    if let Some((rank, candidate)) = reuse {
-        return chosen(candidate, stay, rank);
+    let warm = ranked().filter(|(_, c)| prompt.caches.contains(&c.target.cache));
+    let warm: Vec<_> = warm.filter(|(_, c)| c.load + 1.0 <= stay).collect();
+    let room: f64 = warm.iter().map(|(_, c)| stay - c.load).sum();
+    let stays = situation.unit(2) * prompt.alike.max(1.0) < room;
+    let reuse = if stays { pick(&warm, stay) } else { None };
+    if let Some(choice) = reuse {
+        return choice;
     }
     let bound = mean * settings.load_factor + settings.load_slack;
-    let below = ranked().find(|(_, c)| c.load + 1.0 <= bound);
-    let (rank, candidate) = below
-        .or_else(|| ranked().min_by(least_loaded))
-        .unwrap_or((0, &order[0]));
-    chosen(candidate, bound, rank)
+    let below = ranked().filter(|(_, c)| c.load + 1.0 <= bound);
+    let mut below: Vec<_> = below.collect();
+    below.truncate(needed(&below, bound, prompt.alike - room));
+    let any = || pick(&ranked().collect::<Vec<_>>(), bound);
+    let choice = pick(&below, bound).or_else(any);
+    choice.unwrap_or_else(|| chosen(&open[0], bound, 0))
+}
+
+/// Number of the first targets that can take so many requests below a bound; one at
+/// least.
+fn needed(targets: &[(usize, &Candidate<'_>)], bound: f64, requests: f64) -> usize {
+    let mut left = requests;
+    let filled = targets.iter().take_while(|(_, c)| {
+        left -= bound - c.load;
+        left > 0.0
+    });
+    filled.count() + 1
 }
 
 fn by_expected_wait(
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -22,6 +22,8 @@
     /// Requests above that multiple that are always allowed, so that a nearly
     /// idle pool keeps its prompts in place.
     pub load_slack: f64,
+    /// Age that loads of other routers can have: two periods in which they are told.
+    pub report_age: Duration,
     /// A load report counts fully when it is new and not at all after this time.
     pub report_memory: Duration,
     /// Weight of the newest outcome in the smoothed share of failures.
@@ -63,6 +65,7 @@
             slots_factor: 0.95,
             load_factor: 1.25,
             load_slack: 1.5,
+            report_age: Duration::from_millis(500),
             report_memory: Duration::from_secs(3),
             failure_weight: 0.25,
             eject_share: 0.4,
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -237,6 +237,7 @@
 
     pub fn set_routers(&self, routers: u32) {
         self.routers.set(routers.max(1));
+        self.dispatcher.borrow_mut().set_routers(routers);
     }
 
     /// Connections that this router may have to one target of a service.
