Admit no more prompts than find a place when there are too many

Cause: with spreading alone the few engines that had room when their loads were told got all prompts of the next half second, a hundred each, and took four seconds to run them.

When more prompts are expected than find a place, each engine gets them in proportion to its room, and the rest is refused at once.

--- a/crates/dispatch/src/arrivals.rs
+++ b/crates/dispatch/src/arrivals.rs
@@ -44,14 +44,18 @@
 /// `random` is in [0, 1).
 pub fn level(loads: &[f64], arrivals: f64, random: f64) -> Option<usize> {
     let surface = surface(loads, arrivals);
-    let room = |load: &f64| (surface - load).max(0.0);
-    let mut left = random * loads.iter().map(room).sum::<f64>();
-    let chosen = loads.iter().position(|load| {
-        left -= room(load);
-        left < 0.0
-    });
+    let room: Vec<f64> = loads.iter().map(|load| (surface - load).max(0.0)).collect();
     let least = || (0..loads.len()).min_by(|&a, &b| loads[a].total_cmp(&loads[b]));
-    chosen.or_else(least)
+    weighted(&room, random).or_else(least)
+}
+
+/// Chooses one with a probability in proportion to its weight.
+pub fn weighted(weights: &[f64], random: f64) -> Option<usize> {
+    let mut left = random * weights.iter().sum::<f64>();
+    weights.iter().position(|weight| {
+        left -= weight;
+        left < 0.0
+    })
 }
 
 /// Level up to which the arrivals fill the lowest loads.
--- a/crates/dispatch/src/demand.rs
+++ b/crates/dispatch/src/demand.rs
@@ -1,7 +1,7 @@
 //! What a request needs, and what was chosen for it.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bamboospur_registry::{Start, TargetName};
 
@@ -48,6 +48,8 @@
     pub copy_from: Option<SocketAddr>,
     /// Whether the target is believed to have read the shared parts.
     pub is_cached: bool,
+    /// When it was chosen.
+    pub chosen_at: Instant,
     /// Place of the target in the order of this prompt; 0 is the first choice.
     pub rank: usize,
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -65,6 +65,7 @@
         for (service, pool) in &mut pools {
             if let Some(known) = self.pools.get(service) {
                 pool.arrivals = known.arrivals;
+                pool.duration_s = known.duration_s;
             }
         }
         self.pools = pools;
@@ -177,6 +178,10 @@
     /// Ends an attempt.
     pub fn finish(&mut self, service: &str, choice: &Choice, outcome: Outcome, now: Instant) {
         let settings = self.settings;
+        if let (Outcome::Answered { .. }, Some(pool)) = (outcome, self.pools.get_mut(service)) {
+            let took = now.saturating_duration_since(choice.chosen_at);
+            pool.duration_s += settings.latency_weight * (took.as_secs_f64() - pool.duration_s);
+        }
         if let Some(target) = self.target_mut(service, &choice.name, choice.start) {
             target.load.own = target.load.own.saturating_sub(1);
             target.health.record(outcome, &settings, now);
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -8,7 +8,7 @@
 use bamboospur_registry::{Announcement, Start, TargetName};
 use bamboospur_types::{mix64, stable_id};
 
-use crate::arrivals::{Arrivals, level};
+use crate::arrivals::{Arrivals, level, weighted};
 use crate::cache_map::{CacheId, SharedHash};
 use crate::demand::{Choice, Demand, NoChoice, PromptPart};
 use crate::health::Health;
@@ -65,6 +65,8 @@
     pub targets: BTreeMap<TargetName, Target>,
     /// Requests of this router.
     pub arrivals: Arrivals,
+    /// Smoothed time that a request takes, in seconds.
+    pub duration_s: f64,
 }
 
 /// What is known besides the targets.
@@ -119,25 +121,91 @@
         let share = demand.connection_share;
         let mut open = healthy;
         open.retain(|c| c.target.load.own < share && !c.target.health.is_full(now));
-        if !demand.prompt.is_empty() {
-            open.retain(|c| has_place(c, settings));
+        let full = NoChoice::Full {
+            room_in: self.room_in(demand),
+        };
+        if demand.prompt.is_empty() {
+            if open.is_empty() {
+                return Err(full);
+            }
+            return Ok(by_expected_wait(&open, settings, situation.random, now));
+        }
+        let prompt = Prompt {
+            shared: shared_hash(demand.prompt),
+            caches: caches.iter().copied().collect(),
+            alike: others(alike, situation),
+            arrivals: others(self.arrivals, situation) / count(&loads),
+        };
+        if self.is_half_taken(&loads, settings) {
+            let admitted = self.admitted_share(&loads, situation);
+            if admitted < 1.0 {
+                return self
+                    .by_room(&open, &prompt, admitted, situation)
+                    .ok_or(full);
+            }
         }
+        open.retain(|c| has_place(c, settings));
         if open.is_empty() {
-            return Err(NoChoice::Full {
-                room_in: self.room_in(demand),
-            });
+            return Err(full);
         }
-        Ok(if demand.prompt.is_empty() {
-            by_expected_wait(&open, settings, situation.random, now)
-        } else {
-            let prompt = Prompt {
-                shared: shared_hash(demand.prompt),
-                caches: caches.iter().copied().collect(),
-                alike: others(alike, situation),
-                arrivals: others(self.arrivals, situation) / count(&loads),
-            };
-            by_prompt(&open, &prompt, mean, situation)
-        })
+        Ok(by_prompt(&open, &prompt, mean, situation))
+    }
+
+    /// Whether half of the places of all targets are taken.
+    fn is_half_taken(&self, loads: &[f64], settings: &DispatchSettings) -> bool {
+        let places: f64 = self.targets.values().map(|t| places(t, settings)).sum();
+        loads.iter().sum::<f64>() * 2.0 > places
+    }
+
+    /// Share of the requests that find a place until the loads of other routers are
+    /// heard, when all routers admit that share.
+    fn admitted_share(&self, loads: &[f64], situation: Situation<'_>) -> f64 {
+        let Situation { settings, now, .. } = situation;
+        let targets = self.targets.values().zip(loads);
+        let room = targets.map(|(target, &load)| self.room(target, load, settings));
+        let arrivals = self.arrivals.expected(settings.report_age, now);
+        room.sum::<f64>() / (arrivals * f64::from(situation.routers)).max(1.0)
+    }
+
+    /// Prompts that a target can take until the loads of other routers are heard, as
+    /// some of its requests end in that time.
+    fn room(&self, target: &Target, load: f64, settings: &DispatchSettings) -> f64 {
+        let time_s = settings.report_age.as_secs_f64();
+        let ended = time_s / self.duration_s.max(time_s);
+        (places(target, settings) - load * (1.0 - ended)).max(0.0)
+    }
+
+    /// Chooses a target when there are more prompts than places. Each one is chosen
+    /// in proportion to its room: otherwise every router by itself fills the few
+    /// targets that had room when their loads were told.
+    fn by_room(
+        &self,
+        open: &[Candidate<'_>],
+        prompt: &Prompt,
+        admitted: f64,
+        situation: Situation<'_>,
+    ) -> Option<Choice> {
+        if situation.unit(3) >= admitted {
+            return None;
+        }
+        let settings = situation.settings;
+        let room = |c: &Candidate<'_>| self.room(c.target, c.load, settings);
+        let pick = |among: &[&Candidate<'_>]| {
+            let weights: Vec<f64> = among.iter().map(|c| room(c)).collect();
+            let picked = among[weighted(&weights, situation.unit(1))?];
+            let bound = places(picked.target, settings);
+            Some(chosen(picked, bound, 0, situation.now))
+        };
+        let all: Vec<&Candidate<'_>> = open.iter().collect();
+        let warm = all.iter().copied();
+        let warm: Vec<_> = warm
+            .filter(|c| prompt.caches.contains(&c.target.cache))
+            .collect();
+        let warm_room: f64 = warm.iter().map(|c| room(c)).sum();
+        let alike = (prompt.alike * admitted).max(1.0);
+        let stays = situation.unit(2) * alike < warm_room;
+        let reuse = if stays { pick(&warm) } else { None };
+        reuse.or_else(|| pick(&all))
     }
 
     /// Leaves out targets that cannot be reached, unless none can.
@@ -323,7 +391,7 @@
         let arrivals = prompt.alike.max(prompt.arrivals * count(&loads));
         let picked = level(&loads, arrivals, situation.unit(1))?;
         let (rank, candidate) = among[picked];
-        Some(chosen(candidate, bound, rank))
+        Some(chosen(candidate, bound, rank, situation.now))
     };
     let stay = mean * settings.stay_factor + settings.stay_slack;
     let warm = ranked().filter(|(_, c)| prompt.caches.contains(&c.target.cache));
@@ -340,7 +408,7 @@
     below.truncate(needed(&below, bound, prompt.alike - room));
     let any = || pick(&ranked().collect::<Vec<_>>(), bound);
     let choice = pick(&below, bound).or_else(any);
-    choice.unwrap_or_else(|| chosen(&open[0], bound, 0))
+    choice.unwrap_or_else(|| chosen(&open[0], bound, 0, situation.now))
 }
 
 /// Number of the first targets that can take so many requests below a bound; one at
@@ -377,10 +445,10 @@
             .then(ties(a).cmp(&ties(b)))
     });
     let best = &open[rank.unwrap_or(0)];
-    chosen(best, f64::INFINITY, 0)
+    chosen(best, f64::INFINITY, 0, now)
 }
 
-fn chosen(candidate: &Candidate<'_>, bound: f64, rank: usize) -> Choice {
+fn chosen(candidate: &Candidate<'_>, bound: f64, rank: usize, now: Instant) -> Choice {
     Choice {
         name: candidate.name.clone(),
         start: candidate.target.start,
@@ -389,6 +457,7 @@
         bound,
         copy_from: None,
         is_cached: false,
+        chosen_at: now,
         rank,
     }
 }
--- a/crates/dispatch/tests/flash_crowd.rs
+++ b/crates/dispatch/tests/flash_crowd.rs
@@ -1,7 +1,7 @@
 //! A flash crowd at many routers: together they send more than the engines can run,
 //! and each knows the loads of some hundred milliseconds ago.
 
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::{Duration, Instant};
 
 use bamboospur_dispatch::{
@@ -13,8 +13,8 @@
 const ROUTERS: usize = 30;
 const ENGINES: usize = 60;
 const SLOTS: u32 = 24;
-/// Requests that wait at an engine; it refuses further ones.
-const QUEUE: u32 = 6;
+/// Requests that wait at an engine before it refuses further ones.
+const QUEUE: u32 = 100;
 const PROMPTS: u64 = 40;
 const SERVICE_S: f64 = 0.5;
 /// Loads are told and totals heard this often, and are one period old.
@@ -22,7 +22,7 @@
 const NEWS_MS: u64 = 100;
 /// Time in which the routers learn where prompts are.
 const WARM_UP_MS: u64 = 1_500;
-const LENGTH_MS: u64 = 4_500;
+const LENGTH_MS: u64 = 6_500;
 
 /// A request that runs, ordered by its end.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -32,6 +32,20 @@
     engine: usize,
 }
 
+/// An engine: it runs as many requests as it has slots, and the others wait.
+#[derive(Clone, Default)]
+struct Engine {
+    running: u32,
+    /// Routers whose requests wait.
+    waiting: VecDeque<usize>,
+}
+
+impl Engine {
+    fn held(&self) -> u32 {
+        self.running + u32::try_from(self.waiting.len()).expect("few")
+    }
+}
+
 #[derive(Default)]
 struct Result {
     /// Sent to an engine with more than twice the mean and three.
@@ -48,7 +62,7 @@
     rng: Rng,
     routers: Vec<Dispatcher>,
     names: BTreeMap<String, usize>,
-    held: Vec<u32>,
+    engines: Vec<Engine>,
     running: BinaryHeap<Running>,
     choices: BTreeMap<(usize, usize), Vec<Choice>>,
     totals: BTreeMap<u64, u32>,
@@ -88,7 +102,7 @@
             rng: Rng::new(seed),
             routers: (0..ROUTERS).map(router).collect(),
             names: (0..ENGINES).map(|i| (format!("e{i}"), i)).collect(),
-            held: vec![0; ENGINES],
+            engines: vec![Engine::default(); ENGINES],
             running: BinaryHeap::new(),
             choices: BTreeMap::new(),
             totals: BTreeMap::new(),
@@ -96,8 +110,9 @@
         }
     }
 
-    /// Plays requests that arrive at a rate a second.
-    fn play(mut self, rate: f64) -> Result {
+    /// Plays requests that arrive at one rate a second before the crowd comes, and at
+    /// another one then.
+    fn play(mut self, before: f64, crowd: f64) -> Result {
         for now_ms in 0..LENGTH_MS {
             if now_ms == WARM_UP_MS {
                 self.result = Result::default();
@@ -109,8 +124,8 @@
             if now_ms % NEWS_MS == 0 {
                 self.exchange_news(now_ms);
             }
-            let expected = rate / 1_000.0;
-            let mut arrivals = expected;
+            let rate = if now_ms < WARM_UP_MS { before } else { crowd };
+            let mut arrivals = rate / 1_000.0;
             while unit(&mut self.rng) < arrivals {
                 arrivals -= 1.0;
                 self.arrive(now_ms);
@@ -128,16 +143,19 @@
             let Some(Running { router, engine, .. }) = self.running.pop() else {
                 return;
             };
-            self.held[engine] -= 1;
+            self.engines[engine].running -= 1;
+            if let Some(next) = self.engines[engine].waiting.pop_front() {
+                self.run(next, engine, now_ms);
+            }
             self.result.finished += 1;
             let choices = self.choices.get_mut(&(router, engine)).expect("choices");
             let choice = choices.pop().expect("a choice");
             let latency = Duration::from_millis(100);
             let now = self.at(now_ms);
-            let running = self.held[engine];
+            let held = &self.engines[engine];
             let report = LoadReport {
-                running,
-                waiting: 0,
+                running: held.running,
+                waiting: held.held() - held.running,
                 slots: SLOTS,
             };
             self.routers[router].report("chat", &choice, report, now);
@@ -194,36 +212,45 @@
             };
             let engine = self.names[&choice.name];
             self.count_arrival(engine);
-            if self.held[engine] >= SLOTS + QUEUE {
+            if self.engines[engine].held() >= SLOTS + QUEUE {
                 self.result.shed += 1;
                 self.routers[router].finish("chat", &choice, Outcome::Full, now);
                 tried.push(choice.name);
                 continue;
             }
-            self.held[engine] += 1;
             self.choices
                 .entry((router, engine))
                 .or_default()
                 .push(choice);
-            let service_ms = -SERVICE_S * 1_000.0 * (1.0 - unit(&mut self.rng)).ln();
-            #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-            let ends_ms = now_ms + 1 + service_ms as u64;
-            self.running.push(Running {
-                ends_ms: std::cmp::Reverse(ends_ms),
-                router,
-                engine,
-            });
+            if self.engines[engine].running < SLOTS {
+                self.run(router, engine, now_ms);
+            } else {
+                self.engines[engine].waiting.push_back(router);
+            }
             return;
         }
         self.result.refused += 1;
     }
 
+    /// Begins a request at an engine with a free slot.
+    fn run(&mut self, router: usize, engine: usize, now_ms: u64) {
+        self.engines[engine].running += 1;
+        let service_ms = -SERVICE_S * 1_000.0 * (1.0 - unit(&mut self.rng)).ln();
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let ends_ms = now_ms + 1 + service_ms as u64;
+        self.running.push(Running {
+            ends_ms: std::cmp::Reverse(ends_ms),
+            router,
+            engine,
+        });
+    }
+
     fn count_arrival(&mut self, engine: usize) {
         self.result.sent += 1;
-        let held: u32 = self.held.iter().sum();
+        let held: u32 = self.engines.iter().map(Engine::held).sum();
         #[expect(clippy::cast_precision_loss)]
         let mean = f64::from(held) / ENGINES as f64;
-        if f64::from(self.held[engine]) > 2.0 * mean + 3.0 {
+        if f64::from(self.engines[engine].held()) > 2.0 * mean + 3.0 {
             self.result.above_bound += 1;
         }
     }
@@ -247,7 +274,8 @@
 }
 
 fn check(share_of_capacity: f64) -> Result {
-    let result = Crowd::new(1).play(rate(share_of_capacity));
+    let before = rate(share_of_capacity.min(0.2));
+    let result = Crowd::new(1).play(before, rate(share_of_capacity));
     let Result {
         offered,
         sent,
@@ -283,7 +311,7 @@
 #[test]
 fn a_crowd_beyond_capacity_keeps_the_engines_busy_and_below_the_bound() {
     let result = check(1.8);
-    let capacity = rate(1.0) * 3.0;
+    let capacity = rate(1.0) * 5.0;
     #[expect(clippy::cast_precision_loss)]
     let used = result.finished as f64 / capacity;
     assert!(used > 0.8, "{used}");
