Estimate the arrivals of the fleet from told rates

Cause: the own rate times the number of routers is wrong for a router with more callers than others.

The test of totals expects the told rate too, by all three values in place of their sum.

--- a/crates/dispatch/src/arrivals.rs
+++ b/crates/dispatch/src/arrivals.rs
@@ -12,13 +12,16 @@
 /// Time over which the rate of arrivals is smoothed.
 const SMOOTHING: Duration = Duration::from_secs(1);
 
-/// Requests of this router for the targets of a pool.
+/// Requests of this router.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Arrivals {
     rate_per_s: f64,
     counted_at: Option<Instant>,
 }
 
+/// Rates are told in requests per this time, so that slow ones are not lost.
+const TOLD_PER: Duration = Duration::from_secs(10);
+
 impl Arrivals {
     /// Counts a request.
     pub fn count(&mut self, now: Instant) {
@@ -40,6 +43,50 @@
     }
 }
 
+/// Weight of the newest ratio between the requests of all routers and of this one.
+const RATIO_WEIGHT: f64 = 0.2;
+
+/// Requests of all routers for one pool, as a multiple of those of this router.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FleetRate {
+    told: u32,
+    ratio: Option<f64>,
+    heard_at: Option<Instant>,
+}
+
+impl FleetRate {
+    /// Returns the rate of this router, for the other routers.
+    pub fn tell(&mut self, own: &Arrivals, now: Instant) -> u32 {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "casts of floats saturate"
+        )]
+        let told = own.expected(TOLD_PER, now).round() as u32;
+        self.told = told;
+        told
+    }
+
+    /// Takes the sum of the rates that the routers told. The ratio is smoothed, as
+    /// the sum is of an earlier time than the rate of this router.
+    pub fn hear(&mut self, total: u32, now: Instant) {
+        self.heard_at = Some(now);
+        if self.told > 0 && total > 0 {
+            let newest = (f64::from(total) / f64::from(self.told)).max(1.0);
+            let ratio = self.ratio.unwrap_or(newest);
+            self.ratio = Some(ratio + RATIO_WEIGHT * (newest - ratio));
+        }
+    }
+
+    /// Requests of all routers for each one of this router. Until sums are heard, all
+    /// of `routers` are taken to have the same.
+    pub fn ratio(&self, routers: u32, memory: Duration, now: Instant) -> f64 {
+        let heard = self.heard_at.is_some_and(|at| now < at + memory);
+        let ratio = self.ratio.filter(|_| heard);
+        ratio.unwrap_or_else(|| f64::from(routers))
+    }
+}
+
 /// Chooses one of the loads so that `arrivals` chosen in this way level them.
 /// `random` is in [0, 1).
 pub fn level(loads: &[f64], arrivals: f64, random: f64) -> Option<usize> {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use bamboospur_registry::{Announcement, Start};
-use bamboospur_types::Rng;
+use bamboospur_types::{Rng, mix64, stable_id};
 
 use crate::arrivals::Arrivals;
 use crate::cache_map::{CacheId, CacheMap, CachedPrefix};
@@ -65,6 +65,7 @@
         for (service, pool) in &mut pools {
             if let Some(known) = self.pools.get(service) {
                 pool.arrivals = known.arrivals;
+                pool.fleet_rate = known.fleet_rate;
                 pool.duration_s = known.duration_s;
             }
         }
@@ -139,32 +140,34 @@
         self.cache_map.all().take(most).collect()
     }
 
-    /// Returns the requests of this router at each target that has any, for the
-    /// other routers.
-    pub fn tell_loads(&mut self) -> Vec<(CacheId, u32)> {
-        let targets = self
-            .pools
-            .values_mut()
-            .flat_map(|pool| pool.targets.values_mut());
+    /// Returns the requests of this router at each target that has any, and how many
+    /// arrive for each service, for the other routers.
+    pub fn tell_loads(&mut self, now: Instant) -> Vec<(CacheId, u32)> {
         let mut loads = Vec::new();
-        for target in targets {
-            target.told = target.load.own;
-            if target.told > 0 {
-                loads.push((target.cache, target.told));
+        for (service, pool) in &mut self.pools {
+            let rate = pool.fleet_rate.tell(&pool.arrivals, now);
+            if rate > 0 {
+                loads.push((rate_id(service), rate));
+            }
+            for target in pool.targets.values_mut() {
+                target.told = target.load.own;
+                if target.told > 0 {
+                    loads.push((target.cache, target.told));
+                }
             }
         }
         loads
     }
 
-    /// Takes the requests of all routers at each target that has any.
+    /// Takes the sums of what all routers told.
     pub fn totals(&mut self, totals: &BTreeMap<CacheId, u32>, now: Instant) {
-        for target in self
-            .pools
-            .values_mut()
-            .flat_map(|pool| pool.targets.values_mut())
-        {
-            let total = totals.get(&target.cache).copied().unwrap_or(0);
-            target.load.total(total, target.told, now);
+        for (service, pool) in &mut self.pools {
+            let rate = totals.get(&rate_id(service)).copied();
+            pool.fleet_rate.hear(rate.unwrap_or(0), now);
+            for target in pool.targets.values_mut() {
+                let total = totals.get(&target.cache).copied().unwrap_or(0);
+                target.load.total(total, target.told, now);
+            }
         }
     }
 
@@ -207,6 +210,11 @@
     }
 }
 
+/// Key of a service's arrivals among the loads.
+fn rate_id(service: &str) -> CacheId {
+    mix64(stable_id(service))
+}
+
 /// A target that may have prompts in its cache.
 #[derive(Clone, Debug)]
 struct Source {
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -8,7 +8,7 @@
 use bamboospur_registry::{Announcement, Start, TargetName};
 use bamboospur_types::{mix64, stable_id};
 
-use crate::arrivals::{Arrivals, level, weighted};
+use crate::arrivals::{Arrivals, FleetRate, level, weighted};
 use crate::cache_map::{CacheId, SharedHash};
 use crate::demand::{Choice, Demand, NoChoice, PromptPart};
 use crate::health::Health;
@@ -65,6 +65,8 @@
     pub targets: BTreeMap<TargetName, Target>,
     /// Requests of this router.
     pub arrivals: Arrivals,
+    /// Requests of all routers.
+    pub fleet_rate: FleetRate,
     /// Smoothed time that a request takes, in seconds.
     pub duration_s: f64,
 }
@@ -133,8 +135,8 @@
         let prompt = Prompt {
             shared: shared_hash(demand.prompt),
             caches: caches.iter().copied().collect(),
-            alike: others(alike, situation),
-            arrivals: others(self.arrivals, situation) / count(&loads),
+            alike: self.others(alike, situation),
+            arrivals: self.others(self.arrivals, situation) / count(&loads),
         };
         if self.is_half_taken(&loads, settings) {
             let admitted = self.admitted_share(&loads, situation);
@@ -151,6 +153,19 @@
         Ok(by_prompt(&open, &prompt, mean, situation))
     }
 
+    /// Requests that all routers send for each one of this router.
+    fn fleet_ratio(&self, situation: Situation<'_>) -> f64 {
+        let memory = situation.settings.report_memory;
+        self.fleet_rate
+            .ratio(situation.routers, memory, situation.now)
+    }
+
+    /// Requests that other routers send before their loads are heard.
+    fn others(&self, own: Arrivals, situation: Situation<'_>) -> f64 {
+        let own = own.expected(situation.settings.report_age, situation.now);
+        own * (self.fleet_ratio(situation) - 1.0)
+    }
+
     /// Whether half of the places of all targets are taken.
     fn is_half_taken(&self, loads: &[f64], settings: &DispatchSettings) -> bool {
         let places: f64 = self.targets.values().map(|t| places(t, settings)).sum();
@@ -164,7 +179,7 @@
         let targets = self.targets.values().zip(loads);
         let room = targets.map(|(target, &load)| self.room(target, load, settings));
         let arrivals = self.arrivals.expected(settings.report_age, now);
-        room.sum::<f64>() / (arrivals * f64::from(situation.routers)).max(1.0)
+        room.sum::<f64>() / (arrivals * self.fleet_ratio(situation)).max(1.0)
     }
 
     /// Prompts that a target can take until the loads of other routers are heard, as
@@ -355,12 +370,6 @@
     candidate.load + 1.0 <= places(candidate.target, settings)
 }
 
-/// Requests that other routers send before their loads are heard.
-fn others(own: Arrivals, situation: Situation<'_>) -> f64 {
-    let own = own.expected(situation.settings.report_age, situation.now);
-    own * f64::from(situation.routers.saturating_sub(1))
-}
-
 /// A prompt that needs a target.
 struct Prompt {
     shared: SharedHash,
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -170,8 +170,11 @@
     for _ in 0..4 {
         one.choose(&plain(&[]), now).expect("a target");
     }
-    let told: BTreeMap<u64, u32> = one.tell_loads().into_iter().collect();
-    assert_eq!(told.values().sum::<u32>(), 4);
+    let told: BTreeMap<u64, u32> = one.tell_loads(now).into_iter().collect();
+    let mut counts: Vec<u32> = told.values().copied().collect();
+    counts.sort_unstable();
+    // Two requests at each target, and four arrivals a second for ten seconds.
+    assert_eq!(counts, [2, 2, 40]);
     // The totals hold nothing but the own requests.
     one.totals(&told, now);
     let choice = one.choose(&plain(&[]), now).expect("a target");
--- a/crates/dispatch/tests/flash_crowd.rs
+++ b/crates/dispatch/tests/flash_crowd.rs
@@ -66,6 +66,8 @@
     running: BinaryHeap<Running>,
     choices: BTreeMap<(usize, usize), Vec<Choice>>,
     totals: BTreeMap<u64, u32>,
+    /// Share of the requests that come to the first router, besides its usual one.
+    skew: f64,
     result: Result,
 }
 
@@ -106,6 +108,7 @@
             running: BinaryHeap::new(),
             choices: BTreeMap::new(),
             totals: BTreeMap::new(),
+            skew: 0.0,
             result: Result::default(),
         }
     }
@@ -168,7 +171,7 @@
         let totals = std::mem::take(&mut self.totals);
         for router in &mut self.routers {
             router.totals(&totals, now);
-            for (cache, count) in router.tell_loads() {
+            for (cache, count) in router.tell_loads(now) {
                 *self.totals.entry(cache).or_default() += count;
             }
         }
@@ -189,7 +192,11 @@
     fn arrive(&mut self, now_ms: u64) {
         self.result.offered += 1;
         let now = self.at(now_ms);
-        let router = self.rng.index(ROUTERS);
+        let router = if unit(&mut self.rng) < self.skew {
+            0
+        } else {
+            self.rng.index(ROUTERS)
+        };
         // A few prompts get most of the requests.
         let popular = self.rng.below(PROMPTS).min(self.rng.below(PROMPTS));
         let part = |hash| PromptPart {
@@ -273,9 +280,18 @@
     part as f64 / of as f64
 }
 
-fn check(share_of_capacity: f64) -> Result {
+fn check(share_of_capacity: f64, skew: f64) -> Result {
+    // The last seed is the one that the caller looks at further.
+    play(share_of_capacity, skew, 2);
+    play(share_of_capacity, skew, 3);
+    play(share_of_capacity, skew, 1)
+}
+
+fn play(share_of_capacity: f64, skew: f64, seed: u64) -> Result {
     let before = rate(share_of_capacity.min(0.2));
-    let result = Crowd::new(1).play(before, rate(share_of_capacity));
+    let mut crowd = Crowd::new(seed);
+    crowd.skew = skew;
+    let result = crowd.play(before, rate(share_of_capacity));
     let Result {
         offered,
         sent,
@@ -298,19 +314,25 @@
 
 #[test]
 fn a_light_load_is_served_whole() {
-    let result = check(0.3);
+    let result = check(0.3, 0.0);
     assert!(share(result.refused, result.offered) < 0.01);
 }
 
 #[test]
 fn a_crowd_near_capacity_is_spread() {
-    let result = check(0.8);
+    let result = check(0.8, 0.0);
     assert!(share(result.refused, result.offered) < 0.1);
 }
 
+#[test]
+fn a_router_with_many_callers_refuses_no_more_than_others() {
+    let result = check(0.6, 0.3);
+    assert!(share(result.refused, result.offered) < 0.01);
+}
+
 #[test]
 fn a_crowd_beyond_capacity_keeps_the_engines_busy_and_below_the_bound() {
-    let result = check(1.8);
+    let result = check(1.8, 0.0);
     let capacity = rate(1.0) * 5.0;
     #[expect(clippy::cast_precision_loss)]
     let used = result.finished as f64 / capacity;
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -289,8 +289,9 @@
         let Some(link) = self.partner().map(|partner| partner.link.clone()) else {
             return;
         };
-        let own = self.router.dispatcher.borrow_mut().tell_loads();
-        let sums = self.followers.sums(self.hello.id, own, Instant::now());
+        let now = Instant::now();
+        let own = self.router.dispatcher.borrow_mut().tell_loads(now);
+        let sums = self.followers.sums(self.hello.id, own, now);
         // Lost loads are told again.
         let _sent = link.send(Frame::Loads(sums));
     }
