Let prompts stay while their engines are expected below the load bound

Cause: prompts went on to further engines as soon as the expected arrivals would bring those that had cached them above 1.5 times the mean, also when the mean was half a request.

They stay up to the deployments' bound, twice the mean and three; arrivals are expected now, so the margin for old loads is not needed twice.

Ruled out: the spread among engines that have the prompt, which moves nothing.

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -405,7 +405,8 @@
     let stay = mean * settings.stay_factor + settings.stay_slack;
     let warm = ranked().filter(|(_, c)| prompt.caches.contains(&c.target.cache));
     let warm: Vec<_> = warm.filter(|(_, c)| c.load + 1.0 <= stay).collect();
-    let room: f64 = warm.iter().map(|(_, c)| stay - c.load).sum();
+    let most = mean * settings.most_factor + settings.most_slack;
+    let room: f64 = warm.iter().map(|(_, c)| most - c.load).sum();
     let stays = situation.unit(2) * prompt.alike.max(1.0) < room;
     let reuse = if stays { pick(&warm, stay) } else { None };
     if let Some(choice) = reuse {
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -12,6 +12,12 @@
     pub stay_factor: f64,
     /// Requests above that multiple at which a prompt still stays.
     pub stay_slack: f64,
+    /// Prompts go on to further targets only when those that are about to come would
+    /// bring the ones that cached them above this multiple of the mean, and
+    /// [`Self::most_slack`]: the bound of the deployments.
+    pub most_factor: f64,
+    /// Requests above that multiple.
+    pub most_slack: f64,
     /// A target takes prompts up to this multiple of the requests that it runs at
     /// once. Beyond it they would wait for a place, and for longer than their
     /// callers do when the overload lasts.
@@ -62,6 +68,8 @@
         Self {
             stay_factor: 1.5,
             stay_slack: 1.5,
+            most_factor: 2.0,
+            most_slack: 3.0,
             slots_factor: 0.95,
             load_factor: 1.25,
             load_slack: 1.5,
