--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -115,10 +115,11 @@
     /// Targets that have read the shared parts of prompts: hashes of the parts and
     /// of the target.
     CachedPrefixes(Vec<(u64, u64)>),
-    /// Requests of the sender at targets, by hashes of the targets; of a control
-    /// instance or a relay, the sums over the routers that tell it.
+    /// Requests of the sender at targets, by hashes of the targets, and its arrivals,
+    /// by hashes of the services; of a control instance or a relay, the sums over
+    /// the routers that tell it.
     Loads(Vec<(u64, u32)>),
-    /// Requests of all routers at targets.
+    /// The same of all routers.
     Totals(Vec<(u64, u32)>),
     /// A router's wish for the configuration, as it holds an older version.
     RequestConfig,
