Keep accepted links of both roles in one place

A control instance and a relaying router each kept a map of accepted links, with the same encoding, sending and closing of links without room; the control role also answered, counted routers and found those that tell loads in two ways each. AcceptedLinks does all of it. All targets are encoded once when a fleet goes back from relays, not once for each router.

Behaviour is unchanged, but for the words of two log lines.

--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -23,7 +23,7 @@
 use super::peers::Peers;
 use super::soft::{SoftSchedule, SoftState};
 use super::spread::{Spread, SpreadSettings};
-use crate::link::{Frame, FrameQueue, Hello, LinkId};
+use crate::link::{AcceptedLinks, Frame, LinkId};
 use crate::loads::Loads;
 
 /// Time between two signs of life to peers, and between batches of reports.
@@ -40,11 +40,6 @@
 /// Places of cached prompts that are kept for routers that start.
 const MAX_CACHED_PREFIXES: usize = 4_096;
 
-struct AcceptedLink {
-    hello: Hello,
-    frames: FrameQueue,
-}
-
 /// State of a control instance.
 pub struct Host {
     id: InstanceId,
@@ -54,7 +49,7 @@
     writes: std::sync::mpsc::Sender<Write>,
     soft: SoftSchedule,
     peers: Peers,
-    links: BTreeMap<LinkId, AcceptedLink>,
+    links: AcceptedLinks,
     waiters: Waiters,
     /// Routers whose questions came while no leader was known.
     unanswered: BTreeSet<LinkId>,
@@ -129,7 +124,7 @@
             writes: opened.writes,
             soft: SoftSchedule::new(now),
             peers: Peers::new(opened.id, settings.links, &settings.seeds, events),
-            links: BTreeMap::new(),
+            links: AcceptedLinks::default(),
             waiters: Waiters::default(),
             unanswered: BTreeSet::new(),
             unsent: BTreeMap::new(),
--- a/crates/fleet/src/control/host/config.rs
+++ b/crates/fleet/src/control/host/config.rs
@@ -6,7 +6,7 @@
 use bamboospur_types::InstanceId;
 use tracing::warn;
 
-use super::{AcceptedLink, Host};
+use super::Host;
 use crate::control::event::PutResult;
 use crate::control::operators::Waiter;
 use crate::link::{Frame, LinkId, Ticket};
@@ -15,14 +15,14 @@
     /// Sends a configuration to the routers that tell their loads here. The
     /// others get it from the instance that they tell, or ask for it.
     pub(super) fn publish_config(&mut self, frame: &Frame) {
-        let told = |link: &AcceptedLink| self.loads.has_router(link.hello.id);
-        let ids = self
-            .links
-            .iter()
-            .filter(|(_, link)| told(link))
-            .map(|(&id, _)| id);
-        let ids: Vec<LinkId> = ids.collect();
-        self.send_to(ids, frame);
+        self.links.send(&self.telling_links(), frame);
+    }
+
+    /// Links of the routers that tell their loads here.
+    pub(super) fn telling_links(&self) -> Vec<LinkId> {
+        let routers = self.links.routers();
+        let telling = routers.filter(|(_, hello)| self.loads.has_router(hello.id));
+        telling.map(|(link, _)| link).collect()
     }
 
     /// Answers a router. Only the leader knows what is in force.
@@ -51,8 +51,8 @@
     /// Tells routers that asked without an answer whom to ask now.
     pub(super) fn name_leader(&mut self) {
         if let Some(address) = self.leader_address() {
-            let ids = std::mem::take(&mut self.unanswered).into_iter().collect();
-            self.send_to(ids, &Frame::Leader(address));
+            let links: Vec<LinkId> = std::mem::take(&mut self.unanswered).into_iter().collect();
+            self.links.send(&links, &Frame::Leader(address));
         }
     }
 
@@ -164,11 +164,7 @@
         asked: u64,
         reply: Result<Reply, Unavailable>,
     ) {
-        let routers = self
-            .links
-            .values()
-            .filter(|l| l.hello.router().is_some())
-            .count();
+        let routers = self.links.routers().count();
         let frame = match reply {
             Ok(Reply::Newest { version } | Reply::Accepted { version }) => Frame::InForce {
                 asked,
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -4,10 +4,10 @@
 
 use bamboospur_group::GroupInput;
 use bamboospur_types::InstanceId;
-use tracing::{error, info, warn};
+use tracing::{info, warn};
 
-use super::{AcceptedLink, Host};
-use crate::link::{AcceptEvent, Frame, FrameQueue, Hello, LinkEvent, LinkId, Ticket, encode};
+use super::Host;
+use crate::link::{AcceptEvent, Frame, FrameQueue, Hello, LinkEvent, LinkId, Ticket};
 
 impl Host {
     pub(super) fn accepted(&mut self, event: AcceptEvent, now: Instant) {
@@ -19,7 +19,7 @@
             } => self.opened(link, hello, frames, now),
             AcceptEvent::Received { link, frame } => self.received(link, frame, now),
             AcceptEvent::Ended { link } => {
-                self.links.remove(&link);
+                self.links.remove(link);
                 if self.spread.relay_links().any(|relay| relay == link) {
                     self.plan_relays();
                 }
@@ -27,32 +27,29 @@
         }
     }
 
-    pub(super) fn routers(&self) -> impl Iterator<Item = (LinkId, &Hello)> {
-        let all = self.links.iter().map(|(&id, link)| (id, &link.hello));
-        all.filter(|(_, hello)| hello.router().is_some())
+    pub(super) fn router_links(&self) -> Vec<LinkId> {
+        self.links.routers().map(|(link, _)| link).collect()
     }
 
     pub(super) fn send_to_routers(&mut self, frame: &Frame) {
-        let ids = self.routers().map(|(id, _)| id).collect();
-        self.send_to(ids, frame);
+        self.links.send(&self.router_links(), frame);
     }
 
     /// Sends to the routers that pass it on, or to all routers without any.
     pub(super) fn send_down(&mut self, but: Option<LinkId>, frame: &Frame) {
-        let mut ids: Vec<LinkId> = if self.spread.is_relayed() {
+        let mut links = if self.spread.is_relayed() {
             self.spread.relay_links().collect()
         } else {
-            self.routers().map(|(id, _)| id).collect()
+            self.router_links()
         };
-        ids.retain(|&id| but != Some(id));
-        self.send_to(ids, frame);
+        links.retain(|&link| but != Some(link));
+        self.links.send(&links, frame);
     }
 
     /// Chooses the relays anew and tells everyone when they change. A router that
     /// becomes a relay asks for what it may have missed.
     pub(super) fn plan_relays(&mut self) {
-        let routers = self.links.iter().map(|(&id, link)| (id, &link.hello));
-        if !self.spread.plan(routers, self.registry.len()) {
+        if !self.spread.plan(self.links.routers(), self.registry.len()) {
             return;
         }
         let relays = self.spread.relays();
@@ -60,28 +57,7 @@
         self.send_to_routers(&Frame::Relays(relays));
         if !self.spread.is_relayed() {
             // Routers have heard nothing from here since there were relays.
-            for accepted in self.links.values().filter(|l| l.hello.router().is_some()) {
-                self.send_state(&accepted.frames);
-            }
-        }
-    }
-
-    /// Closes links that have no room, which makes a router start from the
-    /// present state.
-    pub(super) fn send_to(&mut self, ids: Vec<LinkId>, frame: &Frame) {
-        if ids.is_empty() {
-            return;
-        }
-        let Some(bytes) = encode(frame) else {
-            error!("a frame is too large for routers");
-            return;
-        };
-        for id in ids {
-            let link = self.links.get(&id);
-            if link.is_some_and(|link| !link.frames.send_encoded(&bytes)) {
-                warn!(link = id, "a router reads too slowly; its link is closed");
-                self.links.remove(&id);
-            }
+            self.send_state(&self.router_links());
         }
     }
 
@@ -92,38 +68,36 @@
             control = hello.control().is_some(),
             "a link opened"
         );
-        let accepted = AcceptedLink { hello, frames };
-        let (hello, frames) = (accepted.hello.clone(), accepted.frames.clone());
-        self.links.insert(link, accepted);
-        if let Some(address) = hello.control() {
-            self.heard(hello.id, address, now);
+        let (id, control) = (hello.id, hello.control());
+        self.links.insert(link, hello, frames);
+        if let Some(address) = control {
+            self.heard(id, address, now);
         } else {
             if !self.spread.is_relayed() {
                 // Many routers that start at once would all be sent everything.
                 self.plan_relays();
             }
-            self.greet(&frames, now);
+            self.greet(link, now);
         }
     }
 
     /// Sends the present state to a router, or who will send it.
-    fn greet(&self, frames: &FrameQueue, now: Instant) {
-        // The queue of a new link has room.
-        let _sent = frames.send(&Frame::Controls(self.peers.recent(now)));
+    fn greet(&self, link: LinkId, now: Instant) {
+        self.tell(link, &Frame::Controls(self.peers.recent(now)));
         if self.spread.is_relayed() {
-            let _sent = frames.send(&Frame::Relays(self.spread.relays()));
+            self.tell(link, &Frame::Relays(self.spread.relays()));
         } else {
-            self.send_state(frames);
+            self.send_state(&[link]);
         }
     }
 
     /// Sends everything that is known of targets.
-    fn send_state(&self, frames: &FrameQueue) {
+    fn send_state(&self, links: &[LinkId]) {
         let all = self.registry.all().cloned().collect();
         let prefixes = self.prefixes.iter().copied().collect();
         for frame in [Frame::Targets(all), Frame::CachedPrefixes(prefixes)] {
             // A link without room is closed by the next news.
-            let _sent = frames.send(&frame);
+            self.links.offer(links, &frame);
         }
     }
 
@@ -133,10 +107,9 @@
     }
 
     pub(super) fn received(&mut self, link: LinkId, frame: Frame, now: Instant) {
-        let Some(accepted) = self.links.get(&link) else {
+        let Some(hello) = self.links.hello(link).cloned() else {
             return;
         };
-        let hello = accepted.hello.clone();
         if let Some(address) = hello.control() {
             self.heard(hello.id, address, now);
         }
@@ -160,11 +133,7 @@
             }
             Frame::Loads(counts) => self.loads.router(hello.id, counts, now),
             Frame::RequestConfig => self.send_config(link),
-            Frame::RequestTargets => {
-                if let Some(relay) = self.links.get(&link) {
-                    self.send_state(&relay.frames);
-                }
-            }
+            Frame::RequestTargets => self.send_state(&[link]),
             Frame::Ask(asked) => self.asked(link, asked, now),
             Frame::Controls(addresses) => {
                 for address in addresses {
@@ -195,11 +164,7 @@
 
     /// Sends an answer on a link.
     pub(super) fn tell(&self, link: LinkId, frame: &Frame) {
-        if let Some(accepted) = self.links.get(&link) {
-            // A full queue holds frames that are a sign of life themselves, and what
-            // is missing is asked for again.
-            let _sent = accepted.frames.send(frame);
-        }
+        self.links.offer(&[link], frame);
     }
 
     /// Takes what a peer passes on for its operators, or the answer to that.
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -9,7 +9,7 @@
 use crate::calls::{TargetCall, TargetNews};
 use crate::control::disk::Write;
 use crate::control::soft::SoftState;
-use crate::link::{Frame, LinkId, encode};
+use crate::link::{Frame, LinkId};
 
 /// Departures, times routers, that are also sent to every router when relays pass
 /// news on: a router whose relays all froze hears of a few departures at once.
@@ -38,7 +38,7 @@
         if announcement.phase != Phase::Ready {
             return None;
         }
-        let routers = self.routers().map(|(_, hello)| hello);
+        let routers = self.links.routers().map(|(_, hello)| hello);
         let (name, data_centre) = (&announcement.name, &announcement.data_centre);
         self.spread
             .reports_to(routers, name, data_centre, self.registry.len())
@@ -85,19 +85,9 @@
         self.peers.send_to_all(&Frame::Loads(self.loads.own_sums()));
         let totals = self.loads.totals();
         let entries = totals.len();
-        let Some(totals) = encode(&Frame::Totals(totals)) else {
-            error!(entries, "the totals are too large for a frame");
-            return entries;
-        };
-        let loads = &self.loads;
-        let told = self
-            .links
-            .values()
-            .filter(|link| loads.has_router(link.hello.id));
-        for link in told {
-            // A router that misses totals gets the next ones.
-            let _sent = link.frames.send_encoded(&totals);
-        }
+        // A router that misses totals gets the next ones.
+        self.links
+            .offer(&self.telling_links(), &Frame::Totals(totals));
         entries
     }
 
@@ -200,7 +190,7 @@
         let departed = news.iter().filter(|a| a.phase != Phase::Ready);
         let departed: Vec<Announcement> = departed.cloned().collect();
         self.send_down(None, &Frame::Targets(news));
-        let entries = departed.len().saturating_mul(self.routers().count());
+        let entries = departed.len().saturating_mul(self.links.routers().count());
         let few = (1..=DEPARTURE_ENTRIES).contains(&entries);
         if self.spread.is_relayed() && few {
             self.send_to_routers(&Frame::Targets(departed));
--- a/crates/fleet/src/link/accept.rs
+++ b/crates/fleet/src/link/accept.rs
@@ -12,28 +12,21 @@
 use tokio::time::{Instant, sleep_until, timeout};
 use tracing::{info, warn};
 
-use super::codec::{FrameError, FrameReader, encode};
+use super::codec::{FrameError, FrameReader};
 use super::frame::{Frame, Hello};
 use crate::process::accept;
 
 /// Number of an accepted link.
 pub type LinkId = u64;
 
-/// Frames that wait for an accepted link. They wait encoded, so that a frame for
-/// many links is encoded once.
+/// Frames that wait for an accepted link, encoded.
 #[derive(Clone, Debug)]
 pub struct FrameQueue(Sender<Bytes>);
 
 impl FrameQueue {
-    /// Adds a frame; returns whether there was room.
-    #[must_use]
-    pub fn send(&self, frame: &Frame) -> bool {
-        encode(frame).is_some_and(|bytes| self.send_encoded(&bytes))
-    }
-
     /// Adds an encoded frame; returns whether there was room.
     #[must_use]
-    pub fn send_encoded(&self, bytes: &Bytes) -> bool {
+    pub fn send(&self, bytes: &Bytes) -> bool {
         self.0.try_send(bytes.clone()).is_ok()
     }
 }
--- a/crates/fleet/src/link/mod.rs
+++ b/crates/fleet/src/link/mod.rs
@@ -7,11 +7,13 @@
 //! connection that went silent is noticed and replaced.
 
 mod accept;
+mod accepted;
 mod codec;
 mod dial;
 mod frame;
 
 pub use accept::{AcceptEvent, FrameQueue, LinkId, serve};
+pub use accepted::AcceptedLinks;
 pub use codec::{FrameError, FrameReader, encode};
 pub use dial::{Dialed, LinkEvent, dial};
 pub use frame::{Frame, Hello, Role, RouterPlace, Ticket};
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -477,7 +477,7 @@
                 frames,
             } => {
                 let state = self.state();
-                self.followers.opened(link, hello.id, frames, state);
+                self.followers.opened(link, hello, frames, state);
             }
             AcceptEvent::Received { link, frame } => match frame {
                 Frame::Alive(number) => self.followers.tell(link, &Frame::Alive(number)),
