--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -13,6 +13,7 @@
 use super::attempt_history::Execution;
 use super::event_stream::{StreamEnd, forward_stream};
 use super::forward::{Job, is_event_stream};
+use super::rejections::RejectionCause;
 use super::state::ActiveAttempt;
 
 /// Time limit for connecting to a target, which takes a few ms. TCP resends a lost packet
@@ -61,6 +62,8 @@
     NotSent,
     /// The target answered that it did not run the request.
     NotRun,
+    /// The target did not run the request, and others would not run it either.
+    NotAcceptable,
     /// The attempt was abandoned because the target was too slow; its retry is
     /// already taken from the retry budget.
     Left,
@@ -74,7 +77,7 @@
     /// Whether the target may have run the request.
     pub const fn execution(&self) -> Execution {
         match self {
-            Self::NotSent | Self::NotRun => Execution::NotRun,
+            Self::NotSent | Self::NotRun | Self::NotAcceptable => Execution::NotRun,
             Self::Whole(_)
             | Self::Relayed
             | Self::CallerGone
@@ -137,10 +140,10 @@
             Ok(Err(error)) => return self.connection_failed(&error, written, reused),
             Err(_) => return self.fail_with(AttemptEnd::Deadline),
         };
-        self.record_load(&head);
+        let load = self.record_load(&head);
         match verdict {
             ResponseVerdict::NotRunFull | ResponseVerdict::NotRunMisdirected => {
-                self.handle_refusal(connection, &head, verdict).await
+                self.handle_refusal(connection, &head, verdict, load).await
             }
             ResponseVerdict::RequestIdMismatch | ResponseVerdict::InvalidAnswer => {
                 self.active.set_outcome(Outcome::Failed);
@@ -216,10 +219,9 @@
         Ok((head, verdict))
     }
 
-    fn record_load(&self, head: &ResponseHead) {
-        let Some(stated) = parse_load(&head.headers) else {
-            return;
-        };
+    /// Records the load that an answer states, and returns it.
+    fn record_load(&self, head: &ResponseHead) -> Option<LoadReport> {
+        let stated = parse_load(&head.headers)?;
         let report = LoadReport {
             running: stated.running,
             waiting: stated.waiting,
@@ -233,6 +235,7 @@
             report,
             std::time::Instant::now(),
         );
+        Some(report)
     }
 
     /// Handles an answer that says that the target did not run the request. The
@@ -243,19 +246,27 @@
         mut connection: ClientConnection,
         head: &ResponseHead,
         verdict: ResponseVerdict,
+        load: Option<LoadReport>,
     ) -> AttemptEnd {
         let misdirected = verdict == ResponseVerdict::NotRunMisdirected;
-        self.active.set_outcome(if misdirected {
-            Outcome::Failed
+        let end = if misdirected {
+            self.active.set_outcome(Outcome::Failed);
+            AttemptEnd::NotRun
         } else {
-            Outcome::Full
-        });
+            match self.job.rejections.record(load) {
+                RejectionCause::Target => {
+                    self.active.set_outcome(Outcome::Full);
+                    AttemptEnd::NotRun
+                }
+                RejectionCause::Request => AttemptEnd::NotAcceptable,
+            }
+        };
         let body = async { while matches!(connection.next_chunk().await, Ok(Some(_))) {} };
         let ended = timeout_at(self.job.deadline, body).await.is_ok();
         if ended && !misdirected {
             self.keep_connection(connection, head);
         }
-        AttemptEnd::NotRun
+        end
     }
 
     async fn read_answer(
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -17,6 +17,7 @@
 use super::attempt::{Answer, Attempt, AttemptEnd};
 use super::attempt_history::{AttemptHistory, AttemptLimits};
 use super::event_stream::StreamProgress;
+use super::rejections::Rejections;
 use super::state::{ActiveAttempt, Router};
 use crate::clock::BootTime;
 
@@ -114,6 +115,7 @@
     /// Part of an event stream that the caller has received.
     pub progress: StreamProgress,
     pub history: AttemptHistory,
+    pub rejections: Rejections,
     prompt: Vec<PromptPart>,
     /// Names of the targets of earlier attempts.
     tried: Vec<String>,
@@ -208,6 +210,7 @@
             max_runs: route.max_attempts,
             max_attempts: MAX_ATTEMPTS,
         }),
+        rejections: Rejections::default(),
         tried: Vec::new(),
         failed_answer: None,
     })
@@ -245,6 +248,13 @@
                             .await;
                     }
                 }
+                AttemptEnd::NotAcceptable => {
+                    let count = self.rejections.with_room();
+                    trace.detail = format!("rejected by {count} targets that had free slots");
+                    return self
+                        .answer_failure(ResultCode::TargetRefused, responder)
+                        .await;
+                }
                 // A failed connection adds no load to the service, so its retry is not
                 // taken from the budget; an abandoned attempt has already taken its own.
                 AttemptEnd::NotSent | AttemptEnd::Left => {
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -4,7 +4,8 @@
 //! caller's connection, [`mod@admit`] decides whether the request is served,
 //! [`forward`] chooses targets and retries, [`attempt`] sends the request to one
 //! target over a connection from [`pool`], and [`event_stream`] forwards a stream
-//! of events. [`attempt_history`] limits the attempts of a request.
+//! of events. [`attempt_history`] limits the attempts of a request, and [`rejections`] tells full
+//! targets from a request that no target accepts.
 //!
 //! [`reports`] accepts reports of targets on behalf of the control instances of a
 //! large deployment, and [`followers`] keeps the links of the routers that this
@@ -24,6 +25,7 @@
 mod lease;
 mod metrics;
 mod pool;
+mod rejections;
 mod reports;
 mod serve;
 mod state;
@@ -31,6 +33,7 @@
 pub use admit::{Admission, Admitted, Refusal, admit};
 pub use attempt_history::{AttemptHistory, AttemptLimits, Execution};
 pub use lease::Lease;
+pub use rejections::{RejectionCause, Rejections};
 
 use std::future::ready;
 use std::rc::Rc;
--- a/crates/fleet/tests/router.rs
+++ b/crates/fleet/tests/router.rs
@@ -6,8 +6,11 @@
 use bamboospur_catalog::{
     Catalog, RequestKind, Route, Service, ServiceShare, Team, UncheckedCatalog,
 };
+use bamboospur_dispatch::LoadReport;
 use bamboospur_fleet::clock::BootTime;
-use bamboospur_fleet::router::{AttemptHistory, AttemptLimits, Execution, Lease, Refusal, admit};
+use bamboospur_fleet::router::{
+    AttemptHistory, AttemptLimits, Execution, Lease, Refusal, RejectionCause, Rejections, admit,
+};
 use bamboospur_platform::request::RequestMetadata;
 use quickcheck::quickcheck;
 
@@ -42,6 +45,31 @@
     assert!(!history.may_retry());
 }
 
+const fn load(running: u32, waiting: u32) -> LoadReport {
+    LoadReport {
+        running,
+        waiting,
+        slots: 8,
+    }
+}
+
+#[test]
+fn targets_without_room_are_the_cause_of_their_rejections() {
+    let mut rejections = Rejections::default();
+    for stated in [Some(load(8, 0)), Some(load(3, 1)), Some(load(9, 4)), None] {
+        assert_eq!(rejections.record(stated), RejectionCause::Target);
+    }
+    assert_eq!(rejections.with_room(), 0);
+}
+
+#[test]
+fn a_request_that_targets_with_room_reject_is_the_cause() {
+    let mut rejections = Rejections::default();
+    assert_eq!(rejections.record(Some(load(3, 0))), RejectionCause::Target);
+    assert_eq!(rejections.record(Some(load(8, 0))), RejectionCause::Target);
+    assert_eq!(rejections.record(Some(load(0, 0))), RejectionCause::Request);
+}
+
 quickcheck! {
     fn runs_never_pass_their_limits(repeatable: bool, runs: u8, ends: Vec<bool>) -> bool {
         let runs = u32::from(runs % 4) + 1;
--- a/crates/node/tests/deployment/callers.rs
+++ b/crates/node/tests/deployment/callers.rs
@@ -1,5 +1,5 @@
-//! What targets receive when callers disconnect, and after targets answered before
-//! they read the body.
+//! What targets receive when callers disconnect, when targets answer before they read
+//! the body, and when callers send fields that only routers may set.
 
 use std::io::Write;
 use std::net::TcpStream;
@@ -76,3 +76,51 @@
         assert!(rest.iter().all(|&byte| byte == b'b'));
     }
 }
+
+#[test]
+fn a_caller_cannot_command_a_target() {
+    const COMMANDS: [&str; 5] = [
+        "X-Bamboospur-Hold: h1",
+        "x-bamboospur-pin-ms: 4000",
+        "X-BAMBOOSPUR-KV-BACKUP: 10.0.0.1:80",
+        "Kv-From: 10.0.0.1:80/h1",
+        "X-Bamboospur-Request-Priority: 0",
+    ];
+    let mut deployment = Deployment::start(43);
+    deployment.configure("k1");
+    let target = Target::start(deployment.host(20), "t1", Behaviour::Answer);
+    deployment.report("t1", &target, "s", "ready", 1);
+    deployment.wait_ready();
+    let text = request_text("GET", "/read/1", "id-1", "k1");
+    let commands = COMMANDS.join("\r\n") + "\r\nConnection: close";
+    let text = text.replace("Connection: close", &commands);
+    let reply = call(deployment.caller_address(), &text).expect("a reply");
+    assert_eq!(reply.status, 200);
+    let heads = target.heads.lock().expect("heads");
+    let received = heads[0].to_ascii_lowercase();
+    for command in COMMANDS {
+        let (name, _) = command.split_once(':').expect("a name");
+        assert!(!received.contains(&name.to_ascii_lowercase()), "{received}");
+    }
+}
+
+#[test]
+fn a_request_that_targets_with_room_reject_is_refused_at_once() {
+    let mut deployment = Deployment::start(44);
+    deployment.configure("k1");
+    let mut targets = Vec::new();
+    for (index, name) in [(20, "t1"), (21, "t2"), (22, "t3")] {
+        let target = Target::start(deployment.host(index), name, Behaviour::RejectWithRoom);
+        deployment.report(name, &target, "s", "ready", 1);
+        targets.push(target);
+    }
+    deployment.wait_ready();
+    eventually("the router knows all targets", || {
+        let log = std::fs::read_to_string(deployment.folder.join("router.log"));
+        log.is_ok_and(|log| ["t1", "t2", "t3"].iter().all(|name| log.contains(name)))
+    });
+    let reply = deployment.request("GET", "/read/1", "id-1", "k1");
+    assert_eq!(reply.expect("a reply").status, 503);
+    let offers: usize = targets.iter().map(Target::runs).sum();
+    assert_eq!(offers, 2);
+}
--- a/crates/node/tests/deployment/harness.rs
+++ b/crates/node/tests/deployment/harness.rs
@@ -77,6 +77,8 @@
     Stream,
     /// Sends no answer and waits until the router closes the connection.
     NeverAnswer,
+    /// Rejects requests without running them, and states that all slots are free.
+    RejectWithRoom,
     /// Answers before reading the body, reads the body after a pause, and takes the
     /// next request on the same connection.
     AnswerEarly,
@@ -192,6 +194,13 @@
             records.bodies.lock().ok()?.push(all);
             return Some(is_whole);
         }
+        Behaviour::RejectWithRoom => {
+            let head = head.replace("200 OK", "503 Service Unavailable");
+            let rest = "X-Bamboospur-Not-Executed: 1\r\nX-Bamboospur-Replica-Load: 0,0,4\r\n";
+            stream
+                .write_all(format!("{head}{rest}Content-Length: 0\r\n\r\n").as_bytes())
+                .ok()?;
+        }
         Behaviour::Answer => {
             stream
                 .write_all(format!("{head}Content-Length: 2\r\n\r\nok").as_bytes())
