--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -54,10 +54,7 @@
         }
     };
     let (result, done) = oneshot::channel();
-    let document = Document {
-        version,
-        content: lz4_flex::compress_prepend_size(body),
-    };
+    let document = Document::new(version, body);
     let sent = events.send(Event::Put { document, result }).await;
     let outcome = timeout(ANSWER_TIMEOUT, done).await;
     let accepted = sent.is_ok() && matches!(outcome, Ok(Ok(PutResult::Accepted)));
@@ -82,13 +79,12 @@
         Ok(Ok(Some(document))) if sent.is_ok() => document,
         _ => return Answer::error(503, "the newest configuration is not known for certain"),
     };
-    match lz4_flex::decompress_size_prepended(&document.content) {
-        Ok(body) => Answer::new(200, body),
-        Err(error) => {
+    match document.text() {
+        Some(body) if document.version > 0 => Answer::new(200, body),
+        _ => {
             warn!(
-                %error,
                 version = document.version,
-                "failed to decompress the stored configuration; answering 503"
+                "no stored configuration, or it is malformed; answering 503"
             );
             Answer::error(503, "there is no configuration")
         }
--- a/crates/fleet/src/control/counters.rs
+++ b/crates/fleet/src/control/counters.rs
@@ -11,6 +11,8 @@
     pub operator_calls: u64,
     /// Configurations that came into force.
     pub configs: u64,
+    /// Bytes of large frames that were sent to routers.
+    pub bulk_bytes: u64,
     /// Changes of the leader.
     pub elections: u64,
     /// Writes to the log that failed.
@@ -34,6 +36,8 @@
     pub links: usize,
     /// Number of routers that relay updates.
     pub relays: usize,
+    /// Number of large frames that wait for bandwidth.
+    pub bulk_waiting: usize,
 }
 
 impl Counters {
@@ -44,6 +48,7 @@
             ("target_reports_total", self.reports),
             ("operator_calls_total", self.operator_calls),
             ("configs_total", self.configs),
+            ("bulk_bytes_total", self.bulk_bytes),
             ("elections_total", self.elections),
             ("disk_failures_total", self.disk_failures),
             ("violations_total", self.violations),
@@ -54,6 +59,7 @@
             ("targets_usable", number(gauges.targets)),
             ("links_accepted", number(gauges.links)),
             ("relays", number(gauges.relays)),
+            ("bulk_waiting", number(gauges.bulk_waiting)),
         ];
         let mut text = String::new();
         for (name, value) in lines {
--- a/crates/fleet/src/control/fanout.rs
+++ b/crates/fleet/src/control/fanout.rs
@@ -7,8 +7,9 @@
 //! the other routers, and routers accept the reports of the targets in their data
 //! centre.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use bamboospur_types::{mix64, stable_id};
 
@@ -39,54 +40,90 @@
 }
 
 /// Selects the relays, and the routers that accept reports.
+///
+/// The leader selects the relays, and the other instances adopt its selection. A relay
+/// stays selected while it is linked: each change makes all routers of its data centre
+/// dial another relay.
 #[derive(Clone, Debug)]
 pub struct Fanout {
     settings: FanoutSettings,
-    relays: BTreeMap<LinkId, RouterLocation>,
+    selected: BTreeMap<SocketAddr, Relay>,
+    /// Links of the selected relays to this instance.
+    links: BTreeSet<LinkId>,
 }
 
+/// A selected relay.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Relay {
+    data_centre: String,
+    /// When the relay loses its place unless its link is back.
+    replaced_at: Option<Instant>,
+}
+
+/// Time in which a relay whose link ended can dial again before it is replaced. The other
+/// relays of the data centre serve the routers meanwhile.
+const RELAY_RETURN_TIME: Duration = Duration::from_millis(400);
+
 impl Fanout {
     /// Returns a state without relays.
     #[must_use]
     pub const fn new(settings: FanoutSettings) -> Self {
         Self {
             settings,
-            relays: BTreeMap::new(),
+            selected: BTreeMap::new(),
+            links: BTreeSet::new(),
         }
     }
 
     /// Whether updates go through relays.
     #[must_use]
     pub fn has_relays(&self) -> bool {
-        !self.relays.is_empty()
+        !self.selected.is_empty()
     }
 
-    /// Returns the links of the relays.
+    /// Returns the links of the relays to this instance.
     pub fn relay_links(&self) -> impl Iterator<Item = LinkId> {
-        self.relays.keys().copied()
+        self.links.iter().copied()
+    }
+
+    /// Whether a link is that of a relay.
+    #[must_use]
+    pub fn is_relay_link(&self, link: LinkId) -> bool {
+        self.links.contains(&link)
     }
 
     /// Returns the data centres and link addresses of the relays.
     #[must_use]
     pub fn relays(&self) -> Vec<(String, SocketAddr)> {
-        let relays = self.relays.values();
+        let relays = self.selected.iter();
         relays
-            .map(|location| (location.data_centre.clone(), location.links))
+            .map(|(&address, relay)| (relay.data_centre.clone(), address))
             .collect()
     }
 
+    /// Returns the relays of one data centre.
+    #[must_use]
+    pub fn relays_of(&self, data_centre: &str) -> Vec<(String, SocketAddr)> {
+        let mut relays = self.relays();
+        relays.retain(|(relay_data_centre, _)| relay_data_centre == data_centre);
+        relays
+    }
+
     /// Selects the relays for the current routers and number of targets; returns whether
     /// the relays changed.
     ///
-    /// Control instances with links to the same routers select the same relays.
+    /// Linked relays are kept, and free places are filled by rank. So instances that start
+    /// with links to the same routers select the same relays before they have a leader.
     pub fn select_relays<'a>(
         &mut self,
         routers: impl Iterator<Item = (LinkId, &'a Hello)>,
         targets: usize,
+        now: Instant,
     ) -> bool {
         let routers: Vec<(LinkId, u64, &RouterLocation)> = routers
             .filter_map(|(link, hello)| Some((link, mix64(hello.id), hello.router_location()?)))
             .collect();
+        let before = self.relays();
         // Hysteresis: with a single bound, a deployment near the bound would switch
         // between both modes again and again.
         let max_entries = if self.has_relays() {
@@ -94,14 +131,81 @@
         } else {
             self.settings.direct_entries
         };
-        let relays = if routers.len().saturating_mul(targets) > max_entries {
-            select_highest_ranked(routers, self.settings.relays)
+        if routers.len().saturating_mul(targets) > max_entries {
+            self.remove_lost(&routers, now);
+            self.fill_places(&routers);
         } else {
-            BTreeMap::new()
+            self.selected.clear();
+        }
+        self.update_links(&routers);
+        before != self.relays()
+    }
+
+    /// Adopts the selection of the leader; returns whether the relays changed.
+    pub fn adopt_relays<'a>(
+        &mut self,
+        relays: &[(String, SocketAddr)],
+        routers: impl Iterator<Item = (LinkId, &'a Hello)>,
+    ) -> bool {
+        let before = self.relays();
+        let relay = |(data_centre, address): &(String, SocketAddr)| {
+            let relay = Relay {
+                data_centre: data_centre.clone(),
+                replaced_at: None,
+            };
+            (*address, relay)
         };
-        let changed = relays != self.relays;
-        self.relays = relays;
-        changed
+        self.selected = relays.iter().map(relay).collect();
+        let routers: Vec<(LinkId, u64, &RouterLocation)> = routers
+            .filter_map(|(link, hello)| Some((link, mix64(hello.id), hello.router_location()?)))
+            .collect();
+        self.update_links(&routers);
+        before != self.relays()
+    }
+
+    /// Removes relays that have not been linked for [`RELAY_RETURN_TIME`].
+    fn remove_lost(&mut self, routers: &[(LinkId, u64, &RouterLocation)], now: Instant) {
+        let linked: BTreeSet<SocketAddr> = routers.iter().map(|(.., l)| l.links).collect();
+        self.selected.retain(|address, relay| {
+            if linked.contains(address) {
+                relay.replaced_at = None;
+                return true;
+            }
+            now < *relay.replaced_at.get_or_insert(now + RELAY_RETURN_TIME)
+        });
+    }
+
+    /// Selects the routers with the highest ranks for the free places of each data centre.
+    fn fill_places(&mut self, routers: &[(LinkId, u64, &RouterLocation)]) {
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for relay in self.selected.values() {
+            *counts.entry(relay.data_centre.clone()).or_default() += 1;
+        }
+        let mut ranked: Vec<_> = routers.iter().collect();
+        ranked.sort_by_key(|&&(_, rank, _)| std::cmp::Reverse(rank));
+        for (.., location) in ranked {
+            let count = counts.entry(location.data_centre.clone()).or_default();
+            if *count < self.settings.relays && !self.selected.contains_key(&location.links) {
+                *count += 1;
+                let relay = Relay {
+                    data_centre: location.data_centre.clone(),
+                    replaced_at: None,
+                };
+                self.selected.insert(location.links, relay);
+            }
+        }
+    }
+
+    /// Finds the links of the relays. If a relay has two links, the newer one is used.
+    fn update_links(&mut self, routers: &[(LinkId, u64, &RouterLocation)]) {
+        let mut links: BTreeMap<SocketAddr, LinkId> = BTreeMap::new();
+        for &(link, _, location) in routers {
+            if self.selected.contains_key(&location.links) {
+                let newest = links.entry(location.links).or_insert(link);
+                *newest = link.max(*newest);
+            }
+        }
+        self.links = links.into_values().collect();
     }
 
     /// Returns the router address for the later reports of a target, or `None` if they go
@@ -125,23 +229,3 @@
         chosen?.router_location().map(|location| location.reports)
     }
 }
-
-/// Returns the `relays` routers of each data centre that have the highest ranks. If a
-/// router has two links, the newer one is used.
-fn select_highest_ranked(
-    mut routers: Vec<(LinkId, u64, &RouterLocation)>,
-    relays: usize,
-) -> BTreeMap<LinkId, RouterLocation> {
-    routers.sort_by_key(|&(link, rank, _)| std::cmp::Reverse((rank, link)));
-    routers.dedup_by_key(|&mut (_, rank, _)| rank);
-    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-    let mut selected = BTreeMap::new();
-    for (link, _, location) in routers {
-        let count = counts.entry(&location.data_centre).or_default();
-        if *count < relays {
-            *count += 1;
-            selected.insert(link, location.clone());
-        }
-    }
-    selected
-}
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -1,5 +1,6 @@
 //! Task that owns the state of a control instance.
 
+mod bulk;
 mod config;
 mod links;
 mod targets;
@@ -8,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bamboospur_group::{Group, GroupInput, GroupOutput, GroupSettings};
+use bamboospur_group::{DocumentVersion, Group, GroupInput, GroupOutput, GroupSettings};
 use bamboospur_platform::settings::ProcessSettings;
 use bamboospur_registry::{Announcement, Registry, RegistrySettings, StartTime, TargetName};
 use bamboospur_types::{InstanceId, stable_id};
@@ -23,7 +24,8 @@
 use super::operators::{PendingRequest, PendingRequests};
 use super::peers::Peers;
 use super::soft::{SoftState, SoftStateSchedule};
-use crate::link::{AcceptedLinks, Frame, LinkId};
+use crate::config_history::ConfigHistory;
+use crate::link::{AcceptedLinks, BulkQueue, Frame, LinkId};
 use crate::loads::Loads;
 
 /// Time between two rounds of periodic work, such as keep-alives and batches of reports
@@ -61,6 +63,13 @@
     /// Targets that reported to routers since the last round, to send to peers.
     refreshed_targets: BTreeMap<TargetName, (StartTime, u64)>,
     fanout: Fanout,
+    /// Relays that the leader selected; `None` until the first list of a leader.
+    leader_relays: Option<Vec<(String, SocketAddr)>>,
+    /// Large frames that routers wait for.
+    bulk: BulkQueue,
+    /// Links of routers that wait for a newer configuration than this instance has, with
+    /// the versions that they hold.
+    config_waiters: BTreeMap<LinkId, DocumentVersion>,
     /// Updates of targets that wait for the next batch to routers.
     pending_updates: Vec<Announcement>,
     /// Earliest time of the next batch of updates.
@@ -70,8 +79,8 @@
     /// Newest cached prefixes, oldest first, as pairs of hashes: of the prefix and of the
     /// target.
     cached_prefixes: VecDeque<(u64, u64)>,
-    /// Version of the configuration that was last sent to routers.
-    published_version: u64,
+    /// Configurations that were sent to routers.
+    config_history: ConfigHistory,
     counters: Counters,
     /// Addresses of control instances that were last sent to routers.
     sent_controls: Vec<SocketAddr>,
@@ -98,9 +107,7 @@
             .as_ref()
             .ok_or("the settings name no data folder")?;
         let opened = disk::open(path, founder_id, &founders, events.clone())?;
-        let mut group_settings = GroupSettings::default();
-        group_settings.replica.id = opened.id;
-        group_settings.replica.disk = opened.id;
+        let group_settings = group_settings(opened.id);
         let silence_timeout = settings.report_period * MAX_MISSED_REPORTS;
         info!(id = opened.id, founder = is_founder, "data folder opened");
         let mut registry = Registry::new(RegistrySettings {
@@ -135,11 +142,14 @@
             unsent_to_peers: BTreeMap::new(),
             refreshed_targets: BTreeMap::new(),
             fanout: Fanout::new(fanout_settings),
+            leader_relays: None,
+            bulk: BulkQueue::new(settings.link_bytes_per_s, now),
+            config_waiters: BTreeMap::new(),
             pending_updates: Vec::new(),
             next_updates_at: now,
             reported_silent: BTreeSet::new(),
             cached_prefixes: soft.prefixes.into(),
-            published_version: 0,
+            config_history: ConfigHistory::default(),
             counters: Counters::default(),
             sent_controls: Vec::new(),
             loads: Loads::default(),
@@ -160,6 +170,7 @@
                 },
                 () = sleep_until(deadline.into()) => self.tick(),
             }
+            self.send_bulk(Instant::now());
         }
     }
 
@@ -167,7 +178,8 @@
         let periodic = self.next_round_at.min(self.next_loads_at);
         let updates = (!self.pending_updates.is_empty()).then_some(self.next_updates_at);
         let deadline = self.group.next_deadline().min(periodic);
-        updates.map_or(deadline, |at| deadline.min(at))
+        let optional = [updates, self.bulk.next_at()];
+        optional.into_iter().flatten().fold(deadline, Instant::min)
     }
 
     fn tick(&mut self) {
@@ -211,7 +223,11 @@
             self.send_to_routers(&Frame::Controls(controls.clone()));
             self.sent_controls = controls;
         }
-        self.update_relays();
+        self.update_relays(now);
+        if self.is_leader() {
+            let relays = self.fanout.relays();
+            self.peers.send_to_all(&Frame::Relays(relays));
+        }
         self.send_silent_targets(now);
         self.save_soft_state(now);
     }
@@ -258,6 +274,7 @@
             targets: self.registry.usable(now).len(),
             links: self.links.len(),
             relays: self.fanout.relay_links().count(),
+            bulk_waiting: self.bulk.len(),
         })
     }
 
@@ -284,11 +301,12 @@
             GroupOutput::DocumentChanged => {
                 // Replaying the log emits this output many times for one document.
                 let document = self.group.document();
-                if document.version > self.published_version {
-                    self.published_version = document.version;
+                let previous = self.config_history.version();
+                if document.version > previous {
                     self.counters.configs += 1;
                     info!(version = document.version, "configuration in force");
-                    self.publish_config(&Frame::Config(document.clone()));
+                    self.config_history.push(document.clone(), None);
+                    self.publish_config(previous);
                 }
             }
             GroupOutput::LeaderChanged { leader } => {
@@ -315,6 +333,13 @@
     }
 }
 
+fn group_settings(id: InstanceId) -> GroupSettings {
+    let mut settings = GroupSettings::default();
+    settings.replica.id = id;
+    settings.replica.disk = id;
+    settings
+}
+
 /// Returns the time until the next exchange of loads. Totals with many entries are sent
 /// less often, so that they use a small part of the bandwidth of a link.
 fn loads_interval(entries: usize) -> Duration {
--- a/crates/fleet/src/control/host/config.rs
+++ b/crates/fleet/src/control/host/config.rs
@@ -2,21 +2,56 @@
 
 use std::time::Instant;
 
-use bamboospur_group::{Document, GroupInput, Reply, Unavailable};
+use bamboospur_group::{Document, DocumentVersion, GroupInput, Reply, Unavailable};
 use bamboospur_types::InstanceId;
 use tracing::warn;
 
 use super::Host;
 use crate::control::event::PutResult;
 use crate::control::operators::PendingRequest;
-use crate::link::{Frame, LinkId, Ticket};
+use crate::link::{BulkItem, BulkKind, Frame, LinkId, Ticket};
+
+/// Size up to which a change is sent to all routers at once, instead of one after the
+/// other.
+const MAX_DIRECT_CONFIG_BYTES: usize = 4 * 1024;
 
 impl Host {
-    /// Sends a configuration to the routers that send their loads to this instance. Other
-    /// routers receive it from the instance or relay that they send their loads to, or
-    /// request it.
-    pub(super) fn publish_config(&mut self, frame: &Frame) {
-        self.links.send(&self.reporting_router_links(), frame);
+    /// Sends the change from the version before to the routers that send their loads to
+    /// this instance, and to those that requested a newer version. Other routers receive
+    /// it from the instance or relay that they send their loads to, or request it.
+    pub(super) fn publish_config(&mut self, previous: DocumentVersion) {
+        for (link, held_version) in std::mem::take(&mut self.config_waiters) {
+            self.queue_config(link, held_version);
+        }
+        let links = self.reporting_router_links();
+        match self.config_history.change_from(previous) {
+            Some(change) if change.size_bytes() <= MAX_DIRECT_CONFIG_BYTES => {
+                self.links.send(&links, &Frame::Config(change));
+            }
+            Some(_) => {
+                for link in links {
+                    self.queue_config(link, previous);
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn queue_config(&mut self, link: LinkId, held_version: DocumentVersion) {
+        self.bulk.push(BulkItem {
+            link,
+            kind: BulkKind::Config,
+            held_version,
+        });
+    }
+
+    /// Sends a router the change from the version that it holds, now or once there is one.
+    pub(super) fn handle_config_request(&mut self, link: LinkId, held_version: DocumentVersion) {
+        if held_version < self.config_history.version() {
+            self.queue_config(link, held_version);
+        } else {
+            self.config_waiters.insert(link, held_version);
+        }
     }
 
     /// Returns the links of the routers that send their loads to this instance.
@@ -101,10 +136,6 @@
         }
     }
 
-    pub(super) fn send_config(&self, link: LinkId) {
-        self.send_to_link(link, &Frame::Config(self.group.document().clone()));
-    }
-
     pub(super) fn handle_peer_put(
         &mut self,
         peer: InstanceId,
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -1,13 +1,16 @@
 //! Links with peers and routers: opening, closing, and frames in both directions.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
+use bamboospur_agreement::Message;
 use bamboospur_group::GroupInput;
 use bamboospur_types::InstanceId;
 use tracing::{info, warn};
 
 use super::Host;
-use crate::link::{AcceptEvent, DialEvent, Frame, FrameQueue, Hello, LinkId, Ticket};
+use crate::control::fanout::Fanout;
+use crate::link::{AcceptEvent, BulkKind, DialEvent, Frame, FrameQueue, Hello, LinkId, Ticket};
 
 impl Host {
     pub(super) fn handle_accept_event(&mut self, event: AcceptEvent, now: Instant) {
@@ -20,9 +23,8 @@
             AcceptEvent::Received { link, frame } => self.handle_frame(link, frame, now),
             AcceptEvent::Ended { link } => {
                 self.links.remove(link);
-                if self.fanout.relay_links().any(|relay| relay == link) {
-                    self.update_relays();
-                }
+                self.bulk.retain(|item| item.link != link);
+                self.config_waiters.remove(&link);
             }
         }
     }
@@ -35,34 +37,73 @@
         self.links.send(&self.router_links(), frame);
     }
 
-    /// Sends a frame to the relays, or to all routers when there are no relays. `except`
-    /// is left out.
-    pub(super) fn send_via_relays(&mut self, except: Option<LinkId>, frame: &Frame) {
-        let mut links = if self.fanout.has_relays() {
+    /// Returns the links of the relays, or of all routers when there are no relays.
+    fn update_links(&self) -> Vec<LinkId> {
+        if self.fanout.has_relays() {
             self.fanout.relay_links().collect()
         } else {
             self.router_links()
-        };
-        links.retain(|&link| except != Some(link));
-        self.links.send(&links, frame);
+        }
+    }
+
+    /// Sends a frame to the relays, or to all routers when there are no relays.
+    pub(super) fn send_via_relays(&mut self, frame: &Frame) {
+        self.links.send(&self.update_links(), frame);
+    }
+
+    /// Sends cached prefixes to the relays, or to all routers when there are no relays.
+    /// `except` is left out. They are hints, so a router may miss them.
+    pub(super) fn send_prefixes(&self, except: LinkId, prefixes: Vec<(u64, u64)>) {
+        let mut links = self.update_links();
+        links.retain(|&link| link != except);
+        let _bytes = self
+            .links
+            .try_send(&links, &Frame::CachedPrefixes(prefixes));
     }
 
-    /// Selects the relays and sends them to all routers when they change. A router that
-    /// becomes a relay requests the full state.
-    pub(super) fn update_relays(&mut self) {
-        if !self
-            .fanout
-            .select_relays(self.links.routers(), self.registry.len())
-        {
+    /// Selects the relays, or adopts the selection of the leader, and sends changed ones to
+    /// the routers. A router that becomes a relay requests the full state.
+    pub(super) fn update_relays(&mut self, now: Instant) {
+        let before = self.fanout.clone();
+        let routers = self.links.routers();
+        let changed = match &self.leader_relays {
+            Some(relays) if !self.is_leader() => self.fanout.adopt_relays(relays, routers),
+            _ => self.fanout.select_relays(routers, self.registry.len(), now),
+        };
+        if !changed {
             return;
         }
         let relays = self.fanout.relays();
         info!(?relays, "relays changed");
-        self.send_to_routers(&Frame::Relays(relays));
-        if !self.fanout.has_relays() {
+        if self.fanout.has_relays() {
+            self.send_changed_relays(&before);
+            let fanout = &self.fanout;
+            self.bulk
+                .retain(|item| item.kind == BulkKind::Config || fanout.is_relay_link(item.link));
+        } else {
+            self.send_to_routers(&Frame::Relays(Vec::new()));
             // While there were relays, the other routers received no updates from this
             // instance.
-            self.send_state(&self.router_links());
+            for link in self.router_links() {
+                self.queue_state(link, false);
+            }
+        }
+    }
+
+    /// Sends the relays of each data centre whose relays have changed to its routers.
+    fn send_changed_relays(&mut self, before: &Fanout) {
+        let mut links: BTreeMap<String, Vec<LinkId>> = BTreeMap::new();
+        for (link, hello) in self.links.routers() {
+            if let Some(location) = hello.router_location() {
+                let data_centre = location.data_centre.clone();
+                links.entry(data_centre).or_default().push(link);
+            }
+        }
+        for (data_centre, links) in links {
+            let relays = self.fanout.relays_of(&data_centre);
+            if relays != before.relays_of(&data_centre) {
+                self.links.send(&links, &Frame::Relays(relays));
+            }
         }
     }
 
@@ -87,32 +128,23 @@
             if !self.fanout.has_relays() {
                 // When many routers start at once, relays avoid sending the full state to
                 // each of them.
-                self.update_relays();
+                self.update_relays(now);
             }
             self.send_initial_state(link, now);
         }
     }
 
     /// Sends the current state to a router, or the relays that it receives the state from.
-    fn send_initial_state(&self, link: LinkId, now: Instant) {
+    fn send_initial_state(&mut self, link: LinkId, now: Instant) {
         self.send_to_link(link, &Frame::Controls(self.peers.recent_addresses(now)));
-        if self.fanout.has_relays() {
-            self.send_to_link(link, &Frame::Relays(self.fanout.relays()));
-        } else {
-            self.send_state(&[link]);
+        if !self.fanout.has_relays() {
+            self.queue_state(link, false);
+            return;
         }
-    }
-
-    /// Sends all targets and cached prefixes.
-    fn send_state(&self, links: &[LinkId]) {
-        let announcements = self.registry.all().cloned().collect();
-        let prefixes = self.cached_prefixes.iter().copied().collect();
-        for frame in [
-            Frame::Targets(announcements),
-            Frame::CachedPrefixes(prefixes),
-        ] {
-            // A link whose queue is full is closed by the next update.
-            self.links.try_send(links, &frame);
+        let location = self.links.hello(link).and_then(Hello::router_location);
+        if let Some(location) = location {
+            let relays = self.fanout.relays_of(&location.data_centre);
+            self.send_to_link(link, &Frame::Relays(relays));
         }
     }
 
@@ -135,25 +167,23 @@
         }
         match frame {
             Frame::Alive(number) => self.send_to_link(link, &Frame::Alive(number)),
-            Frame::Replica { to, message } if to == self.id => {
-                let message = *message;
-                let from = hello.id;
-                self.handle_group_input(GroupInput::Message { from, message });
-            }
-            Frame::Replica { to, .. } => {
-                info!(
-                    to,
-                    from = hello.id,
-                    "dropping a message for a former instance at this address"
-                );
-            }
+            Frame::Replica { to, message } => self.handle_replica_message(hello.id, to, *message),
             Frame::CachedPrefixes(prefixes) => self.forward_prefixes(link, prefixes),
             Frame::Loads(counts) if hello.control_address().is_some() => {
                 self.loads.record_peer_sums(hello.id, counts, now);
             }
             Frame::Loads(counts) => self.loads.record_router_counts(hello.id, counts, now),
-            Frame::RequestConfig => self.send_config(link),
-            Frame::RequestTargets => self.send_state(&[link]),
+            Frame::RequestConfig(held) => self.handle_config_request(link, held),
+            // With relays, the other routers get the state from them.
+            Frame::RequestTargets {
+                with_prefixes,
+                as_relay,
+            } if as_relay || !self.fanout.has_relays() => self.queue_state(link, with_prefixes),
+            Frame::RequestTargets { .. } => {}
+            // A leader that has just started may have no routers yet.
+            Frame::Relays(relays) if self.group.leader() == Some(hello.id) => {
+                self.leader_relays = Some(relays).filter(|relays| !relays.is_empty());
+            }
             Frame::Ask(asked) => self.handle_ask(link, asked, now),
             Frame::Controls(addresses) => {
                 for address in addresses {
@@ -185,9 +215,20 @@
         }
     }
 
+    fn handle_replica_message(&mut self, from: InstanceId, to: InstanceId, message: Message) {
+        if to == self.id {
+            self.handle_group_input(GroupInput::Message { from, message });
+        } else {
+            info!(
+                to,
+                from, "dropping a message for a former instance at this address"
+            );
+        }
+    }
+
     /// Sends a frame that may be lost on one link.
     pub(super) fn send_to_link(&self, link: LinkId, frame: &Frame) {
-        self.links.try_send(&[link], frame);
+        let _bytes = self.links.try_send(&[link], frame);
     }
 
     /// Handles an operator's request that a peer forwarded, or a peer's answer to one.
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -91,7 +91,8 @@
         let totals = self.loads.totals();
         let entries = totals.len();
         // A router that misses totals receives the next ones.
-        self.links
+        let _bytes = self
+            .links
             .try_send(&self.reporting_router_links(), &Frame::Totals(totals));
         entries
     }
@@ -126,7 +127,7 @@
         if !newly_silent.is_empty() {
             let names: Vec<&str> = newly_silent.iter().map(|a| a.name.as_str()).collect();
             info!(?names, "no reports from targets; marking them silent");
-            self.send_via_relays(None, &Frame::Silent(newly_silent));
+            self.send_via_relays(&Frame::Silent(newly_silent));
         }
     }
 
@@ -191,7 +192,7 @@
         }
         self.next_updates_at = now + UPDATE_BATCH_INTERVAL;
         if !self.fanout.has_relays() {
-            self.update_relays();
+            self.update_relays(now);
         }
         let updates = std::mem::take(&mut self.pending_updates);
         let from_targets = updates
@@ -203,7 +204,7 @@
         }
         let departed = updates.iter().filter(|a| a.phase != Phase::Ready);
         let departed: Vec<Announcement> = departed.cloned().collect();
-        self.send_via_relays(None, &Frame::Targets(updates));
+        self.send_via_relays(&Frame::Targets(updates));
         let entries = departed.len().saturating_mul(self.links.routers().count());
         let few = (1..=MAX_DIRECT_DEPARTURE_ENTRIES).contains(&entries);
         if self.fanout.has_relays() && few {
@@ -221,6 +222,6 @@
             .saturating_sub(MAX_CACHED_PREFIXES);
         self.cached_prefixes.drain(..excess);
         self.soft_schedule.record_change();
-        self.send_via_relays(Some(from), &Frame::CachedPrefixes(prefixes));
+        self.send_prefixes(from, prefixes);
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod calls;
 pub mod clock;
+mod config_history;
 pub mod control;
 mod exposition;
 pub mod link;
@@ -20,4 +21,5 @@
 pub mod settings_file;
 pub mod signals;
 
+pub use config_history::ConfigHistory;
 pub use loads::{Loads, RequestCounts};
--- a/crates/fleet/src/link/accepted.rs
+++ b/crates/fleet/src/link/accepted.rs
@@ -65,13 +65,15 @@
 
     /// Sends a frame that may be lost, and drops it for links whose queue is full. The
     /// queued frames keep such a link alive, and lost content is sent or requested again.
-    pub fn try_send(&self, links: &[LinkId], frame: &Frame) {
+    /// Returns the bytes queued on all links.
+    #[must_use]
+    pub fn try_send(&self, links: &[LinkId], frame: &Frame) -> usize {
         let Some(bytes) = encode_for(links, frame) else {
-            return;
+            return 0;
         };
-        for accepted in links.iter().filter_map(|link| self.links.get(link)) {
-            let _sent = accepted.frames.send(&bytes);
-        }
+        let open = links.iter().filter_map(|link| self.links.get(link));
+        let sent = open.filter(|accepted| accepted.frames.send(&bytes));
+        sent.count() * bytes.len()
     }
 
     /// Sends a frame that must not be lost. Links whose queue is full are closed; their
--- /dev/null
+++ b/crates/fleet/src/link/bulk.rs
@@ -0,0 +1,163 @@
+//! Large frames that peers wait for, sent at a limited rate.
+//!
+//! A process sends many times the rate of its network link when many peers connect at
+//! once: each needs the targets, the cached prompts or a whole configuration. If all of
+//! that were queued, heartbeats and leases would wait for seconds behind it, links would
+//! time out, and the peers that dial again would ask for the same once more. So a
+//! [`BulkQueue`] keeps what each link waits for, without the content, and releases one
+//! item after the other at a part of the link's rate. The content is taken when an item is
+//! released; a newer version replaces the one before without any bytes sent.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use bamboospur_group::DocumentVersion;
+
+use super::accept::LinkId;
+use super::frame::Frame;
+
+/// Part of the rate of the network link that bulk frames may use.
+const BULK_SHARE: f64 = 0.5;
+/// Bulk frames that may be sent at once after a pause, as time at the bulk rate.
+const BURST: Duration = Duration::from_millis(100);
+/// Rate of a network link whose rate is not stated: 1 Gbit/s.
+const DEFAULT_LINK_BYTES_PER_S: f64 = 125_000_000.0;
+
+/// Cached prompts in one frame; a frame takes 16 KB.
+const PREFIXES_PER_FRAME: usize = 1_024;
+
+/// Returns cached prompts in frames of limited size.
+#[must_use]
+pub fn prefix_frames(prefixes: impl Iterator<Item = (u64, u64)>) -> Vec<Frame> {
+    let prefixes: Vec<(u64, u64)> = prefixes.collect();
+    let parts = prefixes.chunks(PREFIXES_PER_FRAME);
+    parts
+        .map(|part| Frame::CachedPrefixes(part.to_vec()))
+        .collect()
+}
+
+/// Content of a bulk frame, the most urgent first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum BulkKind {
+    /// The configuration in force.
+    Config,
+    /// Announcements of all targets.
+    Targets,
+    /// Cached prompts and the targets that hold them.
+    CachedPrefixes,
+}
+
+/// Item that a link waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BulkItem {
+    /// Link of the peer.
+    pub link: LinkId,
+    /// What the peer waits for.
+    pub kind: BulkKind,
+    /// Version of the configuration that the peer holds; 0 for none.
+    pub held_version: DocumentVersion,
+}
+
+/// Items that wait to be sent, and the budget in bytes for them.
+#[derive(Clone, Debug)]
+pub struct BulkQueue {
+    bytes_per_s: f64,
+    /// Bytes that may be sent now; negative after a large frame.
+    budget_bytes: f64,
+    updated_at: Instant,
+    /// Items by kind and order of arrival.
+    waiting: BTreeMap<(BulkKind, u64), BulkItem>,
+    /// Keys of the items in `waiting`.
+    queued: BTreeSet<(LinkId, BulkKind)>,
+    last_number: u64,
+}
+
+impl BulkQueue {
+    /// Creates an empty queue for a network link with this rate, if it is known.
+    #[must_use]
+    pub fn new(link_bytes_per_s: Option<f64>, now: Instant) -> Self {
+        let bytes_per_s = link_bytes_per_s.unwrap_or(DEFAULT_LINK_BYTES_PER_S) * BULK_SHARE;
+        Self {
+            bytes_per_s,
+            budget_bytes: bytes_per_s * BURST.as_secs_f64(),
+            updated_at: now,
+            waiting: BTreeMap::new(),
+            queued: BTreeSet::new(),
+            last_number: 0,
+        }
+    }
+
+    /// Adds an item. An item of the same kind for the same link keeps its place.
+    pub fn push(&mut self, item: BulkItem) {
+        if !self.queued.insert((item.link, item.kind)) {
+            let same = |other: &&mut BulkItem| other.link == item.link && other.kind == item.kind;
+            if let Some(other) = self.waiting.values_mut().find(same) {
+                *other = item;
+            }
+            return;
+        }
+        self.last_number += 1;
+        self.waiting.insert((item.kind, self.last_number), item);
+    }
+
+    /// Removes the items of the links for which `keep` returns false.
+    pub fn retain(&mut self, keep: impl Fn(&BulkItem) -> bool) {
+        self.waiting.retain(|_, item| keep(item));
+        self.queued = self
+            .waiting
+            .values()
+            .map(|item| (item.link, item.kind))
+            .collect();
+    }
+
+    /// Takes the next item if the budget allows to send it now.
+    pub fn take(&mut self, now: Instant) -> Option<BulkItem> {
+        self.refill(now);
+        if self.budget_bytes <= 0.0 {
+            return None;
+        }
+        let (_, item) = self.waiting.pop_first()?;
+        self.queued.remove(&(item.link, item.kind));
+        Some(item)
+    }
+
+    /// Subtracts bytes that were sent from the budget.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "frames are smaller than 2^53 bytes"
+    )]
+    pub fn record_sent(&mut self, bytes: usize) {
+        self.budget_bytes -= bytes as f64;
+    }
+
+    /// Returns when the next item may be sent; `None` when none waits.
+    #[must_use]
+    pub fn next_at(&self) -> Option<Instant> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        // A byte more than the missing ones, since the budget has to be positive.
+        let missing_bytes = (1.0 - self.budget_bytes).max(0.0);
+        Some(self.updated_at + Duration::from_secs_f64(missing_bytes / self.bytes_per_s))
+    }
+
+    /// Number of items that wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no item waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.updated_at);
+        self.updated_at = now;
+        let most_bytes = self.bytes_per_s * BURST.as_secs_f64();
+        let refilled = self.budget_bytes + elapsed.as_secs_f64() * self.bytes_per_s;
+        self.budget_bytes = refilled.min(most_bytes);
+    }
+}
--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bamboospur_agreement::Message;
-use bamboospur_group::Document;
+use bamboospur_group::{Change, Document, DocumentVersion};
 use bamboospur_registry::{Announcement, StartTime, TargetName};
 use bamboospur_types::InstanceId;
 use serde::{Deserialize, Serialize};
@@ -83,8 +83,13 @@
     /// control instances to other routers. When the list is empty, control instances
     /// send updates to every router.
     Relays(Vec<(String, SocketAddr)>),
-    /// Request of a relay for the full state of all targets.
-    RequestTargets,
+    /// Request of a router for all targets.
+    RequestTargets {
+        /// Whether the router also needs the cached prompts, as after its start.
+        with_prefixes: bool,
+        /// Whether the router relays for others.
+        as_relay: bool,
+    },
     /// Announcements that changed the state known to the sender.
     Targets(Vec<Announcement>),
     /// Newest announcements of targets whose reports have stopped.
@@ -122,10 +127,11 @@
     Loads(Vec<(u64, u32)>),
     /// Request counts as in [`Frame::Loads`], summed over all routers.
     Totals(Vec<(u64, u32)>),
-    /// Request of a router, which holds an older version, for the configuration.
-    RequestConfig,
-    /// The configuration in force at the sender.
-    Config(Document),
+    /// Request of a router for the change from the version that it holds, 0 for none, to
+    /// the configuration in force.
+    RequestConfig(DocumentVersion),
+    /// Change to the configuration in force at the sender.
+    Config(Change),
     /// Query for the version of the configuration that is in force. The leader answers with
     /// [`Frame::InForce`], or with [`Frame::Alive`] if it cannot confirm the version; other
     /// instances answer with [`Frame::Leader`], or with [`Frame::Alive`] without a leader.
--- a/crates/fleet/src/link/mod.rs
+++ b/crates/fleet/src/link/mod.rs
@@ -8,12 +8,14 @@
 
 mod accept;
 mod accepted;
+mod bulk;
 mod codec;
 mod dial;
 mod frame;
 
 pub use accept::{AcceptEvent, FrameQueue, LinkId, serve};
 pub use accepted::AcceptedLinks;
+pub use bulk::{BulkItem, BulkKind, BulkQueue, prefix_frames};
 pub use codec::{FrameError, FrameReader, encode};
 pub use dial::{DialEvent, DialedLink, dial};
 pub use frame::{Frame, Hello, Role, RouterLocation, Ticket};
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -4,6 +4,7 @@
 //! these links, and sends reports and loads. When this router is a relay itself, the
 //! follower also forwards what it receives to the routers that follow this one.
 
+mod config;
 mod links;
 mod receive;
 mod send;
@@ -13,20 +14,24 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bamboospur_group::Document;
+use bamboospur_group::DocumentVersion;
 use bamboospur_platform::settings::ProcessSettings;
 use bamboospur_types::stable_id;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::task::spawn_local;
-use tokio::time::interval;
+use tokio::time::{interval, sleep_until};
 
 use super::followers::Followers;
 use super::reports::{self, Reports};
 use super::state::Router;
 use crate::calls::TargetCall;
 use crate::clock::BootTime;
-use crate::link::{self, AcceptEvent, DialEvent, DialedLink, Hello, Role, RouterLocation};
+use crate::config_history::ConfigHistory;
+use crate::link::{
+    self, AcceptEvent, BulkQueue, DialEvent, DialedLink, Hello, LinkId, Role, RouterLocation,
+};
+use config::ConfigRequest;
 
 /// Capacity of the event queue; links wait while the queue is full.
 const MAX_QUEUED_EVENTS: usize = 256;
@@ -97,8 +102,11 @@
         named_relays: BTreeMap::new(),
         relays: BTreeMap::new(),
         is_relay: false,
-        requested_version: 0,
-        document: None,
+        known_version: 0,
+        config_request: None,
+        config_history: ConfigHistory::default(),
+        config_waiters: BTreeMap::new(),
+        bulk: BulkQueue::new(settings.link_bytes_per_s, Instant::now()),
         followers: Followers::default(),
         reported_prefixes: Vec::new(),
     };
@@ -113,6 +121,8 @@
 struct FollowedLink {
     link: DialedLink,
     up: bool,
+    /// Time of the last frame from the peer.
+    heard_at: Option<Instant>,
     /// When the link is dropped unless its address is named again; unused for relays.
     expires_at: Instant,
 }
@@ -129,10 +139,17 @@
     relays: BTreeMap<SocketAddr, FollowedLink>,
     /// Whether a control instance names this router as a relay.
     is_relay: bool,
-    /// Configuration version that was requested last.
-    requested_version: u64,
-    /// Configuration in force here, as sent to followers.
-    document: Option<Document>,
+    /// Newest configuration version that the router has heard of.
+    known_version: DocumentVersion,
+    /// Request for a newer configuration that is not answered yet.
+    config_request: Option<ConfigRequest>,
+    /// Configurations that were in force here.
+    config_history: ConfigHistory,
+    /// Followers that wait for a newer configuration than this router has, with the
+    /// versions that they hold.
+    config_waiters: BTreeMap<LinkId, DocumentVersion>,
+    /// Large frames that followers wait for.
+    bulk: BulkQueue,
     followers: Followers,
     reports: Reports,
     /// Cached prompts that followers reported, with the targets that hold them; sent
@@ -148,12 +165,16 @@
         let mut loads = interval(LOAD_REPORT_INTERVAL);
         let mut refreshed = interval(REFRESHED_REPORT_INTERVAL);
         loop {
+            self.send_bulk(Instant::now());
+            let bulk_at = self.bulk.next_at().unwrap_or_else(Instant::now).into();
             tokio::select! {
                 event = events.recv() => match event {
                     Some(event) => self.handle(event),
                     None => return,
                 },
+                () = sleep_until(bulk_at), if self.bulk.next_at().is_some() => {}
                 _ = query.tick() => {
+                    self.request_config_if_behind();
                     let valid = self.router.lease.borrow().is_valid(BootTime::now());
                     if !valid || queried_at.elapsed() >= query_interval(self.router.router_count()) {
                         queried_at = Instant::now();
--- a/crates/fleet/src/router/follow/links.rs
+++ b/crates/fleet/src/router/follow/links.rs
@@ -1,6 +1,6 @@
 //! Links to control instances and relays, and the queries sent over them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -27,6 +27,7 @@
                 .or_insert_with(|| FollowedLink {
                     link: dial(address, hello.clone(), events.clone(), Event::Control),
                     up: false,
+                    heard_at: None,
                     expires_at,
                 });
             followed.expires_at = expires_at;
@@ -43,28 +44,37 @@
         if is_relay {
             local.clear();
         }
-        if is_relay && !self.is_relay {
-            self.request_targets();
+        let was_relay = std::mem::replace(&mut self.is_relay, is_relay);
+        if is_relay && !was_relay {
+            self.request_targets(&self.controls);
         }
-        self.is_relay = is_relay;
         self.relays.retain(|address, _| local.contains(address));
         for address in local {
             let (hello, events) = (&self.hello, &self.events);
             self.relays.entry(address).or_insert_with(|| FollowedLink {
                 link: dial(address, hello.clone(), events.clone(), Event::Relay),
                 up: false,
+                heard_at: None,
                 expires_at: Instant::now(),
             });
         }
     }
 
-    /// Requests all known targets from one control instance; the others send only
-    /// changes.
-    fn request_targets(&self) {
-        if let Some(control) = self.preferred_link(&self.controls) {
-            info!("this router is a relay; requesting all targets from a control instance");
+    /// Requests all known targets from one control instance or, for a router that is no
+    /// relay, from one relay; the others send only changes. A router that has just started
+    /// also needs the cached prompts.
+    fn request_targets(&self, links: &BTreeMap<SocketAddr, FollowedLink>) {
+        if let Some(followed) = self.preferred_link(links) {
+            let with_prefixes = !self.router.dispatcher.borrow().has_cached_prefixes();
+            info!(
+                relay = self.is_relay,
+                with_prefixes, "requesting all targets"
+            );
             // The queue of a link that has just come up has room.
-            let _sent = control.link.send(Frame::RequestTargets);
+            let _sent = followed.link.send(Frame::RequestTargets {
+                with_prefixes,
+                as_relay: self.is_relay,
+            });
         }
     }
 
@@ -93,22 +103,6 @@
         }
     }
 
-    /// Requests the configuration if `version` is newer than the router's. The first
-    /// request for a version goes to a relay, if there is one, so that the control
-    /// instance at `address` need not send the configuration to every router.
-    fn request_newer_config(&mut self, address: SocketAddr, version: u64) {
-        if version <= self.router.config_version() {
-            return;
-        }
-        let relay = self.preferred_link(&self.relays);
-        let relay = relay.filter(|_| version > self.requested_version);
-        if let Some(followed) = relay.or_else(|| self.controls.get(&address)) {
-            // A lost request is repeated with the next answer to a query.
-            let _sent = followed.link.send(Frame::RequestConfig);
-        }
-        self.requested_version = version;
-    }
-
     pub(super) fn handle_control_event(&mut self, event: DialEvent) {
         match event {
             DialEvent::Up(address) => {
@@ -121,8 +115,9 @@
                         let _sent = followed.link.send(Frame::Targets(reporting));
                     }
                 }
-                if self.is_relay && self.controls.values().filter(|c| c.up).count() == 1 {
-                    self.request_targets();
+                let is_follower = !self.is_relay && !self.named_relays.is_empty();
+                if !is_follower && count_up(&self.controls) == 1 {
+                    self.request_targets(&self.controls);
                 }
                 self.query_control(address);
             }
@@ -140,6 +135,7 @@
             }
             DialEvent::Frame(address, frame) => {
                 if let Some(followed) = self.controls.get_mut(&address) {
+                    followed.heard_at = Some(Instant::now());
                     followed.expires_at = Instant::now() + CONTROL_ADDRESS_TTL;
                 }
                 self.handle_control_frame(address, frame);
@@ -176,7 +172,7 @@
                     .lease
                     .borrow_mut()
                     .confirm(version, BootTime(asked));
-                self.request_newer_config(address, version);
+                self.record_known_version(version);
             }
             frame => self.handle_frame(frame),
         }
@@ -187,12 +183,22 @@
             DialEvent::Up(address) => {
                 info!(%address, "link to a relay established");
                 self.set_relay_up(address, true);
+                // Changes may have been missed while no relay was linked.
+                if count_up(&self.relays) == 1 {
+                    self.request_targets(&self.relays);
+                }
+                self.request_config_if_behind();
             }
             DialEvent::Down(address, error) => {
                 info!(%address, %error, "link to a relay failed; dialling again");
                 self.set_relay_up(address, false);
             }
-            DialEvent::Frame(_, frame) => self.handle_frame(frame),
+            DialEvent::Frame(address, frame) => {
+                if let Some(followed) = self.relays.get_mut(&address) {
+                    followed.heard_at = Some(Instant::now());
+                }
+                self.handle_frame(frame);
+            }
         }
     }
 
@@ -202,3 +208,7 @@
         }
     }
 }
+
+fn count_up(links: &BTreeMap<SocketAddr, FollowedLink>) -> usize {
+    links.values().filter(|followed| followed.up).count()
+}
--- a/crates/fleet/src/router/followers.rs
+++ b/crates/fleet/src/router/followers.rs
@@ -22,23 +22,14 @@
 }
 
 impl Followers {
-    /// Adds a new follower and sends it the frames of `state`.
-    pub fn add(
-        &mut self,
-        link: LinkId,
-        hello: Hello,
-        frames: FrameQueue,
-        state: impl IntoIterator<Item = Frame>,
-    ) {
+    /// Adds a new follower. It requests the state that it needs.
+    pub fn add(&mut self, link: LinkId, hello: Hello, frames: FrameQueue) {
         info!(
             link,
             peer = hello.id,
             "a router opened a link to this router and follows it"
         );
         self.links.insert(link, hello, frames);
-        for frame in state {
-            self.send(link, &frame);
-        }
     }
 
     pub fn remove(&mut self, link: LinkId) {
@@ -46,9 +37,14 @@
     }
 
     /// Sends a frame to one follower; the frame is dropped if the queue of the link is
-    /// full.
-    pub fn send(&self, link: LinkId, frame: &Frame) {
-        self.links.try_send(&[link], frame);
+    /// full. Returns the bytes queued.
+    pub fn send(&self, link: LinkId, frame: &Frame) -> usize {
+        self.links.try_send(&[link], frame)
+    }
+
+    /// Whether no router follows this one.
+    pub fn is_empty(&self) -> bool {
+        self.links.is_empty()
     }
 
     /// Records the loads that a follower reports.
@@ -78,13 +74,18 @@
         self.links.send(&all, frame);
     }
 
-    /// Sends a frame to the followers that report their loads to this router, except
-    /// to `except`. A link whose queue is full is closed.
-    pub fn send_to_load_reporters(&mut self, except: Option<LinkId>, frame: &Frame) {
+    /// Returns the links of the followers that report their loads to this router.
+    pub fn load_reporters(&self) -> Vec<LinkId> {
         let reports_loads = |hello: &Hello| self.loads.has_router_counts(hello.id);
-        let others = self.links.iter().filter(|&(link, _)| except != Some(link));
-        let reporters = others.filter(|(_, hello)| reports_loads(hello));
-        let reporters: Vec<LinkId> = reporters.map(|(link, _)| link).collect();
-        self.links.send(&reporters, frame);
+        let reporters = self.links.iter().filter(|(_, hello)| reports_loads(hello));
+        reporters.map(|(link, _)| link).collect()
+    }
+
+    /// Sends a frame that may be lost to the followers that report their loads to this
+    /// router, except to `except`.
+    pub fn send_to_load_reporters(&self, except: Option<LinkId>, frame: &Frame) {
+        let mut reporters = self.load_reporters();
+        reporters.retain(|&link| except != Some(link));
+        let _bytes = self.links.try_send(&reporters, frame);
     }
 }
--- /dev/null
+++ b/crates/fleet/tests/bulk.rs
@@ -0,0 +1,193 @@
+//! Herd of connecting routers at a control instance with a narrow network link.
+//!
+//! Guards against a loop that sustained itself: the state for hundreds of routers filled
+//! the link, heartbeats came late, links ended, and the routers that dialled again asked
+//! for the state once more.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use bamboospur_fleet::link::{BulkItem, BulkKind, BulkQueue};
+
+/// Rate of the network link of a control instance: 6 Mbit/s.
+const LINK_BYTES_PER_S: f64 = 750_000.0;
+/// Time between two heartbeats of a leader.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest election time-out; a heartbeat that waits longer costs the leader its place.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(400);
+const HEARTBEAT_BYTES: usize = 4 * 100;
+const CONFIG_BYTES: usize = 50_000;
+const TARGETS_BYTES: usize = 6_000;
+const PREFIXES_BYTES: usize = 65_536;
+
+/// Network link that sends one byte after the other, in order.
+struct NetworkLink {
+    free_at: Instant,
+    sent_bytes: usize,
+}
+
+impl NetworkLink {
+    /// Queues bytes; returns when the last one has been sent.
+    fn send(&mut self, bytes: usize, now: Instant) -> Instant {
+        let rate_bytes_per_s = LINK_BYTES_PER_S;
+        #[expect(clippy::cast_precision_loss, reason = "frames are small")]
+        let duration = Duration::from_secs_f64(bytes as f64 / rate_bytes_per_s);
+        self.free_at = self.free_at.max(now) + duration;
+        self.sent_bytes += bytes;
+        self.free_at
+    }
+}
+
+fn size_of(item: &BulkItem) -> usize {
+    match item.kind {
+        BulkKind::Config => CONFIG_BYTES,
+        BulkKind::Targets => TARGETS_BYTES,
+        BulkKind::CachedPrefixes => PREFIXES_BYTES,
+    }
+}
+
+fn item(link: u64, kind: BulkKind) -> BulkItem {
+    BulkItem {
+        link,
+        kind,
+        held_version: 0,
+    }
+}
+
+/// Result of a run.
+struct Sent {
+    longest_heartbeat_wait: Duration,
+    /// Time at which each item had been sent.
+    done: BTreeMap<(u64, BulkKind), Duration>,
+    bytes: usize,
+}
+
+/// Sends the queue and a heartbeat every 100 ms over a link. `before_step` can add items.
+fn run(
+    queue: &mut BulkQueue,
+    start: Instant,
+    duration: Duration,
+    mut before_step: impl FnMut(&mut BulkQueue, Duration),
+) -> Sent {
+    const STEP: Duration = Duration::from_millis(1);
+    let mut link = NetworkLink {
+        free_at: start,
+        sent_bytes: 0,
+    };
+    let mut sent = Sent {
+        longest_heartbeat_wait: Duration::ZERO,
+        done: BTreeMap::new(),
+        bytes: 0,
+    };
+    let mut now = start;
+    let mut heartbeat_at = start;
+    while now < start + duration {
+        before_step(queue, now - start);
+        while let Some(item) = queue.take(now) {
+            let bytes = size_of(&item);
+            queue.record_sent(bytes);
+            let done = link.send(bytes, now) - start;
+            sent.done.insert((item.link, item.kind), done);
+        }
+        if now >= heartbeat_at {
+            let wait = link.send(HEARTBEAT_BYTES, now) - now;
+            sent.longest_heartbeat_wait = sent.longest_heartbeat_wait.max(wait);
+            heartbeat_at = now + HEARTBEAT_INTERVAL;
+        }
+        now += STEP;
+    }
+    sent.bytes = link.sent_bytes;
+    sent
+}
+
+#[test]
+fn a_heartbeat_does_not_wait_for_the_state_of_300_routers() {
+    let start = Instant::now();
+    let mut queue = BulkQueue::new(Some(LINK_BYTES_PER_S), start);
+    for link in 0..300 {
+        for kind in [
+            BulkKind::CachedPrefixes,
+            BulkKind::Targets,
+            BulkKind::Config,
+        ] {
+            queue.push(item(link, kind));
+        }
+    }
+    let sent = run(&mut queue, start, Duration::from_secs(10), |_, _| {});
+    assert!(
+        sent.longest_heartbeat_wait < ELECTION_TIMEOUT / 2,
+        "{:?}",
+        sent.longest_heartbeat_wait
+    );
+    // Without a limit, the last configuration would have left after 20 s, each before a
+    // heartbeat.
+    assert!(sent.bytes < 5_000_000, "{} bytes", sent.bytes);
+}
+
+#[test]
+fn configurations_go_before_targets_and_cached_prompts() {
+    let start = Instant::now();
+    let mut queue = BulkQueue::new(Some(LINK_BYTES_PER_S), start);
+    for link in 0..5 {
+        queue.push(item(link, BulkKind::CachedPrefixes));
+        queue.push(item(link, BulkKind::Targets));
+    }
+    queue.push(item(9, BulkKind::Config));
+    let sent = run(&mut queue, start, Duration::from_secs(5), |_, _| {});
+    let config_at = sent.done[&(9, BulkKind::Config)];
+    let targets_at = (0..5).map(|link| sent.done[&(link, BulkKind::Targets)]);
+    let prefixes_at = (0..5).map(|link| sent.done[&(link, BulkKind::CachedPrefixes)]);
+    let (last_targets, first_prefixes) = (targets_at.max(), prefixes_at.min());
+    assert!(Some(config_at) < last_targets && last_targets < first_prefixes);
+    assert!(queue.is_empty() && queue.next_at().is_none());
+}
+
+#[test]
+fn routers_that_dial_again_do_not_add_to_the_queue() {
+    let start = Instant::now();
+    let mut queue = BulkQueue::new(Some(LINK_BYTES_PER_S), start);
+    // Each router asks again every 200 ms until it has its configuration.
+    let sent = run(
+        &mut queue,
+        start,
+        Duration::from_secs(4),
+        |queue, elapsed| {
+            if elapsed.as_millis() % 200 == 0 && elapsed < Duration::from_secs(1) {
+                for link in 0..20 {
+                    queue.push(item(link, BulkKind::Config));
+                }
+            }
+            assert!(queue.len() <= 20);
+        },
+    );
+    assert_eq!(sent.done.len(), 20);
+}
+
+#[test]
+fn an_ended_link_takes_its_items_with_it() {
+    let start = Instant::now();
+    let mut queue = BulkQueue::new(Some(LINK_BYTES_PER_S), start);
+    queue.push(item(1, BulkKind::Config));
+    queue.push(item(2, BulkKind::Config));
+    queue.retain(|item| item.link != 1);
+    queue.push(item(1, BulkKind::Config));
+    let order: Vec<u64> = std::iter::from_fn(|| queue.take(start))
+        .map(|i| i.link)
+        .collect();
+    assert_eq!(order, [2, 1]);
+}
+
+#[test]
+fn a_repeated_request_replaces_the_version_and_keeps_its_place() {
+    let start = Instant::now();
+    let mut queue = BulkQueue::new(None, start);
+    queue.push(item(1, BulkKind::Config));
+    queue.push(item(2, BulkKind::Config));
+    let newer = BulkItem {
+        held_version: 7,
+        ..item(1, BulkKind::Config)
+    };
+    queue.push(newer);
+    assert_eq!(queue.take(start), Some(newer));
+    assert_eq!(queue.len(), 1);
+}
--- a/crates/fleet/tests/spread.rs
+++ b/crates/fleet/tests/spread.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use bamboospur_fleet::control::{Fanout, FanoutSettings};
 use bamboospur_fleet::link::{Hello, LinkId, Role, RouterLocation};
@@ -35,71 +36,134 @@
     routers.iter().map(|(link, hello)| (*link, hello))
 }
 
+/// Time within which a lost relay has to be replaced.
+const REPLACEMENT_TIME: Duration = Duration::from_secs(1);
+/// Time between two selections of a control instance.
+const ROUND: Duration = Duration::from_millis(500);
+
+/// Selects relays among these routers for this number of targets; returns whether the
+/// relays changed.
+fn select(fanout: &mut Fanout, routers: &[(LinkId, Hello)], targets: usize, now: Instant) -> bool {
+    fanout.select_relays(borrowed(routers), targets, now)
+}
+
+/// Returns a fleet with a selection of relays.
+fn fleet_with_relays(now: Instant) -> (Fanout, Vec<(LinkId, Hello)>) {
+    let (mut fanout, routers) = (Fanout::new(SETTINGS), fleet());
+    assert!(select(&mut fanout, &routers, 11, now));
+    (fanout, routers)
+}
+
+/// Removes the router of a link of a relay and returns its hello.
+fn remove_relay(fanout: &Fanout, routers: &mut Vec<(LinkId, Hello)>) -> Hello {
+    let lost = fanout.relay_links().next().expect("a relay");
+    let index = routers.iter().position(|r| r.0 == lost);
+    routers.remove(index.expect("link of the lost relay")).1
+}
+
 #[test]
 fn a_small_deployment_has_no_relays() {
     let mut fanout = Fanout::new(SETTINGS);
-    assert!(!fanout.select_relays(borrowed(&fleet()), 10));
+    assert!(!select(&mut fanout, &fleet(), 10, Instant::now()));
     assert!(!fanout.has_relays());
 }
 
 #[test]
 fn a_large_deployment_has_relays_in_each_data_centre() {
-    let mut fanout = Fanout::new(SETTINGS);
-    assert!(fanout.select_relays(borrowed(&fleet()), 11));
-    let relays = fanout.relays();
-    let north = relays
-        .iter()
-        .filter(|(data_centre, _)| data_centre == "north");
-    assert_eq!((north.count(), relays.len()), (2, 4));
-    assert!(!fanout.select_relays(borrowed(&fleet()), 11));
+    let now = Instant::now();
+    let (mut fanout, routers) = fleet_with_relays(now);
+    assert_eq!(fanout.relays_of("north").len(), 2);
+    assert_eq!(fanout.relays().len(), 4);
+    assert!(!select(&mut fanout, &routers, 11, now));
 }
 
 #[test]
-fn control_instances_choose_the_same_relays() {
-    let (mut first, mut second) = (Fanout::new(SETTINGS), Fanout::new(SETTINGS));
-    first.select_relays(borrowed(&fleet()), 11);
-    let other: Vec<_> = fleet()
+fn control_instances_without_a_leader_choose_the_same_relays() {
+    let now = Instant::now();
+    let (first, routers) = fleet_with_relays(now);
+    let mut second = Fanout::new(SETTINGS);
+    let other: Vec<_> = routers
         .into_iter()
         .rev()
         .zip(50..)
         .map(|((_, hello), link)| (link, hello))
         .collect();
-    second.select_relays(borrowed(&other), 11);
+    select(&mut second, &other, 11, now);
     let sorted = |fanout: &Fanout| BTreeSet::from_iter(fanout.relays());
     assert_eq!(sorted(&first), sorted(&second));
 }
 
 #[test]
-fn an_ended_relay_is_replaced_and_a_returning_one_is_selected_again() {
-    let mut fanout = Fanout::new(SETTINGS);
-    let mut routers = fleet();
-    fanout.select_relays(borrowed(&routers), 11);
-    let lost = fanout.relay_links().next().expect("a relay");
-    let (_, hello) = routers.remove(
-        routers
-            .iter()
-            .position(|r| r.0 == lost)
-            .expect("link of the lost relay"),
-    );
-    let others: BTreeSet<LinkId> = fanout.relay_links().filter(|&l| l != lost).collect();
-    assert!(fanout.select_relays(borrowed(&routers), 11));
+fn an_instance_adopts_the_relays_of_the_leader_and_keeps_them_when_it_leads() {
+    let now = Instant::now();
+    let (mut instance, mut routers) = fleet_with_relays(now);
+    // The leader replaced a relay that this instance is still linked to.
+    let mut leader = instance.clone();
+    remove_relay(&leader, &mut routers);
+    select(&mut leader, &routers, 11, now);
+    assert!(select(&mut leader, &routers, 11, now + REPLACEMENT_TIME));
+    assert!(instance.adopt_relays(&leader.relays(), borrowed(&fleet())));
+    assert_eq!(instance.relays(), leader.relays());
+    assert_eq!(instance.relay_links().count(), 4);
+    assert!(!instance.adopt_relays(&leader.relays(), borrowed(&fleet())));
+    assert!(!select(&mut instance, &fleet(), 11, now + REPLACEMENT_TIME));
+}
+
+#[test]
+fn a_relay_that_dials_again_keeps_its_place() {
+    let now = Instant::now();
+    let (mut fanout, mut routers) = fleet_with_relays(now);
+    let before = fanout.relays();
+    let hello = remove_relay(&fanout, &mut routers);
+    assert!(!select(&mut fanout, &routers, 11, now + ROUND));
+    routers.push((99, hello));
+    assert!(!select(&mut fanout, &routers, 11, now + ROUND * 2));
+    assert_eq!(fanout.relays(), before);
+    assert!(fanout.is_relay_link(99));
+}
+
+#[test]
+fn a_lost_relay_is_replaced_within_a_second_and_the_others_stay() {
+    let now = Instant::now();
+    let (mut fanout, mut routers) = fleet_with_relays(now);
+    let lost = remove_relay(&fanout, &mut routers);
+    let others: BTreeSet<LinkId> = fanout.relay_links().skip(1).collect();
+    select(&mut fanout, &routers, 11, now);
+    assert!(select(&mut fanout, &routers, 11, now + ROUND));
+    assert!(ROUND <= REPLACEMENT_TIME);
     let relays: BTreeSet<LinkId> = fanout.relay_links().collect();
     assert!(
         relays.is_superset(&others) && relays.len() == 4,
         "{relays:?}"
     );
-    routers.push((99, hello));
-    assert!(fanout.select_relays(borrowed(&routers), 11));
-    let relays: BTreeSet<LinkId> = fanout.relay_links().collect();
-    assert!(relays.contains(&99) && relays.len() == 4, "{relays:?}");
+    // Its return changes nothing: every change makes a data centre dial again.
+    routers.push((99, lost));
+    assert!(!select(&mut fanout, &routers, 11, now + ROUND * 2));
+}
+
+#[test]
+fn relays_do_not_change_while_the_routers_restart_in_turn_except_their_own() {
+    let now = Instant::now();
+    let (mut fanout, mut routers) = fleet_with_relays(now);
+    let mut changes = 0;
+    for step in 0..10_u32 {
+        let at = now + REPLACEMENT_TIME * 2 * step;
+        let (_, hello) = routers.remove(0);
+        select(&mut fanout, &routers, 11, at);
+        changes += u32::from(select(&mut fanout, &routers, 11, at + ROUND));
+        routers.push((100 + u64::from(step), hello));
+        assert!(!select(&mut fanout, &routers, 11, at + ROUND * 2));
+    }
+    assert!(changes <= 10, "{changes} changes of the relays");
+    assert_eq!(fanout.relays().len(), 4);
 }
 
 #[test]
 fn relays_do_not_flap_near_the_bound() {
-    let mut fanout = Fanout::new(SETTINGS);
-    fanout.select_relays(borrowed(&fleet()), 11);
-    assert!(!fanout.select_relays(borrowed(&fleet()), 9));
-    assert!(fanout.select_relays(borrowed(&fleet()), 5));
+    let now = Instant::now();
+    let (mut fanout, routers) = fleet_with_relays(now);
+    assert!(!select(&mut fanout, &routers, 9, now));
+    assert!(select(&mut fanout, &routers, 5, now));
     assert!(!fanout.has_relays());
 }
 
--- a/crates/group/src/group.rs
+++ b/crates/group/src/group.rs
@@ -11,6 +11,7 @@
 use bamboospur_types::InstanceId;
 use quick_error::quick_error;
 
+use crate::change::Change;
 use crate::document::{Document, DocumentVersion};
 use crate::members::Contacts;
 use crate::settings::GroupSettings;
@@ -147,9 +148,9 @@
 }
 
 /// Operation that waits for a result from the replica. `ticket` is the host's.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum PendingOperation {
-    Put { ticket: Ticket },
+    Put { ticket: Ticket, document: Document },
     Read { ticket: Ticket },
     Members,
 }
@@ -278,21 +279,31 @@
             let version = self.document.version;
             return self.reply(ticket, Ok(Reply::Accepted { version }));
         }
-        match postcard::to_stdvec(document) {
-            Ok(data) => {
-                let replica_ticket = self.add_pending(PendingOperation::Put { ticket });
-                self.step_replica(
-                    Input::Propose {
-                        ticket: replica_ticket,
-                        data,
-                    },
-                    now,
-                );
-            }
-            Err(_) => self.reply(ticket, Err(Unavailable::Refused)),
+        // The documents proposed before this one come first in the log.
+        let pending = self
+            .pending
+            .values()
+            .filter_map(|operation| match operation {
+                PendingOperation::Put { document, .. } => Some(document),
+                _ => None,
+            });
+        let base = pending.max_by_key(|proposed| proposed.version);
+        let change = Change::between(base.unwrap_or(&self.document), document);
+        if let Some(input) = self.propose(ticket, document.clone(), &change) {
+            self.step_replica(input, now);
         }
     }
 
+    /// Returns the input that proposes a change; refuses one that cannot be encoded.
+    fn propose(&mut self, ticket: Ticket, document: Document, change: &Change) -> Option<Input> {
+        let Some(data) = change.encode() else {
+            self.reply(ticket, Err(Unavailable::Refused));
+            return None;
+        };
+        let ticket = self.add_pending(PendingOperation::Put { ticket, document });
+        Some(Input::Propose { ticket, data })
+    }
+
     fn add_pending(&mut self, operation: PendingOperation) -> Ticket {
         self.last_ticket += 1;
         self.pending.insert(self.last_ticket, operation);
@@ -316,7 +327,7 @@
             Output::Restore { index, state } => self.restore(index, &state),
             Output::Done { ticket, result } => {
                 let result = result.map(|_| ()).map_err(|error| to_unavailable(&error));
-                self.finish_pending(ticket, &result);
+                return self.finish_pending(ticket, &result);
             }
             Output::LeaderChanged { leader, .. } => {
                 self.leader = leader;
@@ -333,11 +344,16 @@
     }
 
     fn apply(&mut self, index: LogIndex, data: &[u8]) -> Option<Input> {
-        match postcard::from_bytes::<Document>(data) {
-            Ok(document) => self.replace_if_newer(document),
+        match Change::decode(data) {
+            // A patch that a new leader made before it knew the end of its log does not
+            // apply. All instances skip it, and the leader proposes the whole document.
+            Ok(change) => {
+                if let Some(document) = change.apply(&self.document) {
+                    self.replace_if_newer(document);
+                }
+            }
             Err(error) => {
-                let message =
-                    format!("the document in log entry {index} cannot be decoded: {error}");
+                let message = format!("the change in log entry {index} cannot be decoded: {error}");
                 self.outputs.push(GroupOutput::Violation(message));
             }
         }
@@ -381,10 +397,21 @@
         }
     }
 
-    fn finish_pending(&mut self, replica_ticket: Ticket, result: &Result<(), Unavailable>) {
+    /// Answers an operation. Returns the next input when its patch did not apply.
+    fn finish_pending(
+        &mut self,
+        replica_ticket: Ticket,
+        result: &Result<(), Unavailable>,
+    ) -> Option<Input> {
         let version = self.document.version;
         match self.pending.remove(&replica_ticket) {
-            Some(PendingOperation::Put { ticket }) => {
+            Some(PendingOperation::Put { ticket, document })
+                if result.is_ok() && document.version > version =>
+            {
+                let whole = Change::Whole(document.clone());
+                return self.propose(ticket, document, &whole);
+            }
+            Some(PendingOperation::Put { ticket, .. }) => {
                 self.reply(ticket, (*result).map(|()| Reply::Accepted { version }));
             }
             Some(PendingOperation::Read { ticket }) => {
@@ -393,6 +420,7 @@
             Some(PendingOperation::Members) => self.member_change_pending = false,
             None => {}
         }
+        None
     }
 
     fn reply(&mut self, ticket: Ticket, reply: Result<Reply, Unavailable>) {
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! The group holds one [`Document`], and the highest version is in force. A
 //! version keeps the content with which it was accepted first. A document is
-//! accepted once it is on the disks of a quorum. [`Group`] drives one
+//! accepted once it is on the disks of a quorum. The log holds it as a [`Patch`] of the
+//! version before, where that is much smaller. [`Group`] drives one
 //! [`bamboospur_agreement::Replica`] and does no I/O; docs/agreement.md describes
 //! the replicated log.
 //!
@@ -12,11 +13,15 @@
 //! belongs to its data folder, so an instance that lost its disk joins under a
 //! new id.
 
+mod change;
 mod document;
 mod group;
 mod members;
+mod patch;
 mod settings;
 
+pub use change::Change;
 pub use document::{Document, DocumentVersion};
 pub use group::{Group, GroupInput, GroupOutput, GroupStatus, Reply, Unavailable};
+pub use patch::Patch;
 pub use settings::GroupSettings;
--- a/crates/group/tests/group.rs
+++ b/crates/group/tests/group.rs
@@ -8,7 +8,7 @@
 
 use bamboospur_agreement::{IdentityError, Members, Message, Persist, PersistedState};
 use bamboospur_group::{Document, Group, GroupInput, GroupOutput, GroupSettings, Reply};
-use bamboospur_types::{InstanceId, Rng};
+use bamboospur_types::{InstanceId, Rng, mix64};
 
 const STEP: Duration = Duration::from_millis(5);
 /// Steps from a write to its sync.
@@ -77,6 +77,25 @@
         .expect("an address")
 }
 
+/// Text of a version that shares most of its routes with every other version, so that
+/// the log holds patches.
+fn text(version: u64, content: &str) -> String {
+    let mut lines: Vec<String> = (0..60)
+        .map(|route| {
+            format!(
+                "route {} of the service {}",
+                mix64(route),
+                mix64(route + 100)
+            )
+        })
+        .collect();
+    lines.insert(
+        usize::try_from(version % 60).expect("a small number"),
+        content.to_owned(),
+    );
+    lines.join("\n")
+}
+
 fn settings(id: InstanceId) -> GroupSettings {
     let mut settings = GroupSettings {
         snapshot_bytes: 400,
@@ -209,10 +228,11 @@
                 );
                 let content = self.accepted.entry(version).or_default();
                 if content.is_empty() {
-                    content.clone_from(&document.content);
+                    *content = document.text().expect("a text");
                 }
                 assert_eq!(
-                    *content, document.content,
+                    Some(&*content),
+                    document.text().as_ref(),
                     "the content of {version} changed"
                 );
                 self.highest_read_version = self.highest_read_version.max(version);
@@ -294,10 +314,7 @@
 
     fn put(&mut self, index: usize, version: u64, content: &str) {
         self.last_ticket += 1;
-        let document = Document {
-            version,
-            content: content.as_bytes().to_vec(),
-        };
+        let document = Document::new(version, text(version, content).as_bytes());
         self.puts.insert(self.last_ticket, document.clone());
         let ticket = self.last_ticket;
         self.feed(index, GroupInput::Put { ticket, document });
@@ -365,7 +382,7 @@
     cluster.put(leader, 3, "three");
     cluster.run(SECOND);
     cluster.expect_read_back();
-    assert_eq!(cluster.accepted[&5], b"five");
+    assert_eq!(cluster.accepted[&5], text(5, "five").into_bytes());
 }
 
 #[test]
