Expect a crowd of one prompt only after earlier requests with it

Cause: the spread of a prompt counted the arriving request itself, times the number of routers. Among 295 routers every request is the first of its prompt at its router, so each was taken for 147 requests, and three quarters of all requests went to an engine that had to copy the prefix. The ratio of the fleet's rate to the own rate was a mean of noisy quotients, too high for routers with few callers.

Change: the arriving request counts as far as earlier ones of the last seconds do; the ratio is a quotient of decaying sums; the fleet's arrivals come from the reported total, and from the own rate only as far as it exceeds chance.

--- a/crates/dispatch/src/arrivals.rs
+++ b/crates/dispatch/src/arrivals.rs
@@ -9,12 +9,18 @@
 
 use std::time::{Duration, Instant};
 
-/// Time constant of the exponentially decaying arrival rate.
-const SMOOTHING: Duration = Duration::from_secs(1);
+/// Time constant of the arrival rate of a service, which follows a crowd quickly.
+const SERVICE_SMOOTHING: Duration = Duration::from_secs(1);
+/// Time constant of the arrival rate of one prompt prefix.
+const PREFIX_SMOOTHING: Duration = Duration::from_secs(1);
+/// Time for which a request with a prefix shows that the prefix has a crowd. A router among
+/// hundreds sees a usual prefix once in minutes, and one with a crowd within seconds.
+const PREFIX_MEMORY: Duration = Duration::from_secs(4);
 
-/// Smoothed rate of the requests that arrive at this router.
-#[derive(Clone, Copy, Debug, Default)]
+/// Smoothed rate of the requests that arrive at this router, exponentially decaying.
+#[derive(Clone, Copy, Debug)]
 pub struct Arrivals {
+    smoothing: Duration,
     rate_per_s: f64,
     updated_at: Option<Instant>,
 }
@@ -24,8 +30,16 @@
 const REPORTED_RATE_INTERVAL: Duration = Duration::from_secs(10);
 
 impl Arrivals {
+    const fn new(smoothing: Duration) -> Self {
+        Self {
+            smoothing,
+            rate_per_s: 0.0,
+            updated_at: None,
+        }
+    }
+
     pub fn record(&mut self, now: Instant) {
-        self.rate_per_s = self.rate_per_s(now) + 1.0 / SMOOTHING.as_secs_f64();
+        self.rate_per_s = self.rate_per_s(now) + 1.0 / self.smoothing.as_secs_f64();
         self.updated_at = Some(now);
     }
 
@@ -39,53 +53,142 @@
             return 0.0;
         };
         let age = now.saturating_duration_since(at);
-        self.rate_per_s * (-age.as_secs_f64() / SMOOTHING.as_secs_f64()).exp()
+        self.rate_per_s * (-age.as_secs_f64() / self.smoothing.as_secs_f64()).exp()
+    }
+}
+
+/// Smoothed rates of the requests with one prompt prefix that arrive at this router.
+#[derive(Clone, Copy, Debug)]
+pub struct PrefixArrivals {
+    recent: Arrivals,
+    /// The same arrivals, smoothed over a longer time.
+    lasting: Arrivals,
+}
+
+impl Default for PrefixArrivals {
+    fn default() -> Self {
+        Self {
+            recent: Arrivals::new(PREFIX_SMOOTHING),
+            lasting: Arrivals::new(PREFIX_MEMORY),
+        }
+    }
+}
+
+impl PrefixArrivals {
+    pub fn record(&mut self, now: Instant) {
+        self.recent.record(now);
+        self.lasting.record(now);
+    }
+
+    /// Returns the number of requests expected within `time` when another one arrives now.
+    ///
+    /// The arriving request counts only if there were earlier ones. Alone it says nothing
+    /// of those to come: in a large fleet nearly every request is the first of its prefix
+    /// at its router, and would be taken for a crowd at all of them.
+    pub fn expected_after_another(&self, time: Duration, now: Instant) -> f64 {
+        let earlier = self.lasting.rate_per_s(now) * PREFIX_MEMORY.as_secs_f64();
+        let arriving_per_s = earlier.min(1.0) / PREFIX_SMOOTHING.as_secs_f64();
+        (self.recent.rate_per_s(now) + arriving_per_s) * time.as_secs_f64()
     }
 }
 
-/// Weight of the newest ratio in the smoothed [`FleetRate::ratio`].
-const RATIO_WEIGHT: f64 = 0.2;
+/// Part of the earlier reports that the sums of [`FleetRate`] keep with each new one. A
+/// router among hundreds gets a few requests per second, so a single report of its rate is
+/// mostly chance.
+const REPORT_DECAY: f64 = 0.95;
 
-/// Arrival rate of all routers for one pool, as a multiple of the rate of this router.
-#[derive(Clone, Copy, Debug, Default)]
+/// Arrival rates of one pool: of this router, and of all routers.
+#[derive(Clone, Copy, Debug)]
 pub struct FleetRate {
-    /// Requests per [`REPORTED_RATE_INTERVAL`].
+    own: Arrivals,
+    /// Own rate in the last report, in requests per [`REPORTED_RATE_INTERVAL`].
     last_reported: u32,
-    ratio: Option<f64>,
+    /// Decaying sum of the own reported rates for which a total arrived.
+    own_sum: f64,
+    /// Decaying sum of the totals.
+    total_sum: f64,
+    /// Newest total, in requests per second.
+    total_per_s: f64,
     total_received_at: Option<Instant>,
 }
 
+impl Default for FleetRate {
+    fn default() -> Self {
+        Self {
+            own: Arrivals::new(SERVICE_SMOOTHING),
+            last_reported: 0,
+            own_sum: 0.0,
+            total_sum: 0.0,
+            total_per_s: 0.0,
+            total_received_at: None,
+        }
+    }
+}
+
 impl FleetRate {
-    /// Returns the rate to report to other routers, in requests per
+    /// Records a request that arrived at this router.
+    pub fn record(&mut self, now: Instant) {
+        self.own.record(now);
+    }
+
+    /// Returns the rate of this router to report to others, in requests per
     /// [`REPORTED_RATE_INTERVAL`], and stores the value for [`Self::record_total`].
-    pub fn report_rate(&mut self, own: &Arrivals, now: Instant) -> u32 {
+    pub fn report_rate(&mut self, now: Instant) -> u32 {
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "casts of floats saturate"
         )]
-        let reported = own.expected_within(REPORTED_RATE_INTERVAL, now).round() as u32;
+        let reported = self
+            .own
+            .expected_within(REPORTED_RATE_INTERVAL, now)
+            .round() as u32;
         self.last_reported = reported;
         reported
     }
 
-    /// Records the sum of the rates reported by all routers. The ratio is smoothed
-    /// because the sum is older than the rate of this router.
+    /// Records the sum of the rates reported by all routers.
     pub fn record_total(&mut self, total: u32, now: Instant) {
+        self.total_per_s = f64::from(total) / REPORTED_RATE_INTERVAL.as_secs_f64();
+        self.own_sum = self.own_sum * REPORT_DECAY + f64::from(self.last_reported);
+        self.total_sum = self.total_sum * REPORT_DECAY + f64::from(total);
         self.total_received_at = Some(now);
-        if self.last_reported > 0 && total > 0 {
-            let newest = (f64::from(total) / f64::from(self.last_reported)).max(1.0);
-            let ratio = self.ratio.unwrap_or(newest);
-            self.ratio = Some(ratio + RATIO_WEIGHT * (newest - ratio));
-        }
     }
 
     /// Returns the requests of all routers per request of this router. Without a total
     /// in the last `max_age`, all `router_count` routers are assumed to have the same rate.
     pub fn ratio(&self, router_count: u32, max_age: Duration, now: Instant) -> f64 {
-        let is_recent = self.total_received_at.is_some_and(|at| now < at + max_age);
-        let ratio = self.ratio.filter(|_| is_recent);
-        ratio.unwrap_or_else(|| f64::from(router_count))
+        if self.has_total(max_age, now) && self.own_sum > 0.0 {
+            (self.total_sum / self.own_sum).max(1.0)
+        } else {
+            f64::from(router_count)
+        }
+    }
+
+    /// Returns the requests that are expected at all routers within `time`.
+    ///
+    /// The total of the last reports is accurate but older than a crowd that has just
+    /// begun. The own rate shows the crowd at once, but is used only as far as it exceeds
+    /// chance: the rate of few requests varies by its square root.
+    pub fn expected_within(
+        &self,
+        time: Duration,
+        router_count: u32,
+        max_age: Duration,
+        now: Instant,
+    ) -> f64 {
+        let own_per_s = self.own.rate_per_s(now);
+        let ratio = self.ratio(router_count, max_age, now);
+        if !self.has_total(max_age, now) {
+            return own_per_s * ratio * time.as_secs_f64();
+        }
+        let deviation_per_s = (own_per_s / SERVICE_SMOOTHING.as_secs_f64()).sqrt();
+        let certain_per_s = (own_per_s - deviation_per_s).max(0.0);
+        self.total_per_s.max(certain_per_s * ratio) * time.as_secs_f64()
+    }
+
+    fn has_total(&self, max_age: Duration, now: Instant) -> bool {
+        self.total_received_at.is_some_and(|at| now < at + max_age)
     }
 }
 
--- a/crates/dispatch/src/cache_map.rs
+++ b/crates/dispatch/src/cache_map.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::arrivals::Arrivals;
+use crate::arrivals::PrefixArrivals;
 
 /// Hash of the prefix of a prompt: the parts that it shares with other prompts.
 pub type PrefixHash = u64;
@@ -35,7 +35,7 @@
     caches: Vec<CacheId>,
     used_at: Instant,
     /// Requests with this prefix at this router.
-    arrivals: Arrivals,
+    arrivals: PrefixArrivals,
 }
 
 /// Targets that are believed to have prompt prefixes cached.
@@ -51,14 +51,15 @@
         self.entries.get(&prefix_hash).map_or(&[], |e| &e.caches)
     }
 
-    /// Counts a request with the prefix and returns the rate of such requests. Requests with
-    /// an unknown prefix are not counted.
-    pub fn record_request(&mut self, prefix_hash: PrefixHash, now: Instant) -> Arrivals {
-        let entry = self.entries.get_mut(&prefix_hash);
-        entry.map_or_else(Arrivals::default, |entry| {
-            entry.arrivals.record(now);
-            entry.arrivals
-        })
+    /// Returns the rate of the requests with the prefix at this router.
+    pub fn arrivals(&self, prefix_hash: PrefixHash) -> PrefixArrivals {
+        let entry = self.entries.get(&prefix_hash);
+        entry.map(|entry| entry.arrivals).unwrap_or_default()
+    }
+
+    /// Counts a request with the prefix.
+    pub fn record_request(&mut self, prefix_hash: PrefixHash, now: Instant) {
+        self.entry(prefix_hash, now).arrivals.record(now);
     }
 
     /// Records a request that this router sent. A new entry is kept for the other routers.
@@ -97,19 +98,21 @@
         });
     }
 
-    /// Returns whether the entry is new.
-    fn add(&mut self, prefix: CachedPrefix, now: Instant) -> bool {
+    /// Returns the entry of a prefix, after adding an empty one if there is none.
+    fn entry(&mut self, prefix_hash: PrefixHash, now: Instant) -> &mut Entry {
         if self.entries.len() >= MAX_ENTRIES {
             self.evict_least_recently_used();
         }
-        let entry = self
-            .entries
-            .entry(prefix.prefix_hash)
-            .or_insert_with(|| Entry {
-                caches: Vec::new(),
-                used_at: now,
-                arrivals: Arrivals::default(),
-            });
+        self.entries.entry(prefix_hash).or_insert_with(|| Entry {
+            caches: Vec::new(),
+            used_at: now,
+            arrivals: PrefixArrivals::default(),
+        })
+    }
+
+    /// Returns whether the entry is new.
+    fn add(&mut self, prefix: CachedPrefix, now: Instant) -> bool {
+        let entry = self.entry(prefix.prefix_hash, now);
         entry.used_at = now;
         let is_new = !entry.caches.contains(&prefix.cache_id);
         if is_new {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -7,7 +7,6 @@
 use bamboospur_registry::{Announcement, StartTime};
 use bamboospur_types::{Rng, mix64, stable_id};
 
-use crate::arrivals::Arrivals;
 use crate::cache_map::{CacheId, CacheMap, CachedPrefix};
 use crate::health::Outcome;
 use crate::load::LoadReport;
@@ -72,7 +71,6 @@
         }
         for (service, pool) in &mut pools {
             if let Some(known) = self.pools.get(service) {
-                pool.arrivals = known.arrivals;
                 pool.fleet_rate = known.fleet_rate;
                 pool.request_duration_s = known.request_duration_s;
             }
@@ -114,12 +112,12 @@
         let hash = prefix_hash(request.prompt);
         let is_first_attempt = request.tried.is_empty();
         if is_first_attempt {
-            pool.arrivals.record(now);
+            pool.fleet_rate.record(now);
+        }
+        let same_prefix_arrivals = self.cache_map.arrivals(hash);
+        if is_first_attempt && !request.prompt.is_empty() {
+            self.cache_map.record_request(hash, now);
         }
-        let same_prefix_arrivals = match request.prompt {
-            [_, ..] if is_first_attempt => self.cache_map.record_request(hash, now),
-            _ => Arrivals::default(),
-        };
         let caches = self.cache_map.caches(hash);
         let mut choice = pool.choose(request, caches, same_prefix_arrivals, context)?;
         if let Some(target) = pool.targets.get_mut(&choice.name) {
@@ -174,7 +172,7 @@
     pub fn collect_own_loads(&mut self, now: Instant) -> Vec<(CacheId, u32)> {
         let mut loads = Vec::new();
         for (service, pool) in &mut self.pools {
-            let rate = pool.fleet_rate.report_rate(&pool.arrivals, now);
+            let rate = pool.fleet_rate.report_rate(now);
             if rate > 0 {
                 loads.push((arrival_rate_id(service), rate));
             }
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -8,7 +8,7 @@
 use bamboospur_registry::{Announcement, StartTime, TargetName};
 use bamboospur_types::{mix64, stable_id};
 
-use crate::arrivals::{Arrivals, FleetRate, choose_by_water_filling, choose_by_weight};
+use crate::arrivals::{FleetRate, PrefixArrivals, choose_by_water_filling, choose_by_weight};
 use crate::cache_map::{CacheId, PrefixHash};
 use crate::health::Health;
 use crate::load::Load;
@@ -64,9 +64,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     pub targets: BTreeMap<TargetName, Target>,
-    /// Arrival rate at this router.
-    pub arrivals: Arrivals,
-    /// Arrival rate at all routers.
+    /// Arrival rates at this router and at all routers.
     pub fleet_rate: FleetRate,
     /// Smoothed time from the choice of a target to the end of an answered request.
     pub request_duration_s: f64,
@@ -102,13 +100,13 @@
 
 impl Pool {
     /// Chooses a target for one attempt. `caches` are those believed to have the prompt's
-    /// prefix, and `same_prefix_arrivals` is the rate of requests with this prefix at this
-    /// router.
+    /// prefix, and `same_prefix_arrivals` is the rate of earlier requests with this prefix
+    /// at this router.
     pub fn choose(
         &self,
         request: &DispatchRequest<'_>,
         caches: &[CacheId],
-        same_prefix_arrivals: Arrivals,
+        same_prefix_arrivals: PrefixArrivals,
         context: ChoiceContext<'_>,
     ) -> Result<ChosenTarget, ChooseError> {
         let ChoiceContext { settings, now, .. } = context;
@@ -147,8 +145,7 @@
             prefix_hash: prefix_hash(request.prompt),
             caches: caches.iter().copied().collect(),
             expected_same_prefix: self.expected_from_others(same_prefix_arrivals, context),
-            expected_per_target: self.expected_from_others(self.arrivals, context)
-                / count_at_least_one(&loads),
+            expected_per_target: self.expected_at_all_routers(context) / count_at_least_one(&loads),
         };
         if is_half_full(&available, settings) {
             let admitted_share = self.admitted_share(&available, context);
@@ -174,21 +171,34 @@
 
     /// Returns the requests that other routers are expected to send before their next loads
     /// arrive, given the rate `own` of this router.
-    fn expected_from_others(&self, own: Arrivals, context: ChoiceContext<'_>) -> f64 {
-        let own = own.expected_within(context.settings.max_report_age, context.now);
+    fn expected_from_others(&self, own: PrefixArrivals, context: ChoiceContext<'_>) -> f64 {
+        let own = own.expected_after_another(context.settings.max_report_age, context.now);
         own * (self.fleet_ratio(context) - 1.0)
     }
 
+    /// Returns the requests that all routers are expected to get before their next loads
+    /// arrive.
+    fn expected_at_all_routers(&self, context: ChoiceContext<'_>) -> f64 {
+        let ChoiceContext {
+            settings,
+            router_count,
+            now,
+            ..
+        } = context;
+        let max_age = settings.report_decay;
+        let time = settings.max_report_age;
+        self.fleet_rate
+            .expected_within(time, router_count, max_age, now)
+    }
+
     /// Returns the share of the expected requests that every router may admit so that the
     /// targets have capacity for them until the next loads of other routers arrive. Can
     /// exceed 1.
     fn admitted_share(&self, available: &[Candidate<'_>], context: ChoiceContext<'_>) -> f64 {
-        let ChoiceContext { settings, now, .. } = context;
         let spare = available
             .iter()
-            .map(|c| self.spare_capacity(c.target, c.load, settings));
-        let arrivals = self.arrivals.expected_within(settings.max_report_age, now);
-        spare.sum::<f64>() / (arrivals * self.fleet_ratio(context)).max(1.0)
+            .map(|c| self.spare_capacity(c.target, c.load, context.settings));
+        spare.sum::<f64>() / self.expected_at_all_routers(context).max(1.0)
     }
 
     /// Returns the prompts that a target can take until the next loads of other routers
@@ -403,7 +413,7 @@
     caches: BTreeSet<CacheId>,
     /// Requests of other routers with the same prefix.
     expected_same_prefix: f64,
-    /// Requests of other routers for the service, divided by its targets.
+    /// Requests of all routers for the service, divided by its targets.
     expected_per_target: f64,
 }
 
@@ -423,11 +433,14 @@
     let mut order: Vec<(f64, &Candidate<'_>)> = scored.collect();
     order.sort_by(|(a, _), (b, _)| b.total_cmp(a));
     let ranked = || order.iter().map(|&(_, c)| c).enumerate();
+    #[expect(clippy::cast_precision_loss, reason = "a pool has few targets")]
+    let expected_arrivals = |targets: usize| {
+        let usual = prompt.expected_per_target * targets.max(1) as f64;
+        prompt.expected_same_prefix.max(usual)
+    };
     let pick = |among: &[(usize, &Candidate<'_>)], bound: f64| {
         let loads: Vec<f64> = among.iter().map(|(_, c)| c.load).collect();
-        let arrivals = prompt
-            .expected_same_prefix
-            .max(prompt.expected_per_target * count_at_least_one(&loads));
+        let arrivals = expected_arrivals(among.len());
         let picked = choose_by_water_filling(&loads, arrivals, context.random_unit(1))?;
         let (rank, candidate) = among[picked];
         Some(chosen_target(candidate, bound, rank, context.now))
@@ -439,7 +452,8 @@
         .collect();
     let max_load = mean * settings.max_load_factor + settings.max_load_slack;
     let cached_capacity: f64 = cached.iter().map(|(_, c)| max_load - c.load).sum();
-    let can_reuse = context.random_unit(2) * prompt.expected_same_prefix.max(1.0) < cached_capacity;
+    let expected = expected_arrivals(cached.len()).max(1.0);
+    let can_reuse = context.random_unit(2) * expected < cached_capacity;
     let reuse = if can_reuse {
         pick(&cached, reuse_bound)
     } else {
--- a/crates/fleet/tests/bulk.rs
+++ b/crates/fleet/tests/bulk.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use bamboospur_emulator::network::NetworkLink;
 use bamboospur_fleet::link::{BulkItem, BulkKind, BulkQueue};
 
 /// Rate of the network link of a control instance: 6 Mbit/s.
@@ -20,24 +21,6 @@
 const TARGETS_BYTES: usize = 6_000;
 const PREFIXES_BYTES: usize = 65_536;
 
-/// Network link that sends one byte after the other, in order.
-struct NetworkLink {
-    free_at: Instant,
-    sent_bytes: usize,
-}
-
-impl NetworkLink {
-    /// Queues bytes; returns when the last one has been sent.
-    fn send(&mut self, bytes: usize, now: Instant) -> Instant {
-        let rate_bytes_per_s = LINK_BYTES_PER_S;
-        #[expect(clippy::cast_precision_loss, reason = "frames are small")]
-        let duration = Duration::from_secs_f64(bytes as f64 / rate_bytes_per_s);
-        self.free_at = self.free_at.max(now) + duration;
-        self.sent_bytes += bytes;
-        self.free_at
-    }
-}
-
 fn size_of(item: &BulkItem) -> usize {
     match item.kind {
         BulkKind::Config => CONFIG_BYTES,
@@ -70,10 +53,7 @@
     mut before_step: impl FnMut(&mut BulkQueue, Duration),
 ) -> Sent {
     const STEP: Duration = Duration::from_millis(1);
-    let mut link = NetworkLink {
-        free_at: start,
-        sent_bytes: 0,
-    };
+    let mut link = NetworkLink::new(LINK_BYTES_PER_S, start);
     let mut sent = Sent {
         longest_heartbeat_wait: Duration::ZERO,
         done: BTreeMap::new(),
@@ -96,7 +76,7 @@
         }
         now += STEP;
     }
-    sent.bytes = link.sent_bytes;
+    sent.bytes = link.sent_bytes();
     sent
 }
 
