--- a/crates/node/tests/deployment/harness.rs
+++ b/crates/node/tests/deployment/harness.rs
@@ -184,15 +184,8 @@
             stream
                 .write_all(format!("{head}Content-Length: 2\r\n\r\nok").as_bytes())
                 .ok()?;
-            thread::sleep(BODY_READ_DELAY);
             let length: usize = field("content-length")?.parse().ok()?;
-            let mut all = body;
-            let left = u64::try_from(length.saturating_sub(all.len())).ok()?;
-            // A reset connection ends the body; what arrived before is recorded.
-            let _ = stream.take(left).read_to_end(&mut all);
-            let is_whole = all.len() == length;
-            records.bodies.lock().ok()?.push(all);
-            return Some(is_whole);
+            return read_body_late(stream, body, length, records);
         }
         Behaviour::RejectWithRoom => {
             let head = head.replace("200 OK", "503 Service Unavailable");
@@ -209,21 +202,42 @@
         Behaviour::Stream => {
             let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
             stream.write_all(format!("{head}{kind}").as_bytes()).ok()?;
-            for event in 1..=10 {
-                let data = format!("id: {event}\ndata: x\n\n");
-                let chunk = format!("{:x}\r\n{data}\r\n", data.len());
-                if stream.write_all(chunk.as_bytes()).is_err() {
-                    records.closed_at.lock().ok()?.push(Instant::now());
-                    return None;
-                }
-                thread::sleep(Duration::from_millis(200));
+            if write_events(stream).is_err() {
+                records.closed_at.lock().ok()?.push(Instant::now());
+                return None;
             }
-            stream.write_all(b"0\r\n\r\n").ok()?;
         }
     }
     Some(false)
 }
 
+/// Writes ten events with pauses, and the end of the stream.
+fn write_events(mut stream: &TcpStream) -> std::io::Result<()> {
+    for event in 1..=10 {
+        let data = format!("id: {event}\ndata: x\n\n");
+        let chunk = format!("{:x}\r\n{data}\r\n", data.len());
+        stream.write_all(chunk.as_bytes())?;
+        thread::sleep(Duration::from_millis(200));
+    }
+    stream.write_all(b"0\r\n\r\n")
+}
+
+/// Reads the rest of a body after a pause; returns whether it was complete.
+fn read_body_late(
+    stream: &TcpStream,
+    mut body: Vec<u8>,
+    length: usize,
+    records: &Observations,
+) -> Option<bool> {
+    thread::sleep(BODY_READ_DELAY);
+    let left = u64::try_from(length.saturating_sub(body.len())).ok()?;
+    // A reset connection ends the body; what arrived before is recorded.
+    let _ = stream.take(left).read_to_end(&mut body);
+    let is_whole = body.len() == length;
+    records.bodies.lock().ok()?.push(body);
+    Some(is_whole)
+}
+
 /// Processes of one deployment. They are killed when this value is dropped.
 pub struct Deployment {
     network: u8,
