Store cached prompts on every control instance

Cause: a control instance stored only the prompts that its own routers had reported, and a router that starts asks one instance, so with five instances it knew a fifth of them and had the others processed again. A fleet that lost power started with that fifth.

Change: instances pass reported prompts on to their peers, and keep the newest 8,192 pairs in place of 4,096.

The new deployment test fails without the change (2 of 6 prompts known).

--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -43,7 +43,7 @@
 const MAX_MISSED_REPORTS: u32 = 5;
 /// Cached prefixes that are stored for routers that start; each is a pair of a prompt
 /// prefix and a target that has it cached.
-const MAX_CACHED_PREFIXES: usize = 4_096;
+const MAX_CACHED_PREFIXES: usize = 8_192;
 
 /// State of a control instance.
 pub struct Host {
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -168,6 +168,9 @@
         match frame {
             Frame::Alive(number) => self.send_to_link(link, &Frame::Alive(number)),
             Frame::Replica { to, message } => self.handle_replica_message(hello.id, to, *message),
+            Frame::CachedPrefixes(prefixes) if hello.control_address().is_some() => {
+                self.store_prefixes(&prefixes);
+            }
             Frame::CachedPrefixes(prefixes) => self.forward_prefixes(link, prefixes),
             Frame::Loads(counts) if hello.control_address().is_some() => {
                 self.loads.record_peer_sums(hello.id, counts, now);
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -212,9 +212,17 @@
         }
     }
 
-    /// Forwards cached prefixes to the other routers, and stores them for routers
-    /// that start.
+    /// Forwards cached prefixes to the other routers, and to peers, which store them as
+    /// well: a router that starts asks one instance for all of them.
     pub(super) fn forward_prefixes(&mut self, from: LinkId, prefixes: Vec<(u64, u64)>) {
+        self.store_prefixes(&prefixes);
+        self.peers
+            .send_to_all(&Frame::CachedPrefixes(prefixes.clone()));
+        self.send_prefixes(from, prefixes);
+    }
+
+    /// Stores cached prefixes for routers that start.
+    pub(super) fn store_prefixes(&mut self, prefixes: &[(u64, u64)]) {
         self.cached_prefixes.extend(prefixes.iter().copied());
         let excess = self
             .cached_prefixes
@@ -222,6 +230,5 @@
             .saturating_sub(MAX_CACHED_PREFIXES);
         self.cached_prefixes.drain(..excess);
         self.soft_schedule.record_change();
-        self.send_prefixes(from, prefixes);
     }
 }
--- a/crates/fleet/src/router/follow/config.rs
+++ b/crates/fleet/src/router/follow/config.rs
@@ -28,7 +28,7 @@
 /// other to those that report their loads here.
 const MAX_DIRECT_CONFIG_BYTES: usize = 4 * 1024;
 /// Most cached prompts that are sent to a follower that starts.
-const MAX_INITIAL_CACHED_PREFIXES: usize = 4_096;
+const MAX_INITIAL_CACHED_PREFIXES: usize = 8_192;
 
 /// Request for a newer configuration.
 #[derive(Clone, Copy, Debug)]
--- a/crates/node/tests/deployment/harness.rs
+++ b/crates/node/tests/deployment/harness.rs
@@ -489,7 +489,8 @@
         format!(
             "{{\"name\":\"{name}\",\"host\":\"a.example\",\"pathPrefix\":\"/{name}/\",\
              \"type\":\"{kind}\",\"timeoutMs\":6000,\"sloMs\":1000,\"service\":\"{service}\",\
-             \"maxAttempts\":2,\"itlTargetMs\":1000}}"
+             \"maxAttempts\":2,\"itlTargetMs\":1000,\"sticky\":{}}}",
+            service == "engine"
         )
     };
     let routes = [
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod harness;
+mod prompts;
 mod proxy;
 mod relays;
 mod soak;
