Shorten the restart of a killed fleet: publish once, keep texts uncompressed

Each replayed version was decompressed, compressed, compared with the one before and published; and 87 whole configurations left at half of the links' rate.

Change: versions applied by one input are published once; documents hold their text uncompressed and share it between copies; large frames use three quarters of the link's rate.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -124,6 +124,7 @@
             target.load.own += 1;
             if !request.prompt.is_empty() {
                 let cache = target.cache_id;
+                choice.prefix_hash = hash;
                 choice.is_cached = caches.contains(&cache);
                 choice.copy_from = nearest_copy_source(caches, cache, &self.copy_sources);
                 self.cache_map.record_use(
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -522,6 +522,7 @@
         bound,
         copy_from: None,
         is_cached: false,
+        prefix_hash: 0,
         chosen_at: now,
         rank,
     }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -49,6 +49,8 @@
     pub copy_from: Option<SocketAddr>,
     /// Whether the target is believed to have the prompt prefix cached.
     pub is_cached: bool,
+    /// Hash of the prompt's prefix, for the log; 0 for a request without a prompt.
+    pub prefix_hash: u64,
     /// Time of the choice.
     pub chosen_at: Instant,
     /// Position of the target in the rendezvous order of the prompt prefix among the
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
-use tracing::{info, warn};
+use tracing::info;
 
 use super::event::{Event, PutResult};
 use crate::calls::{self, ANSWER_TIMEOUT, Answer, parse_target_update, submit_target_update};
@@ -79,14 +79,8 @@
         Ok(Ok(Some(document))) if sent.is_ok() => document,
         _ => return Answer::error(503, "the newest configuration is not known for certain"),
     };
-    match document.text() {
-        Some(body) if document.version > 0 => Answer::new(200, body),
-        _ => {
-            warn!(
-                version = document.version,
-                "no stored configuration, or it is malformed; answering 503"
-            );
-            Answer::error(503, "there is no configuration")
-        }
+    if document.version == 0 {
+        return Answer::error(503, "there is no configuration");
     }
+    Answer::new(200, document.text().to_vec())
 }
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -280,9 +280,27 @@
 
     fn handle_group_input(&mut self, input: GroupInput) {
         let outputs = self.group.handle(input, Instant::now());
+        let document_changed = outputs
+            .iter()
+            .any(|output| matches!(output, GroupOutput::DocumentChanged));
         for output in outputs {
             self.handle_group_output(output);
         }
+        // After a restart, one call applies many versions of the log.
+        if document_changed {
+            self.publish_newest_document();
+        }
+    }
+
+    fn publish_newest_document(&mut self) {
+        let document = self.group.document();
+        let previous = self.config_history.version();
+        if document.version > previous {
+            self.counters.configs += 1;
+            info!(version = document.version, "configuration in force");
+            self.config_history.push(document.clone(), None);
+            self.publish_config(previous);
+        }
     }
 
     fn handle_group_output(&mut self, output: GroupOutput) {
@@ -298,17 +316,7 @@
                 let _sent = self.peers.send_to(to, Frame::Replica { to, message });
             }
             GroupOutput::Reply { ticket, reply } => self.handle_reply(ticket, reply),
-            GroupOutput::DocumentChanged => {
-                // Replaying the log emits this output many times for one document.
-                let document = self.group.document();
-                let previous = self.config_history.version();
-                if document.version > previous {
-                    self.counters.configs += 1;
-                    info!(version = document.version, "configuration in force");
-                    self.config_history.push(document.clone(), None);
-                    self.publish_config(previous);
-                }
-            }
+            GroupOutput::DocumentChanged => {}
             GroupOutput::LeaderChanged { leader } => {
                 self.counters.elections += 1;
                 info!(?leader, own = leader == Some(self.id), "leader changed");
--- a/crates/fleet/src/link/bulk.rs
+++ b/crates/fleet/src/link/bulk.rs
@@ -17,7 +17,7 @@
 use super::frame::Frame;
 
 /// Part of the rate of the network link that bulk frames may use.
-const BULK_SHARE: f64 = 0.5;
+const BULK_SHARE: f64 = 0.75;
 /// Bulk frames that may be sent at once after a pause, as time at the bulk rate.
 const BURST: Duration = Duration::from_millis(100);
 /// Rate of a network link whose rate is not stated: 1 Gbit/s.
--- a/crates/fleet/src/router/follow/config.rs
+++ b/crates/fleet/src/router/follow/config.rs
@@ -204,11 +204,7 @@
     if document.version <= router.config_version() {
         return false;
     }
-    let text = document.text();
-    let catalog = text
-        .ok_or_else(|| "its content cannot be decompressed".to_owned())
-        .and_then(|text| config::parse_catalog(&text).map_err(|error| error.to_string()));
-    match catalog {
+    match config::parse_catalog(document.text()) {
         Ok(catalog) => {
             router.apply_config(catalog);
             true
@@ -216,7 +212,7 @@
         Err(error) => {
             error!(
                 version = document.version,
-                error,
+                %error,
                 "configuration rejected: its content is invalid; the previous one stays in force"
             );
             false
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -73,12 +73,13 @@
             bound,
             is_cached,
             copy_from,
+            prefix_hash,
             ..
         } = choice;
         let copied = copy_from.is_some();
         let text = format!(
             "{name} rank={rank} load={load:.1} bound={bound:.1} cached={is_cached} \
-             copied={copied} {end}"
+             copied={copied} prefix={prefix_hash:016x} {end}"
         );
         self.attempts.push(text);
     }
--- a/crates/group/src/document.rs
+++ b/crates/group/src/document.rs
@@ -1,5 +1,7 @@
 //! The replicated document.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::patch::Patch;
@@ -9,14 +11,17 @@
 
 /// Longest text of a document, in bytes.
 const MAX_TEXT_BYTES: usize = 16 * 1024 * 1024;
+/// Usual ratio of the sizes of a text and of its compressed form.
+const COMPRESSION_RATIO: usize = 5;
 
-/// One version of the document.
+/// One version of the document. Copies share the text.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "EncodedDocument", try_from = "EncodedDocument")]
 pub struct Document {
     /// Version; 0 when no document was accepted yet.
     pub version: DocumentVersion,
-    /// Compressed text, which the group does not interpret.
-    content: Vec<u8>,
+    /// Text, which the group does not interpret.
+    text: Arc<[u8]>,
 }
 
 impl Document {
@@ -25,28 +30,20 @@
     pub fn new(version: DocumentVersion, text: &[u8]) -> Self {
         Self {
             version,
-            content: lz4_flex::compress_prepend_size(text),
+            text: text.into(),
         }
     }
 
-    /// Returns the text; `None` when the content is malformed. The document with version
-    /// 0 has no text.
+    /// Returns the text.
     #[must_use]
-    pub fn text(&self) -> Option<Vec<u8>> {
-        if self.version == 0 {
-            return Some(Vec::new());
-        }
-        let size = self.content.first_chunk().map(|b| u32::from_le_bytes(*b))?;
-        if usize::try_from(size).ok()? > MAX_TEXT_BYTES {
-            return None;
-        }
-        lz4_flex::decompress_size_prepended(&self.content).ok()
+    pub fn text(&self) -> &[u8] {
+        &self.text
     }
 
-    /// Size of the compressed text, in bytes.
+    /// Approximate size of the encoded document, in bytes.
     #[must_use]
-    pub const fn size_bytes(&self) -> usize {
-        self.content.len()
+    pub fn size_bytes(&self) -> usize {
+        self.text.len() / COMPRESSION_RATIO
     }
 
     /// Returns the patch that leads from `base` to this document, if it is much smaller
@@ -56,8 +53,8 @@
         if base.version == 0 {
             return None;
         }
-        let (old, new) = (base.text()?, self.text()?);
-        let patch = Patch::between((base.version, &old), (self.version, &new))?;
+        let base = (base.version, &*base.text);
+        let patch = Patch::between(base, (self.version, &self.text))?;
         (patch.size_bytes() * 2 < self.size_bytes()).then_some(patch)
     }
 
@@ -68,6 +65,46 @@
         if patch.base_version != self.version {
             return None;
         }
-        Some(Self::new(patch.version, &patch.apply(&self.text()?)?))
+        Some(Self::new(patch.version, &patch.apply(&self.text)?))
+    }
+}
+
+/// Document as it is stored and sent.
+#[derive(Serialize, Deserialize)]
+struct EncodedDocument {
+    version: DocumentVersion,
+    /// Compressed text; empty for an empty one.
+    content: Vec<u8>,
+}
+
+impl From<Document> for EncodedDocument {
+    fn from(document: Document) -> Self {
+        let content = if document.text.is_empty() {
+            Vec::new()
+        } else {
+            lz4_flex::compress_prepend_size(&document.text)
+        };
+        Self {
+            version: document.version,
+            content,
+        }
+    }
+}
+
+impl TryFrom<EncodedDocument> for Document {
+    type Error = String;
+
+    fn try_from(encoded: EncodedDocument) -> Result<Self, String> {
+        let version = encoded.version;
+        let Some(size) = encoded.content.first_chunk() else {
+            return Ok(Self::new(version, &[]));
+        };
+        let size = usize::try_from(u32::from_le_bytes(*size));
+        if size.is_ok_and(|size| size > MAX_TEXT_BYTES) {
+            return Err(format!("the text of version {version} is too long"));
+        }
+        let text = lz4_flex::decompress_size_prepended(&encoded.content);
+        let text = text.map_err(|error| format!("the text of version {version}: {error}"))?;
+        Ok(Self::new(version, &text))
     }
 }
