Keep the leader while operators read large configurations

Reads of the operator, 249 kB each, shared the link with the paced frames. All routers asked the instance that started first for the cached prompts.

Routers ask the preferred peer for the state 0.2 s after their first link.

--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -311,6 +311,7 @@
                 }
             }
             GroupOutput::Send { to, message } => {
+                self.bulk.record_other(message.content_bytes());
                 // The consensus protocol sends lost messages again.
                 let message = Box::new(message);
                 let _sent = self.peers.send_to(to, Frame::Replica { to, message });
@@ -341,8 +342,14 @@
     }
 }
 
+/// Returns the settings of the group. On a narrow network link a heartbeat can wait for
+/// some hundred milliseconds behind a read or a change of a large configuration, which is
+/// no reason to replace the leader.
 fn group_settings(id: InstanceId) -> GroupSettings {
     let mut settings = GroupSettings::default();
+    settings.replica.election_timeout_min = Duration::from_millis(600);
+    settings.replica.election_timeout_max = Duration::from_secs(1);
+    settings.replica.quorum_timeout = Duration::from_millis(600);
     settings.replica.id = id;
     settings.replica.disk = id;
     settings
--- a/crates/fleet/src/control/host/config.rs
+++ b/crates/fleet/src/control/host/config.rs
@@ -166,6 +166,8 @@
     }
 
     pub(super) fn handle_get_done(&mut self, ticket: Ticket, document: Option<Document>) {
+        let bytes = document.as_ref().map_or(0, |d| d.text().len());
+        self.bulk.record_other(bytes);
         if document.is_some()
             && let Some(PendingRequest::Get { result }) = self.pending_requests.take(ticket)
         {
@@ -190,6 +192,7 @@
                 let _sent = result.send(outcome);
             }
             PendingRequest::Get { result } => {
+                self.bulk.record_other(self.group.document().text().len());
                 let _sent = result.send(newest());
             }
             PendingRequest::PeerPut { peer, ticket } => {
@@ -199,6 +202,7 @@
                     .send_to(peer, Frame::PutDone { ticket, accepted });
             }
             PendingRequest::PeerGet { peer, ticket } => {
+                self.bulk.record_other(self.group.document().size_bytes());
                 let document = newest();
                 let _sent = self
                     .peers
--- a/crates/fleet/src/link/bulk.rs
+++ b/crates/fleet/src/link/bulk.rs
@@ -17,9 +17,11 @@
 use super::frame::Frame;
 
 /// Part of the rate of the network link that bulk frames may use.
-const BULK_SHARE: f64 = 0.75;
+const BULK_SHARE: f64 = 0.5;
 /// Bulk frames that may be sent at once after a pause, as time at the bulk rate.
 const BURST: Duration = Duration::from_millis(100);
+/// Longest time for which other large sends hold back bulk frames.
+const MAX_DEBT: Duration = Duration::from_millis(500);
 /// Rate of a network link whose rate is not stated: 1 Gbit/s.
 const DEFAULT_LINK_BYTES_PER_S: f64 = 125_000_000.0;
 
@@ -130,6 +132,14 @@
         self.budget_bytes -= bytes as f64;
     }
 
+    /// Subtracts bytes that are sent over the same network link without waiting here, so
+    /// that bulk frames leave room for them.
+    pub fn record_other(&mut self, bytes: usize) {
+        self.record_sent(bytes);
+        let least_bytes = -self.bytes_per_s * MAX_DEBT.as_secs_f64();
+        self.budget_bytes = self.budget_bytes.max(least_bytes);
+    }
+
     /// Returns when the next item may be sent; `None` when none waits.
     #[must_use]
     pub fn next_at(&self) -> Option<Instant> {
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -104,6 +104,7 @@
         is_relay: false,
         known_version: 0,
         config_request: None,
+        state_request_at: None,
         config_history: ConfigHistory::default(),
         config_waiters: BTreeMap::new(),
         bulk: BulkQueue::new(settings.link_bytes_per_s, Instant::now()),
@@ -143,6 +144,8 @@
     known_version: DocumentVersion,
     /// Request for a newer configuration that is not answered yet.
     config_request: Option<ConfigRequest>,
+    /// When to request the state that may have been missed while there was no link.
+    state_request_at: Option<Instant>,
     /// Configurations that were in force here.
     config_history: ConfigHistory,
     /// Followers that wait for a newer configuration than this router has, with the
@@ -183,6 +186,7 @@
                 }
                 _ = updates.tick() => {
                     self.router.apply_pending_targets();
+                    self.request_state_if_due();
                     self.send_cached_prefixes();
                 }
                 _ = loads.tick() => self.send_loads(),
--- a/crates/fleet/src/router/follow/links.rs
+++ b/crates/fleet/src/router/follow/links.rs
@@ -10,6 +10,9 @@
 use crate::clock::BootTime;
 use crate::link::{DialEvent, Frame, dial};
 
+/// Time between the first link and the request of the state. When a whole fleet starts,
+/// all routers would ask the instance that started first.
+const STATE_REQUEST_DELAY: Duration = Duration::from_millis(200);
 /// Time after which the link to a control instance is dropped if no control
 /// instance names its address and no frame arrives on the link.
 const CONTROL_ADDRESS_TTL: Duration = Duration::from_secs(30);
@@ -78,6 +81,20 @@
         }
     }
 
+    /// Requests the state from the preferred relay or, without relays, from the preferred
+    /// control instance, once the links had time to come up.
+    pub(super) fn request_state_if_due(&mut self) {
+        if self.state_request_at.is_none_or(|at| Instant::now() < at) {
+            return;
+        }
+        self.state_request_at = None;
+        if self.is_relay || self.relays.is_empty() {
+            self.request_targets(&self.controls);
+        } else {
+            self.request_targets(&self.relays);
+        }
+    }
+
     /// Queries all control instances for the configuration in force, and sends a
     /// keep-alive to the relays.
     pub(super) fn query_controls(&mut self) {
@@ -117,7 +134,7 @@
                 }
                 let is_follower = !self.is_relay && !self.named_relays.is_empty();
                 if !is_follower && count_up(&self.controls) == 1 {
-                    self.request_targets(&self.controls);
+                    self.state_request_at = Some(Instant::now() + STATE_REQUEST_DELAY);
                 }
                 self.query_control(address);
             }
@@ -185,7 +202,7 @@
                 self.set_relay_up(address, true);
                 // Changes may have been missed while no relay was linked.
                 if count_up(&self.relays) == 1 {
-                    self.request_targets(&self.relays);
+                    self.state_request_at = Some(Instant::now() + STATE_REQUEST_DELAY);
                 }
                 self.request_config_if_behind();
             }
--- a/crates/fleet/tests/bulk.rs
+++ b/crates/fleet/tests/bulk.rs
@@ -144,6 +144,24 @@
     assert_eq!(sent.done.len(), 20);
 }
 
+/// An operator reads a large configuration again and again while routers wait for it.
+#[test]
+fn frames_wait_for_other_large_sends_but_not_for_ever() {
+    const READ_BYTES: usize = 250_000;
+    let start = Instant::now();
+    let mut queue = BulkQueue::new(Some(LINK_BYTES_PER_S), start);
+    queue.push(item(1, BulkKind::Config));
+    queue.record_other(READ_BYTES);
+    assert_eq!(queue.take(start), None);
+    for _ in 0..10 {
+        queue.record_other(READ_BYTES);
+    }
+    let at = queue.next_at().expect("a time");
+    assert!(at > start + Duration::from_millis(300), "{:?}", at - start);
+    assert!(at < start + Duration::from_millis(700), "{:?}", at - start);
+    assert!(queue.take(at).is_some());
+}
+
 #[test]
 fn an_ended_link_takes_its_items_with_it() {
     let start = Instant::now();
