Use relays from 4,000 entries on, and select them alike before the first leader

Cause: 87 routers and 131 targets had no relays, so after a restart of the whole fleet six control instances with 6 Mbit/s sent the configuration to all routers (3.4 s).

Before the first leader the selection goes by rank alone; the test now lets routers dial two instances in another order.

--- a/crates/fleet/src/control/fanout.rs
+++ b/crates/fleet/src/control/fanout.rs
@@ -19,8 +19,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FanoutSettings {
     /// Routers times targets up to which a control instance sends the announcements of
-    /// all targets to every router itself. At 50 bytes each, the default number takes
-    /// more than a second on a link of 6 Mbit/s.
+    /// all targets to every router itself, and the configuration to those that start.
+    /// Beyond the default number, a large configuration for all routers takes some
+    /// seconds on a few links of 6 Mbit/s.
     pub direct_entries: usize,
     /// Number of relays in each data centre. Routers follow all of them, so two can fail
     /// at once with the default of three.
@@ -32,7 +33,7 @@
 impl Default for FanoutSettings {
     fn default() -> Self {
         Self {
-            direct_entries: 20_000,
+            direct_entries: 4_000,
             relays: 3,
             own_targets: 200,
         }
@@ -60,6 +61,15 @@
     replaced_at: Option<Instant>,
 }
 
+/// Which relays a selection keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Selection {
+    /// Those that are linked; used by the leader.
+    KeepLinked,
+    /// None; used before the first leader is known.
+    ByRank,
+}
+
 /// Time in which a relay whose link ended can dial again before it is replaced. The other
 /// relays of the data centre serve the routers meanwhile.
 const RELAY_RETURN_TIME: Duration = Duration::from_millis(400);
@@ -112,12 +122,14 @@
     /// Selects the relays for the current routers and number of targets; returns whether
     /// the relays changed.
     ///
-    /// Linked relays are kept, and free places are filled by rank. So instances that start
-    /// with links to the same routers select the same relays before they have a leader.
+    /// Free places are filled by rank. The leader keeps linked relays, whatever their rank.
+    /// Before the first leader, the selection goes by rank alone, so that instances with
+    /// links to the same routers select the same relays, in whichever order they dialled.
     pub fn select_relays<'a>(
         &mut self,
         routers: impl Iterator<Item = (LinkId, &'a Hello)>,
         targets: usize,
+        selection: Selection,
         now: Instant,
     ) -> bool {
         let routers: Vec<(LinkId, u64, &RouterLocation)> = routers
@@ -132,7 +144,10 @@
             self.settings.direct_entries
         };
         if routers.len().saturating_mul(targets) > max_entries {
-            self.remove_lost(&routers, now);
+            match selection {
+                Selection::KeepLinked => self.remove_lost(&routers, now),
+                Selection::ByRank => self.selected.clear(),
+            }
             self.fill_places(&routers);
         } else {
             self.selected.clear();
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -9,7 +9,7 @@
 use tracing::{info, warn};
 
 use super::Host;
-use crate::control::fanout::Fanout;
+use crate::control::fanout::{Fanout, Selection};
 use crate::link::{AcceptEvent, BulkKind, DialEvent, Frame, FrameQueue, Hello, LinkId, Ticket};
 
 impl Host {
@@ -68,7 +68,15 @@
         let routers = self.links.routers();
         let changed = match &self.leader_relays {
             Some(relays) if !self.is_leader() => self.fanout.adopt_relays(relays, routers),
-            _ => self.fanout.select_relays(routers, self.registry.len(), now),
+            _ => {
+                let selection = if self.is_leader() {
+                    Selection::KeepLinked
+                } else {
+                    Selection::ByRank
+                };
+                let targets = self.registry.len();
+                self.fanout.select_relays(routers, targets, selection, now)
+            }
         };
         if !changed {
             return;
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -31,7 +31,7 @@
 use crate::settings_file::SettingsFile;
 use crate::signals::Signals;
 use event::Event;
-pub use fanout::{Fanout, FanoutSettings};
+pub use fanout::{Fanout, FanoutSettings, Selection};
 pub use soft::{SoftState, SoftStateSchedule};
 
 /// Events that can wait for the host. When the queue is full, senders wait.
--- a/crates/fleet/tests/spread.rs
+++ b/crates/fleet/tests/spread.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bamboospur_fleet::control::{Fanout, FanoutSettings};
+use bamboospur_fleet::control::{Fanout, FanoutSettings, Selection};
 use bamboospur_fleet::link::{Hello, LinkId, Role, RouterLocation};
 
 const SETTINGS: FanoutSettings = FanoutSettings {
@@ -44,7 +44,7 @@
 /// Selects relays among these routers for this number of targets; returns whether the
 /// relays changed.
 fn select(fanout: &mut Fanout, routers: &[(LinkId, Hello)], targets: usize, now: Instant) -> bool {
-    fanout.select_relays(borrowed(routers), targets, now)
+    fanout.select_relays(borrowed(routers), targets, Selection::KeepLinked, now)
 }
 
 /// Returns a fleet with a selection of relays.
@@ -80,15 +80,21 @@
 #[test]
 fn control_instances_without_a_leader_choose_the_same_relays() {
     let now = Instant::now();
-    let (first, routers) = fleet_with_relays(now);
-    let mut second = Fanout::new(SETTINGS);
-    let other: Vec<_> = routers
+    let routers = fleet();
+    let (mut first, mut second) = (Fanout::new(SETTINGS), Fanout::new(SETTINGS));
+    let other: Vec<_> = fleet()
         .into_iter()
         .rev()
         .zip(50..)
         .map(|((_, hello), link)| (link, hello))
         .collect();
-    select(&mut second, &other, 11, now);
+    // The routers dial both instances at once, but in another order.
+    for count in 1..=routers.len() {
+        for (fanout, linked) in [(&mut first, &routers), (&mut second, &other)] {
+            let linked = borrowed(&linked[..count]);
+            fanout.select_relays(linked, 11, Selection::ByRank, now);
+        }
+    }
     let sorted = |fanout: &Fanout| BTreeSet::from_iter(fanout.relays());
     assert_eq!(sorted(&first), sorted(&second));
 }
