--- a/crates/fleet/src/control/fanout.rs
+++ b/crates/fleet/src/control/fanout.rs
@@ -19,9 +19,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FanoutSettings {
     /// Routers times targets up to which a control instance sends the announcements of
-    /// all targets to every router itself, and the configuration to those that start.
-    /// Beyond the default number, a large configuration for all routers takes some
-    /// seconds on a few links of 6 Mbit/s.
+    /// all targets to every router itself. At 50 bytes each, the default number takes
+    /// more than a second on a link of 6 Mbit/s.
     pub direct_entries: usize,
     /// Number of relays in each data centre. Routers follow all of them, so two can fail
     /// at once with the default of three.
@@ -33,7 +32,7 @@
 impl Default for FanoutSettings {
     fn default() -> Self {
         Self {
-            direct_entries: 4_000,
+            direct_entries: 20_000,
             relays: 3,
             own_targets: 200,
         }
