Keep configurations, waiting links and large frames in one outbox

The control instance and the relaying router had the same code for what their links wait for. No behaviour changes.

--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -1,15 +1,15 @@
 //! Task that owns the state of a control instance.
 
-mod bulk;
 mod config;
 mod links;
+mod outbox;
 mod targets;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bamboospur_group::{DocumentVersion, Group, GroupInput, GroupOutput, GroupSettings};
+use bamboospur_group::{Group, GroupInput, GroupOutput, GroupSettings};
 use bamboospur_platform::settings::ProcessSettings;
 use bamboospur_registry::{Announcement, Registry, RegistrySettings, StartTime, TargetName};
 use bamboospur_types::{InstanceId, stable_id};
@@ -24,9 +24,9 @@
 use super::operators::{PendingRequest, PendingRequests};
 use super::peers::Peers;
 use super::soft::{SoftState, SoftStateSchedule};
-use crate::config_history::ConfigHistory;
-use crate::link::{AcceptedLinks, BulkQueue, Frame, LinkId};
+use crate::link::{AcceptedLinks, Frame, LinkId};
 use crate::loads::Loads;
+use crate::outbox::Outbox;
 
 /// Time between two rounds of periodic work, such as keep-alives and batches of reports
 /// to peers, and the removal of expired state.
@@ -65,11 +65,8 @@
     fanout: Fanout,
     /// Relays that the leader selected; `None` until the first list of a leader.
     leader_relays: Option<Vec<(String, SocketAddr)>>,
-    /// Large frames that routers wait for.
-    bulk: BulkQueue,
-    /// Links of routers that wait for a newer configuration than this instance has, with
-    /// the versions that they hold.
-    config_waiters: BTreeMap<LinkId, DocumentVersion>,
+    /// Configurations and state that routers wait for.
+    outbox: Outbox,
     /// Updates of targets that wait for the next batch to routers.
     pending_updates: Vec<Announcement>,
     /// Earliest time of the next batch of updates.
@@ -79,8 +76,6 @@
     /// Newest cached prefixes, oldest first, as pairs of hashes: of the prefix and of the
     /// target.
     cached_prefixes: VecDeque<(u64, u64)>,
-    /// Configurations that were sent to routers.
-    config_history: ConfigHistory,
     counters: Counters,
     /// Addresses of control instances that were last sent to routers.
     sent_controls: Vec<SocketAddr>,
@@ -143,13 +138,11 @@
             refreshed_targets: BTreeMap::new(),
             fanout: Fanout::new(fanout_settings),
             leader_relays: None,
-            bulk: BulkQueue::new(settings.link_bytes_per_s, now),
-            config_waiters: BTreeMap::new(),
+            outbox: Outbox::new(settings.link_bytes_per_s, now),
             pending_updates: Vec::new(),
             next_updates_at: now,
             reported_silent: BTreeSet::new(),
             cached_prefixes: soft.prefixes.into(),
-            config_history: ConfigHistory::default(),
             counters: Counters::default(),
             sent_controls: Vec::new(),
             loads: Loads::default(),
@@ -170,7 +163,7 @@
                 },
                 () = sleep_until(deadline.into()) => self.tick(),
             }
-            self.send_bulk(Instant::now());
+            self.send_outbox(Instant::now());
         }
     }
 
@@ -178,7 +171,7 @@
         let periodic = self.next_round_at.min(self.next_loads_at);
         let updates = (!self.pending_updates.is_empty()).then_some(self.next_updates_at);
         let deadline = self.group.next_deadline().min(periodic);
-        let optional = [updates, self.bulk.next_at()];
+        let optional = [updates, self.outbox.next_at()];
         optional.into_iter().flatten().fold(deadline, Instant::min)
     }
 
@@ -274,7 +267,7 @@
             targets: self.registry.usable(now).len(),
             links: self.links.len(),
             relays: self.fanout.relay_links().count(),
-            bulk_waiting: self.bulk.len(),
+            bulk_waiting: self.outbox.waiting(),
         })
     }
 
@@ -294,12 +287,10 @@
 
     fn publish_newest_document(&mut self) {
         let document = self.group.document();
-        let previous = self.config_history.version();
-        if document.version > previous {
+        if document.version > self.outbox.configs().version() {
             self.counters.configs += 1;
             info!(version = document.version, "configuration in force");
-            self.config_history.push(document.clone(), None);
-            self.publish_config(previous);
+            self.publish_config(document.clone());
         }
     }
 
@@ -311,7 +302,7 @@
                 }
             }
             GroupOutput::Send { to, message } => {
-                self.bulk.record_other(message.content_bytes());
+                self.outbox.record_other(message.content_bytes());
                 // The consensus protocol sends lost messages again.
                 let message = Box::new(message);
                 let _sent = self.peers.send_to(to, Frame::Replica { to, message });
--- a/crates/fleet/src/control/host/config.rs
+++ b/crates/fleet/src/control/host/config.rs
@@ -2,55 +2,23 @@
 
 use std::time::Instant;
 
-use bamboospur_group::{Document, DocumentVersion, GroupInput, Reply, Unavailable};
+use bamboospur_group::{Document, GroupInput, Reply, Unavailable};
 use bamboospur_types::InstanceId;
 use tracing::warn;
 
 use super::Host;
 use crate::control::event::PutResult;
 use crate::control::operators::PendingRequest;
-use crate::link::{BulkItem, BulkKind, Frame, LinkId, Ticket};
-
-/// Size up to which a change is sent to all routers at once, instead of one after the
-/// other.
-const MAX_DIRECT_CONFIG_BYTES: usize = 4 * 1024;
+use crate::link::{Frame, LinkId, Ticket};
 
 impl Host {
     /// Sends the change from the version before to the routers that send their loads to
     /// this instance, and to those that requested a newer version. Other routers receive
     /// it from the instance or relay that they send their loads to, or request it.
-    pub(super) fn publish_config(&mut self, previous: DocumentVersion) {
-        for (link, held_version) in std::mem::take(&mut self.config_waiters) {
-            self.queue_config(link, held_version);
-        }
+    pub(super) fn publish_config(&mut self, document: Document) {
         let links = self.reporting_router_links();
-        match self.config_history.change_from(previous) {
-            Some(change) if change.size_bytes() <= MAX_DIRECT_CONFIG_BYTES => {
-                self.links.send(&links, &Frame::Config(change));
-            }
-            Some(_) => {
-                for link in links {
-                    self.queue_config(link, previous);
-                }
-            }
-            None => {}
-        }
-    }
-
-    fn queue_config(&mut self, link: LinkId, held_version: DocumentVersion) {
-        self.bulk.push(BulkItem {
-            link,
-            kind: BulkKind::Config,
-            held_version,
-        });
-    }
-
-    /// Sends a router the change from the version that it holds, now or once there is one.
-    pub(super) fn handle_config_request(&mut self, link: LinkId, held_version: DocumentVersion) {
-        if held_version < self.config_history.version() {
-            self.queue_config(link, held_version);
-        } else {
-            self.config_waiters.insert(link, held_version);
+        if let Some(change) = self.outbox.publish(document, None, &links) {
+            self.links.send(&links, &Frame::Config(change));
         }
     }
 
@@ -167,7 +135,7 @@
 
     pub(super) fn handle_get_done(&mut self, ticket: Ticket, document: Option<Document>) {
         let bytes = document.as_ref().map_or(0, |d| d.text().len());
-        self.bulk.record_other(bytes);
+        self.outbox.record_other(bytes);
         if document.is_some()
             && let Some(PendingRequest::Get { result }) = self.pending_requests.take(ticket)
         {
@@ -192,7 +160,7 @@
                 let _sent = result.send(outcome);
             }
             PendingRequest::Get { result } => {
-                self.bulk.record_other(self.group.document().text().len());
+                self.outbox.record_other(self.group.document().text().len());
                 let _sent = result.send(newest());
             }
             PendingRequest::PeerPut { peer, ticket } => {
@@ -202,7 +170,7 @@
                     .send_to(peer, Frame::PutDone { ticket, accepted });
             }
             PendingRequest::PeerGet { peer, ticket } => {
-                self.bulk.record_other(self.group.document().size_bytes());
+                self.outbox.record_other(self.group.document().size_bytes());
                 let document = newest();
                 let _sent = self
                     .peers
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -10,7 +10,7 @@
 
 use super::Host;
 use crate::control::fanout::{Fanout, Selection};
-use crate::link::{AcceptEvent, BulkKind, DialEvent, Frame, FrameQueue, Hello, LinkId, Ticket};
+use crate::link::{AcceptEvent, DialEvent, Frame, FrameQueue, Hello, LinkId, Ticket};
 
 impl Host {
     pub(super) fn handle_accept_event(&mut self, event: AcceptEvent, now: Instant) {
@@ -23,8 +23,7 @@
             AcceptEvent::Received { link, frame } => self.handle_frame(link, frame, now),
             AcceptEvent::Ended { link } => {
                 self.links.remove(link);
-                self.bulk.retain(|item| item.link != link);
-                self.config_waiters.remove(&link);
+                self.outbox.remove(link);
             }
         }
     }
@@ -86,14 +85,13 @@
         if self.fanout.has_relays() {
             self.send_changed_relays(&before);
             let fanout = &self.fanout;
-            self.bulk
-                .retain(|item| item.kind == BulkKind::Config || fanout.is_relay_link(item.link));
+            self.outbox.retain_state(|link| fanout.is_relay_link(link));
         } else {
             self.send_to_routers(&Frame::Relays(Vec::new()));
             // While there were relays, the other routers received no updates from this
             // instance.
             for link in self.router_links() {
-                self.queue_state(link, false);
+                self.outbox.request_state(link, false);
             }
         }
     }
@@ -146,7 +144,7 @@
     fn send_initial_state(&mut self, link: LinkId, now: Instant) {
         self.send_to_link(link, &Frame::Controls(self.peers.recent_addresses(now)));
         if !self.fanout.has_relays() {
-            self.queue_state(link, false);
+            self.outbox.request_state(link, false);
             return;
         }
         let location = self.links.hello(link).and_then(Hello::router_location);
@@ -184,12 +182,14 @@
                 self.loads.record_peer_sums(hello.id, counts, now);
             }
             Frame::Loads(counts) => self.loads.record_router_counts(hello.id, counts, now),
-            Frame::RequestConfig(held) => self.handle_config_request(link, held),
+            Frame::RequestConfig(held) => self.outbox.request_config(link, held),
             // With relays, the other routers get the state from them.
             Frame::RequestTargets {
                 with_prefixes,
                 as_relay,
-            } if as_relay || !self.fanout.has_relays() => self.queue_state(link, with_prefixes),
+            } if as_relay || !self.fanout.has_relays() => {
+                self.outbox.request_state(link, with_prefixes);
+            }
             Frame::RequestTargets { .. } => {}
             // A leader that has just started may have no routers yet.
             Frame::Relays(relays) if self.group.leader() == Some(hello.id) => {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod link;
 mod loads;
 pub mod log;
+mod outbox;
 mod process;
 pub mod router;
 pub mod settings_file;
@@ -23,3 +24,4 @@
 
 pub use config_history::ConfigHistory;
 pub use loads::{Loads, RequestCounts};
+pub use outbox::{Content, Outbox};
--- a/crates/fleet/src/link/accept.rs
+++ b/crates/fleet/src/link/accept.rs
@@ -63,7 +63,7 @@
 /// Time limit for the first frame, which must be a hello.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 /// Frames that can wait for a link. If a frame that must not be lost finds no room, the
-/// link is closed, and the peer dials again and receives the current state.
+/// link is closed, and the peer dials again and requests the current state.
 const MAX_QUEUED_FRAMES: usize = 512;
 
 /// Accepts links for ever.
--- a/crates/fleet/src/link/accepted.rs
+++ b/crates/fleet/src/link/accepted.rs
@@ -77,7 +77,7 @@
     }
 
     /// Sends a frame that must not be lost. Links whose queue is full are closed; their
-    /// peers dial again and receive the current state.
+    /// peers dial again and request the current state.
     pub fn send(&mut self, links: &[LinkId], frame: &Frame) {
         let Some(bytes) = encode_for(links, frame) else {
             return;
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -27,10 +27,8 @@
 use super::state::Router;
 use crate::calls::TargetCall;
 use crate::clock::BootTime;
-use crate::config_history::ConfigHistory;
-use crate::link::{
-    self, AcceptEvent, BulkQueue, DialEvent, DialedLink, Hello, LinkId, Role, RouterLocation,
-};
+use crate::link::{self, AcceptEvent, DialEvent, DialedLink, Hello, Role, RouterLocation};
+use crate::outbox::Outbox;
 use config::ConfigRequest;
 
 /// Capacity of the event queue; links wait while the queue is full.
@@ -105,9 +103,7 @@
         known_version: 0,
         config_request: None,
         state_request_at: None,
-        config_history: ConfigHistory::default(),
-        config_waiters: BTreeMap::new(),
-        bulk: BulkQueue::new(settings.link_bytes_per_s, Instant::now()),
+        outbox: Outbox::new(settings.link_bytes_per_s, Instant::now()),
         followers: Followers::default(),
         reported_prefixes: Vec::new(),
     };
@@ -146,13 +142,8 @@
     config_request: Option<ConfigRequest>,
     /// When to request the state that may have been missed while there was no link.
     state_request_at: Option<Instant>,
-    /// Configurations that were in force here.
-    config_history: ConfigHistory,
-    /// Followers that wait for a newer configuration than this router has, with the
-    /// versions that they hold.
-    config_waiters: BTreeMap<LinkId, DocumentVersion>,
-    /// Large frames that followers wait for.
-    bulk: BulkQueue,
+    /// Configurations that were in force here, and what followers wait for.
+    outbox: Outbox,
     followers: Followers,
     reports: Reports,
     /// Cached prompts that followers reported, with the targets that hold them; sent
@@ -168,14 +159,14 @@
         let mut loads = interval(LOAD_REPORT_INTERVAL);
         let mut refreshed = interval(REFRESHED_REPORT_INTERVAL);
         loop {
-            self.send_bulk(Instant::now());
-            let bulk_at = self.bulk.next_at().unwrap_or_else(Instant::now).into();
+            self.send_outbox(Instant::now());
+            let outbox_at = self.outbox.next_at().unwrap_or_else(Instant::now).into();
             tokio::select! {
                 event = events.recv() => match event {
                     Some(event) => self.handle(event),
                     None => return,
                 },
-                () = sleep_until(bulk_at), if self.bulk.next_at().is_some() => {}
+                () = sleep_until(outbox_at), if self.outbox.next_at().is_some() => {}
                 _ = query.tick() => {
                     self.request_config_if_behind();
                     let valid = self.router.lease.borrow().is_valid(BootTime::now());
--- a/crates/fleet/src/router/follow/config.rs
+++ b/crates/fleet/src/router/follow/config.rs
@@ -12,7 +12,8 @@
 use tracing::{error, info};
 
 use super::{FollowedLink, Follower};
-use crate::link::{BulkItem, BulkKind, Frame, LinkId, prefix_frames};
+use crate::link::{Frame, prefix_frames};
+use crate::outbox::Content;
 use crate::router::state::Router;
 
 /// A request is repeated at another peer when its peer has sent nothing for this time.
@@ -24,9 +25,6 @@
 /// After a restart of the whole fleet, control instances could not send the configuration
 /// to every router.
 const RELAY_WAIT: Duration = Duration::from_millis(1_200);
-/// Size up to which a change is sent to all followers at once, instead of one after the
-/// other to those that report their loads here.
-const MAX_DIRECT_CONFIG_BYTES: usize = 4 * 1024;
 /// Most cached prompts that are sent to a follower that starts.
 const MAX_INITIAL_CACHED_PREFIXES: usize = 8_192;
 
@@ -65,7 +63,7 @@
         let tried = request.asked.map(|(address, _)| address);
         let peer = self.config_peer(tried, now >= request.behind_since + RELAY_WAIT);
         let asked = peer.map(|(address, followed)| {
-            let frame = Frame::RequestConfig(self.config_history.version());
+            let frame = Frame::RequestConfig(self.outbox.configs().version());
             // A lost request is repeated after a time-out.
             let _sent = followed.link.send(frame);
             info!(%address, version = self.known_version, "requesting a newer configuration");
@@ -102,95 +100,59 @@
 
     /// Applies a change of the configuration and passes it on.
     pub(super) fn handle_config(&mut self, change: &Change) {
-        let previous = self.config_history.version();
+        let previous = self.outbox.configs().version();
         if change.version() <= previous {
             return;
         }
-        let Some(document) = self.config_history.document_after(change) else {
+        let Some(document) = self.outbox.configs().document_after(change) else {
             self.record_known_version(change.version());
             return;
         };
         if !apply_config(&self.router, &document) {
             return;
         }
-        self.config_history.push(document, Some(change));
-        self.request_config_if_behind();
-        self.publish_config(previous);
-    }
-
-    /// Sends the change from the version before to the followers.
-    fn publish_config(&mut self, previous: DocumentVersion) {
         if self.followers.is_empty() {
-            return;
-        }
-        for (link, held_version) in std::mem::take(&mut self.config_waiters) {
-            self.queue_config(link, held_version);
-        }
-        match self.config_history.change_from(previous) {
-            Some(change) if change.size_bytes() <= MAX_DIRECT_CONFIG_BYTES => {
-                self.followers.send_to_all(&Frame::Config(change));
-            }
-            // Followers of a router that has just started ask for what they lack.
-            Some(_) if previous > 0 => {
-                for link in self.followers.load_reporters() {
-                    self.queue_config(link, previous);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn queue_config(&mut self, link: LinkId, held_version: DocumentVersion) {
-        self.bulk.push(BulkItem {
-            link,
-            kind: BulkKind::Config,
-            held_version,
-        });
-    }
-
-    /// Sends a follower the change from the version that it holds, now or once there is
-    /// one.
-    pub(super) fn handle_config_request(&mut self, link: LinkId, held_version: DocumentVersion) {
-        if held_version < self.config_history.version() {
-            self.queue_config(link, held_version);
+            self.outbox.add(document, Some(change));
         } else {
-            self.config_waiters.insert(link, held_version);
+            self.publish_config(document, change);
         }
+        self.request_config_if_behind();
     }
 
-    /// Queues all targets for a follower, and the cached prompts if it needs them.
-    pub(super) fn queue_state(&mut self, link: LinkId, with_prefixes: bool) {
-        let prefixes = with_prefixes.then_some(BulkKind::CachedPrefixes);
-        for kind in [Some(BulkKind::Targets), prefixes].into_iter().flatten() {
-            self.bulk.push(BulkItem {
-                link,
-                kind,
-                held_version: 0,
-            });
+    /// Sends the change from the version before to the followers: a small one to all, a
+    /// large one to those that report their loads here. Followers of a router that had no
+    /// configuration ask for what they lack.
+    fn publish_config(&mut self, document: Document, change: &Change) {
+        let is_first = self.outbox.configs().version() == 0;
+        let links = if is_first {
+            Vec::new()
+        } else {
+            self.followers.load_reporters()
+        };
+        if let Some(change) = self.outbox.publish(document, Some(change), &links) {
+            self.followers.send_to_all(&Frame::Config(change));
         }
     }
 
-    /// Sends the queued large frames that the bandwidth allows now.
-    pub(super) fn send_bulk(&mut self, now: Instant) {
-        while let Some(item) = self.bulk.take(now) {
-            let frames = self.bulk_frames(item);
-            let sizes = frames.iter().map(|f| self.followers.send(item.link, f));
+    /// Sends what the network link has room for now. A follower that misses something
+    /// because its link ended or is full asks again.
+    pub(super) fn send_outbox(&mut self, now: Instant) {
+        while let Some((link, content)) = self.outbox.take(now) {
+            let frames = self.frames(content);
+            let sizes = frames.iter().map(|f| self.followers.send(link, f));
             let bytes = sizes.sum();
-            self.bulk.record_sent(bytes);
+            self.outbox.record_sent(bytes);
         }
     }
 
-    fn bulk_frames(&mut self, item: BulkItem) -> Vec<Frame> {
-        match item.kind {
-            BulkKind::Config => {
-                let change = self.config_history.change_from(item.held_version);
-                change.map(Frame::Config).into_iter().collect()
-            }
-            BulkKind::Targets => {
+    fn frames(&self, content: Content) -> Vec<Frame> {
+        match content {
+            Content::Config(change) => vec![Frame::Config(change)],
+            Content::Targets => {
                 let registry = self.router.registry.borrow();
                 vec![Frame::Targets(registry.all().cloned().collect())]
             }
-            BulkKind::CachedPrefixes => {
+            Content::CachedPrefixes => {
                 let dispatcher = self.router.dispatcher.borrow();
                 let cached = dispatcher.cached_prefixes(MAX_INITIAL_CACHED_PREFIXES);
                 prefix_frames(cached.iter().map(|p| (p.prefix_hash, p.cache_id)))
--- a/crates/fleet/src/router/follow/receive.rs
+++ b/crates/fleet/src/router/follow/receive.rs
@@ -68,9 +68,9 @@
                 Frame::Loads(counts) => {
                     self.followers.record_loads(link, counts, Instant::now());
                 }
-                Frame::RequestConfig(held) => self.handle_config_request(link, held),
+                Frame::RequestConfig(held) => self.outbox.request_config(link, held),
                 Frame::RequestTargets { with_prefixes, .. } => {
-                    self.queue_state(link, with_prefixes);
+                    self.outbox.request_state(link, with_prefixes);
                 }
                 Frame::CachedPrefixes(prefixes) => {
                     self.reported_prefixes.extend(prefixes.iter().copied());
@@ -83,8 +83,7 @@
             },
             AcceptEvent::Ended { link } => {
                 self.followers.remove(link);
-                self.bulk.retain(|item| item.link != link);
-                self.config_waiters.remove(&link);
+                self.outbox.remove(link);
             }
         }
     }
