--- a/crates/fleet/src/router/follow/links.rs
+++ b/crates/fleet/src/router/follow/links.rs
@@ -73,14 +73,18 @@
                 relay = self.is_relay,
                 with_prefixes, "requesting all targets"
             );
-            // The queue of a link that has just come up has room.
-            let _sent = followed.link.send(Frame::RequestTargets {
-                with_prefixes,
-                as_relay: self.is_relay,
-            });
+            self.request_targets_from(followed, with_prefixes);
         }
     }
 
+    fn request_targets_from(&self, followed: &FollowedLink, with_prefixes: bool) {
+        // The queue of a link that has just come up has room.
+        let _sent = followed.link.send(Frame::RequestTargets {
+            with_prefixes,
+            as_relay: self.is_relay,
+        });
+    }
+
     /// Requests the state from the preferred relay or, without relays, from the preferred
     /// control instance, once the links had time to come up.
     pub(super) fn request_state_if_due(&mut self) {
@@ -200,7 +204,11 @@
             DialEvent::Up(address) => {
                 info!(%address, "link to a relay established");
                 self.set_relay_up(address, true);
-                // Changes may have been missed while no relay was linked.
+                // Changes may have been missed while the link was down, and the other relays
+                // may have missed them as well.
+                if let Some(relay) = self.relays.get(&address) {
+                    self.request_targets_from(relay, false);
+                }
                 if count_up(&self.relays) == 1 {
                     self.state_request_at = Some(Instant::now() + STATE_REQUEST_DELAY);
                 }
