Ask the instance that stated a version, and pass over peers without it

It had heard of the version from the leader and asked its preferred control instance, which was linked but cut off from the other two, and waited 3 s for it.

Change: the choice is a module of its own without I/O (router/config_requests.rs). A peer without a newer version says so, and the next one is asked at once; a router that holds a version asks the instance that stated the newer one, after the relays. Only routers without a configuration wait for a peer that has none yet.

--- a/crates/fleet/src/control/host/config.rs
+++ b/crates/fleet/src/control/host/config.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use bamboospur_group::{Document, GroupInput, Reply, Unavailable};
+use bamboospur_group::{Document, DocumentVersion, GroupInput, Reply, Unavailable};
 use bamboospur_types::InstanceId;
 use tracing::warn;
 
@@ -22,6 +22,12 @@
         }
     }
 
+    pub(super) fn handle_config_request(&mut self, link: LinkId, held_version: DocumentVersion) {
+        if !self.outbox.request_config(link, held_version) {
+            self.send_to_link(link, &Frame::NoNewerConfig);
+        }
+    }
+
     /// Returns the links of the routers that send their loads to this instance.
     pub(super) fn reporting_router_links(&self) -> Vec<LinkId> {
         let routers = self.links.routers();
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -182,7 +182,7 @@
                 self.loads.record_peer_sums(hello.id, counts, now);
             }
             Frame::Loads(counts) => self.loads.record_router_counts(hello.id, counts, now),
-            Frame::RequestConfig(held) => self.outbox.request_config(link, held),
+            Frame::RequestConfig(held) => self.handle_config_request(link, held),
             // With relays, the other routers get the state from them.
             Frame::RequestTargets {
                 with_prefixes,
@@ -215,6 +215,7 @@
             | Frame::Taken { .. }
             | Frame::Silent(_)
             | Frame::Config(_)
+            | Frame::NoNewerConfig
             | Frame::Totals(_)
             | Frame::Leader(_)
             | Frame::InForce { .. } => {
--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -130,6 +130,9 @@
     /// Request of a router for the change from the version that it holds, 0 for none, to
     /// the configuration in force.
     RequestConfig(DocumentVersion),
+    /// Answer to [`Frame::RequestConfig`]: the sender has no newer configuration. It sends
+    /// the next one.
+    NoNewerConfig,
     /// Change to the configuration in force at the sender.
     Config(Change),
     /// Query for the version of the configuration that is in force. The leader answers with
--- a/crates/fleet/src/outbox.rs
+++ b/crates/fleet/src/outbox.rs
@@ -87,12 +87,16 @@
     }
 
     /// Queues the change from the version that a router holds, now or once there is one.
-    pub fn request_config(&mut self, link: LinkId, held_version: DocumentVersion) {
-        if held_version < self.configs.version() {
+    /// Returns whether there is one now.
+    #[must_use]
+    pub fn request_config(&mut self, link: LinkId, held_version: DocumentVersion) -> bool {
+        let has_newer = held_version < self.configs.version();
+        if has_newer {
             self.queue(link, BulkKind::Config, held_version);
         } else {
             self.config_waiters.insert(link, held_version);
         }
+        has_newer
     }
 
     /// Queues all targets for a router, and the cached prompts if it needs them.
--- /dev/null
+++ b/crates/fleet/src/router/config_requests.rs
@@ -0,0 +1,133 @@
+//! Which peer a router asks for a newer configuration.
+//!
+//! Relays come first, so that control instances need not serve every router. A peer can be
+//! linked and behind: a relay or control instance that is cut off from the leader answers
+//! that it has no newer version, and the next peer is asked at once. A router without a
+//! configuration waits for such a peer instead, because after a restart of the whole fleet
+//! all peers get the configuration at about the same time.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bamboospur_group::DocumentVersion;
+
+/// Another peer is asked when the asked one has sent nothing for this time.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Another peer is asked after this time in any case. Relays send a whole configuration to
+/// one router after the other.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for which a router waits for a link to a relay, or for a peer without a newer
+/// configuration, before it asks a control instance. After a restart of the whole fleet,
+/// control instances could not send the configuration to every router.
+const START_WAIT: Duration = Duration::from_millis(1_200);
+
+/// A relay or a control instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Address of the link.
+    pub address: SocketAddr,
+    /// Whether the link is up.
+    pub up: bool,
+    /// Time of the last frame from the peer.
+    pub heard_at: Option<Instant>,
+}
+
+/// Peers, the preferred ones first.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Peers {
+    /// Relays of the data centre, linked or not; none for a relay.
+    pub relays: Vec<Peer>,
+    /// Control instances.
+    pub controls: Vec<Peer>,
+}
+
+/// Requests for the newest known configuration.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigRequests {
+    known_version: DocumentVersion,
+    /// Control instance that stated the newest version, and so has it.
+    known_at: Option<SocketAddr>,
+    /// When the router heard of a version that it lacks.
+    behind_since: Option<Instant>,
+    /// Peer that was asked, and when.
+    asked: Option<(SocketAddr, Instant)>,
+    /// Peers that had no newer version.
+    lacking: BTreeSet<SocketAddr>,
+}
+
+impl ConfigRequests {
+    /// Records that a version is in force; `stated_by` is the control instance that said so.
+    pub fn record_known(&mut self, version: DocumentVersion, stated_by: Option<SocketAddr>) {
+        if version > self.known_version {
+            self.known_version = version;
+            self.lacking.clear();
+            self.known_at = stated_by.or(self.known_at);
+        }
+    }
+
+    /// Records that a peer has no newer version than the router.
+    pub fn record_lacking(&mut self, address: SocketAddr) {
+        self.lacking.insert(address);
+    }
+
+    /// Allows to ask peers again that had no newer version; called now and then.
+    pub fn forget_lacking(&mut self) {
+        self.lacking.clear();
+    }
+
+    /// Returns the newest version that is known to be in force.
+    #[must_use]
+    pub const fn known_version(&self) -> DocumentVersion {
+        self.known_version
+    }
+
+    /// Returns the peer to ask now; `None` when the router, which holds the version `held`,
+    /// lacks none, or waits.
+    pub fn next_peer(
+        &mut self,
+        held: DocumentVersion,
+        peers: &Peers,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        if self.known_version <= held {
+            self.behind_since = None;
+            self.asked = None;
+            return None;
+        }
+        let behind_since = *self.behind_since.get_or_insert(now);
+        let starts = held == 0 && now < behind_since + START_WAIT;
+        let all = || peers.relays.iter().chain(&peers.controls);
+        if let Some((address, asked_at)) = self.asked
+            && let Some(peer) = all().find(|peer| peer.address == address)
+            && self.may_answer(peer, asked_at, starts, now)
+        {
+            return None;
+        }
+        let asked = self.asked.take().map(|(address, _)| address);
+        let is_candidate = |peer: &&Peer| {
+            peer.up && Some(peer.address) != asked && !self.lacking.contains(&peer.address)
+        };
+        let relay = peers.relays.iter().find(is_candidate);
+        if relay.is_none() && starts && !peers.relays.is_empty() {
+            return None;
+        }
+        let mut controls = peers.controls.iter().filter(is_candidate);
+        // The instance that stated the version has it, but could not send a whole
+        // configuration to all routers of a fleet that starts.
+        let stated_by = |peer: &&Peer| held > 0 && Some(peer.address) == self.known_at;
+        let control = controls.clone().find(stated_by).or_else(|| controls.next());
+        let address = relay.or(control)?.address;
+        self.asked = Some((address, now));
+        Some(address)
+    }
+
+    /// Whether a peer that was asked may still answer.
+    fn may_answer(&self, peer: &Peer, asked_at: Instant, starts: bool, now: Instant) -> bool {
+        if self.lacking.contains(&peer.address) && !starts {
+            return false;
+        }
+        let active_at = peer.heard_at.map_or(asked_at, |at| at.max(asked_at));
+        peer.up && now < active_at + SILENCE_TIMEOUT && now < asked_at + REQUEST_TIMEOUT
+    }
+}
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -14,7 +14,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bamboospur_group::DocumentVersion;
 use bamboospur_platform::settings::ProcessSettings;
 use bamboospur_types::stable_id;
 use tokio::net::TcpListener;
@@ -22,6 +21,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{interval, sleep_until};
 
+use super::config_requests::ConfigRequests;
 use super::followers::Followers;
 use super::reports::{self, Reports};
 use super::state::Router;
@@ -29,7 +29,6 @@
 use crate::clock::BootTime;
 use crate::link::{self, AcceptEvent, DialEvent, DialedLink, Hello, Role, RouterLocation};
 use crate::outbox::Outbox;
-use config::ConfigRequest;
 
 /// Capacity of the event queue; links wait while the queue is full.
 const MAX_QUEUED_EVENTS: usize = 256;
@@ -100,8 +99,7 @@
         named_relays: BTreeMap::new(),
         relays: BTreeMap::new(),
         is_relay: false,
-        known_version: 0,
-        config_request: None,
+        config_requests: ConfigRequests::default(),
         state_request_at: None,
         outbox: Outbox::new(settings.link_bytes_per_s, Instant::now()),
         followers: Followers::default(),
@@ -136,10 +134,8 @@
     relays: BTreeMap<SocketAddr, FollowedLink>,
     /// Whether a control instance names this router as a relay.
     is_relay: bool,
-    /// Newest configuration version that the router has heard of.
-    known_version: DocumentVersion,
-    /// Request for a newer configuration that is not answered yet.
-    config_request: Option<ConfigRequest>,
+    /// Requests for the newest configuration that the router has heard of.
+    config_requests: ConfigRequests,
     /// When to request the state that may have been missed while there was no link.
     state_request_at: Option<Instant>,
     /// Configurations that were in force here, and what followers wait for.
@@ -168,6 +164,7 @@
                 },
                 () = sleep_until(outbox_at), if self.outbox.next_at().is_some() => {}
                 _ = query.tick() => {
+                    self.config_requests.forget_lacking();
                     self.request_config_if_behind();
                     let valid = self.router.lease.borrow().is_valid(BootTime::now());
                     if !valid || queried_at.elapsed() >= query_interval(self.router.router_count()) {
--- a/crates/fleet/src/router/follow/config.rs
+++ b/crates/fleet/src/router/follow/config.rs
@@ -2,10 +2,12 @@
 //!
 //! A change arrives from the relay or control instance that this router sends its loads
 //! to. A router that misses one hears of the version with the next answer about the
-//! version in force, and requests the change from the version that it holds.
+//! version in force, and requests the change from the version that it holds;
+//! [`crate::router::ConfigRequests`] decides from whom.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bamboospur_group::{Change, Document, DocumentVersion};
 use bamboospur_platform::config;
@@ -14,88 +16,65 @@
 use super::{FollowedLink, Follower};
 use crate::link::{Frame, prefix_frames};
 use crate::outbox::Content;
+use crate::router::config_requests::{Peer, Peers};
 use crate::router::state::Router;
 
-/// A request is repeated at another peer when its peer has sent nothing for this time.
-const PEER_SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
-/// A request is repeated at another peer after this time in any case. Relays send a whole
-/// configuration to one follower after the other.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time for which a router waits for a link to a relay before it asks a control instance.
-/// After a restart of the whole fleet, control instances could not send the configuration
-/// to every router.
-const RELAY_WAIT: Duration = Duration::from_millis(1_200);
 /// Most cached prompts that are sent to a follower that starts.
 const MAX_INITIAL_CACHED_PREFIXES: usize = 8_192;
 
-/// Request for a newer configuration.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ConfigRequest {
-    /// When the router heard that it lacks a version.
-    behind_since: Instant,
-    /// Peer that was asked, and when; `None` while the router waits for a relay.
-    asked: Option<(SocketAddr, Instant)>,
-}
-
 impl Follower {
     /// Records that a version is in force, and requests it if the router lacks it.
-    pub(super) fn record_known_version(&mut self, version: DocumentVersion) {
-        self.known_version = self.known_version.max(version);
+    /// `stated_by` is the control instance that said so.
+    pub(super) fn record_known_version(
+        &mut self,
+        version: DocumentVersion,
+        stated_by: Option<SocketAddr>,
+    ) {
+        self.config_requests.record_known(version, stated_by);
+        self.request_config_if_behind();
+    }
+
+    /// Asks another peer after one had no newer configuration.
+    pub(super) fn handle_no_newer_config(&mut self, address: SocketAddr) {
+        self.config_requests.record_lacking(address);
         self.request_config_if_behind();
     }
 
     /// Requests the configuration if the router lacks the newest known one and no request
     /// is in progress.
     pub(super) fn request_config_if_behind(&mut self) {
-        let now = Instant::now();
-        if self.known_version <= self.router.config_version() {
-            self.config_request = None;
+        let held = self.router.config_version();
+        if self.config_requests.known_version() <= held {
             return;
         }
-        let request = self.config_request.unwrap_or(ConfigRequest {
-            behind_since: now,
-            asked: None,
-        });
-        let may_answer = |&(address, at): &(SocketAddr, Instant)| self.may_answer(address, at, now);
-        if request.asked.as_ref().is_some_and(may_answer) {
+        let peers = Peers {
+            relays: self.peers(&self.relays),
+            controls: self.peers(&self.controls),
+        };
+        let Some(address) = self.config_requests.next_peer(held, &peers, Instant::now()) else {
             return;
-        }
-        let tried = request.asked.map(|(address, _)| address);
-        let peer = self.config_peer(tried, now >= request.behind_since + RELAY_WAIT);
-        let asked = peer.map(|(address, followed)| {
-            let frame = Frame::RequestConfig(self.outbox.configs().version());
+        };
+        let version = self.config_requests.known_version();
+        info!(%address, version, held, "requesting a newer configuration");
+        let relay = self.relays.get(&address);
+        if let Some(followed) = relay.or_else(|| self.controls.get(&address)) {
             // A lost request is repeated after a time-out.
-            let _sent = followed.link.send(frame);
-            info!(%address, version = self.known_version, "requesting a newer configuration");
-            (address, now)
-        });
-        self.config_request = Some(ConfigRequest { asked, ..request });
+            let _sent = followed
+                .link
+                .send(Frame::RequestConfig(self.outbox.configs().version()));
+        }
     }
 
-    /// Whether a peer that was asked at `asked_at` may still answer.
-    fn may_answer(&self, address: SocketAddr, asked_at: Instant, now: Instant) -> bool {
-        let followed = self.relays.get(&address);
-        let Some(followed) = followed.or_else(|| self.controls.get(&address)) else {
-            return false;
+    /// Returns the peers of these links, the preferred one first.
+    fn peers(&self, links: &BTreeMap<SocketAddr, FollowedLink>) -> Vec<Peer> {
+        let peer = |(&address, followed): (&SocketAddr, &FollowedLink)| Peer {
+            address,
+            up: followed.up,
+            heard_at: followed.heard_at,
         };
-        let active_at = followed.heard_at.map_or(asked_at, |at| at.max(asked_at));
-        followed.up && now < active_at + PEER_SILENCE_TIMEOUT && now < asked_at + REQUEST_TIMEOUT
-    }
-
-    /// Returns the peer to ask for the configuration: a relay other than `tried`, or else a
-    /// control instance, if there is no relay to wait for.
-    fn config_peer(
-        &self,
-        tried: Option<SocketAddr>,
-        relays_are_late: bool,
-    ) -> Option<(SocketAddr, &FollowedLink)> {
-        let relay = self.preferred_entry(&self.relays, tried);
-        let waits = !self.relays.is_empty() && tried.is_none() && !relays_are_late;
-        if relay.is_some() || waits {
-            return relay;
-        }
-        let control = self.preferred_entry(&self.controls, tried);
-        control.or_else(|| self.preferred_entry(&self.controls, None))
+        let mut peers: Vec<Peer> = links.iter().map(peer).collect();
+        peers.sort_by_key(|peer| std::cmp::Reverse(self.rank(peer.address)));
+        peers
     }
 
     /// Applies a change of the configuration and passes it on.
@@ -105,7 +84,7 @@
             return;
         }
         let Some(document) = self.outbox.configs().document_after(change) else {
-            self.record_known_version(change.version());
+            self.record_known_version(change.version(), None);
             return;
         };
         if !apply_config(&self.router, &document) {
--- a/crates/fleet/src/router/follow/links.rs
+++ b/crates/fleet/src/router/follow/links.rs
@@ -183,6 +183,7 @@
                 self.update_relays();
             }
             Frame::Taken { ticket } => self.reports.acknowledge(ticket),
+            Frame::NoNewerConfig => self.handle_no_newer_config(address),
             Frame::InForce {
                 asked,
                 version,
@@ -193,7 +194,7 @@
                     .lease
                     .borrow_mut()
                     .confirm(version, BootTime(asked));
-                self.record_known_version(version);
+                self.record_known_version(version, Some(address));
             }
             frame => self.handle_frame(frame),
         }
@@ -222,7 +223,10 @@
                 if let Some(followed) = self.relays.get_mut(&address) {
                     followed.heard_at = Some(Instant::now());
                 }
-                self.handle_frame(frame);
+                match frame {
+                    Frame::NoNewerConfig => self.handle_no_newer_config(address),
+                    frame => self.handle_frame(frame),
+                }
             }
         }
     }
--- a/crates/fleet/src/router/follow/receive.rs
+++ b/crates/fleet/src/router/follow/receive.rs
@@ -68,7 +68,11 @@
                 Frame::Loads(counts) => {
                     self.followers.record_loads(link, counts, Instant::now());
                 }
-                Frame::RequestConfig(held) => self.outbox.request_config(link, held),
+                Frame::RequestConfig(held) => {
+                    if !self.outbox.request_config(link, held) {
+                        let _bytes = self.followers.send(link, &Frame::NoNewerConfig);
+                    }
+                }
                 Frame::RequestTargets { with_prefixes, .. } => {
                     self.outbox.request_state(link, with_prefixes);
                 }
--- a/crates/fleet/src/router/follow/send.rs
+++ b/crates/fleet/src/router/follow/send.rs
@@ -49,23 +49,14 @@
         &self,
         links: &'a BTreeMap<SocketAddr, FollowedLink>,
     ) -> Option<&'a FollowedLink> {
-        self.preferred_entry(links, None)
+        let up = links.iter().filter(|(_, followed)| followed.up);
+        up.max_by_key(|&(&address, _)| self.rank(address))
             .map(|(_, followed)| followed)
     }
 
-    /// Returns the preferred link as [`Self::preferred_link`] and its address, leaving out
-    /// the link to `except`.
-    pub(super) fn preferred_entry<'a>(
-        &self,
-        links: &'a BTreeMap<SocketAddr, FollowedLink>,
-        except: Option<SocketAddr>,
-    ) -> Option<(SocketAddr, &'a FollowedLink)> {
-        let rank = |address: &SocketAddr| mix64(self.hello.id ^ stable_id(&address.to_string()));
-        let up = links.iter().filter(|(_, followed)| followed.up);
-        let others = up.filter(|&(&address, _)| except != Some(address));
-        others
-            .max_by_key(|(address, _)| rank(address))
-            .map(|(&address, followed)| (address, followed))
+    /// Returns the rank of an address among the relays or the control instances.
+    pub(super) fn rank(&self, address: SocketAddr) -> u64 {
+        mix64(self.hello.id ^ stable_id(&address.to_string()))
     }
 
     /// Sends the number of requests at each target, summed over this router and its
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -12,12 +12,13 @@
 //! router is a relay for.
 //!
 //! [`follow`] keeps links to control instances and receives the configuration and
-//! the targets from them; [`lease`] decides how long the configuration is trusted
+//! the targets from them, asking the peers that [`config_requests`] chooses; [`lease`] decides how long the configuration is trusted
 //! after the last confirmation by the control group.
 
 mod admit;
 mod attempt;
 mod attempt_history;
+mod config_requests;
 mod event_stream;
 mod follow;
 mod followers;
@@ -32,6 +33,7 @@
 
 pub use admit::{Admission, Admitted, Refusal, admit};
 pub use attempt_history::{AttemptHistory, AttemptLimits, Execution};
+pub use config_requests::{ConfigRequests, Peer, Peers};
 pub use lease::Lease;
 pub use rejections::{RejectionCause, Rejections};
 
--- a/crates/fleet/tests/outbox.rs
+++ b/crates/fleet/tests/outbox.rs
@@ -53,7 +53,7 @@
 fn a_router_that_asked_too_early_gets_the_next_version() {
     let now = Instant::now();
     let mut outbox = outbox(now);
-    outbox.request_config(7, 1);
+    assert!(!outbox.request_config(7, 1));
     assert_eq!(outbox.waiting(), 0);
     outbox.publish(document(2, 1_001), None, &[]);
     assert_eq!(take_configs(&mut outbox, now), [(7, 2)]);
@@ -63,7 +63,7 @@
 fn a_superseded_version_is_not_sent() {
     let now = Instant::now();
     let mut outbox = outbox(now);
-    outbox.request_config(7, 0);
+    assert!(outbox.request_config(7, 0));
     outbox.publish(document(2, 3_000), None, &[7]);
     outbox.publish(document(3, 6_000), None, &[7]);
     assert_eq!(take_configs(&mut outbox, now), [(7, 3)]);
@@ -73,8 +73,8 @@
 fn an_ended_link_gets_nothing() {
     let now = Instant::now();
     let mut outbox = outbox(now);
-    outbox.request_config(7, 0);
-    outbox.request_config(8, 1);
+    assert!(outbox.request_config(7, 0));
+    assert!(!outbox.request_config(8, 1));
     outbox.request_state(7, true);
     outbox.remove(7);
     outbox.remove(8);
@@ -89,7 +89,7 @@
     let mut outbox = outbox(now);
     for link in [1, 2] {
         outbox.request_state(link, true);
-        outbox.request_config(link, 0);
+        assert!(outbox.request_config(link, 0));
     }
     outbox.retain_state(|link| link == 2);
     let links: Vec<u64> = std::iter::from_fn(|| outbox.take(now + Duration::from_secs(9)))
