Send configurations at nine tenths of the link, and request the next version at once

Configurations use nine tenths now, other large frames wait beyond half as before. A request names the version that was lacked; the new test fails without that.

--- a/crates/fleet/src/link/bulk.rs
+++ b/crates/fleet/src/link/bulk.rs
@@ -5,7 +5,7 @@
 //! that were queued, heartbeats and leases would wait for seconds behind it, links would
 //! time out, and the peers that dial again would ask for the same once more. So a
 //! [`BulkQueue`] keeps what each link waits for, without the content, and releases one
-//! item after the other at a part of the link's rate. The content is taken when an item is
+//! item after the other at a part of the link's rate, configurations at most of it. The content is taken when an item is
 //! released; a newer version replaces the one before without any bytes sent.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,9 +16,13 @@
 use super::accept::LinkId;
 use super::frame::Frame;
 
-/// Part of the rate of the network link that bulk frames may use.
-const BULK_SHARE: f64 = 0.5;
-/// Bulk frames that may be sent at once after a pause, as time at the bulk rate.
+/// Part of the rate of the network link that configurations may use. All routers need a
+/// new one within two or three seconds.
+const CONFIG_SHARE: f64 = 0.9;
+/// Part of the rate that all bulk frames together may use before others than configurations
+/// wait.
+const STATE_SHARE: f64 = 0.5;
+/// Bulk frames that may be sent at once after a pause, as time at their rate.
 const BURST: Duration = Duration::from_millis(100);
 /// Longest time for which other large sends hold back bulk frames.
 const MAX_DEBT: Duration = Duration::from_millis(500);
@@ -60,12 +64,42 @@
     pub held_version: DocumentVersion,
 }
 
-/// Items that wait to be sent, and the budget in bytes for them.
-#[derive(Clone, Debug)]
-pub struct BulkQueue {
+/// Bytes that may be sent, refilled at a fixed rate.
+#[derive(Clone, Copy, Debug)]
+struct Budget {
     bytes_per_s: f64,
     /// Bytes that may be sent now; negative after a large frame.
-    budget_bytes: f64,
+    bytes: f64,
+}
+
+impl Budget {
+    fn new(bytes_per_s: f64) -> Self {
+        Self {
+            bytes_per_s,
+            bytes: bytes_per_s * BURST.as_secs_f64(),
+        }
+    }
+
+    fn refill(&mut self, elapsed: Duration) {
+        let refilled = self.bytes + elapsed.as_secs_f64() * self.bytes_per_s;
+        self.bytes = refilled.min(self.bytes_per_s * BURST.as_secs_f64());
+    }
+
+    /// Returns the time until something may be sent.
+    fn wait(&self) -> Duration {
+        // A byte more than the missing ones, since the budget has to be positive.
+        let missing_bytes = (1.0 - self.bytes).max(0.0);
+        Duration::from_secs_f64(missing_bytes / self.bytes_per_s)
+    }
+}
+
+/// Items that wait to be sent, and the budgets for them.
+#[derive(Clone, Debug)]
+pub struct BulkQueue {
+    /// Budget of configurations.
+    config_budget: Budget,
+    /// Budget of all items.
+    state_budget: Budget,
     updated_at: Instant,
     /// Items by kind and order of arrival.
     waiting: BTreeMap<(BulkKind, u64), BulkItem>,
@@ -78,10 +112,10 @@
     /// Creates an empty queue for a network link with this rate, if it is known.
     #[must_use]
     pub fn new(link_bytes_per_s: Option<f64>, now: Instant) -> Self {
-        let bytes_per_s = link_bytes_per_s.unwrap_or(DEFAULT_LINK_BYTES_PER_S) * BULK_SHARE;
+        let bytes_per_s = link_bytes_per_s.unwrap_or(DEFAULT_LINK_BYTES_PER_S);
         Self {
-            bytes_per_s,
-            budget_bytes: bytes_per_s * BURST.as_secs_f64(),
+            config_budget: Budget::new(bytes_per_s * CONFIG_SHARE),
+            state_budget: Budget::new(bytes_per_s * STATE_SHARE),
             updated_at: now,
             waiting: BTreeMap::new(),
             queued: BTreeSet::new(),
@@ -112,10 +146,13 @@
             .collect();
     }
 
-    /// Takes the next item if the budget allows to send it now.
+    /// Takes the next item if its budget allows to send it now.
     pub fn take(&mut self, now: Instant) -> Option<BulkItem> {
-        self.refill(now);
-        if self.budget_bytes <= 0.0 {
+        let elapsed = now.saturating_duration_since(self.updated_at);
+        self.updated_at = now;
+        self.config_budget.refill(elapsed);
+        self.state_budget.refill(elapsed);
+        if self.budget_of_next()?.bytes <= 0.0 {
             return None;
         }
         let (_, item) = self.waiting.pop_first()?;
@@ -123,32 +160,40 @@
         Some(item)
     }
 
-    /// Subtracts bytes that were sent from the budget.
+    /// Subtracts bytes that were sent from the budgets.
     #[expect(
         clippy::cast_precision_loss,
         reason = "frames are smaller than 2^53 bytes"
     )]
     pub fn record_sent(&mut self, bytes: usize) {
-        self.budget_bytes -= bytes as f64;
+        for budget in [&mut self.config_budget, &mut self.state_budget] {
+            budget.bytes -= bytes as f64;
+        }
     }
 
     /// Subtracts bytes that are sent over the same network link without waiting here, so
     /// that bulk frames leave room for them.
     pub fn record_other(&mut self, bytes: usize) {
         self.record_sent(bytes);
-        let least_bytes = -self.bytes_per_s * MAX_DEBT.as_secs_f64();
-        self.budget_bytes = self.budget_bytes.max(least_bytes);
+        for budget in [&mut self.config_budget, &mut self.state_budget] {
+            let least_bytes = -budget.bytes_per_s * MAX_DEBT.as_secs_f64();
+            budget.bytes = budget.bytes.max(least_bytes);
+        }
     }
 
     /// Returns when the next item may be sent; `None` when none waits.
     #[must_use]
     pub fn next_at(&self) -> Option<Instant> {
-        if self.waiting.is_empty() {
-            return None;
-        }
-        // A byte more than the missing ones, since the budget has to be positive.
-        let missing_bytes = (1.0 - self.budget_bytes).max(0.0);
-        Some(self.updated_at + Duration::from_secs_f64(missing_bytes / self.bytes_per_s))
+        Some(self.updated_at + self.budget_of_next()?.wait())
+    }
+
+    /// Returns the budget of the first item.
+    fn budget_of_next(&self) -> Option<&Budget> {
+        let (&(kind, _), _) = self.waiting.first_key_value()?;
+        Some(match kind {
+            BulkKind::Config => &self.config_budget,
+            BulkKind::Targets | BulkKind::CachedPrefixes => &self.state_budget,
+        })
     }
 
     /// Number of items that wait.
@@ -162,12 +207,4 @@
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
     }
-
-    fn refill(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.updated_at);
-        self.updated_at = now;
-        let most_bytes = self.bytes_per_s * BURST.as_secs_f64();
-        let refilled = self.budget_bytes + elapsed.as_secs_f64() * self.bytes_per_s;
-        self.budget_bytes = refilled.min(most_bytes);
-    }
 }
--- a/crates/fleet/src/router/config_requests.rs
+++ b/crates/fleet/src/router/config_requests.rs
@@ -42,6 +42,15 @@
     pub controls: Vec<Peer>,
 }
 
+/// Request of the configuration from one peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Request {
+    address: SocketAddr,
+    asked_at: Instant,
+    /// Version that the router lacked.
+    version: DocumentVersion,
+}
+
 /// Requests for the newest known configuration.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigRequests {
@@ -50,8 +59,8 @@
     known_at: Option<SocketAddr>,
     /// When the router heard of a version that it lacks.
     behind_since: Option<Instant>,
-    /// Peer that was asked, and when.
-    asked: Option<(SocketAddr, Instant)>,
+    /// Request that is not answered yet.
+    asked: Option<Request>,
     /// Peers that had no newer version.
     lacking: BTreeSet<SocketAddr>,
 }
@@ -95,16 +104,20 @@
             self.asked = None;
             return None;
         }
+        if self.asked.is_some_and(|request| request.version <= held) {
+            self.behind_since = None;
+            self.asked = None;
+        }
         let behind_since = *self.behind_since.get_or_insert(now);
         let starts = held == 0 && now < behind_since + START_WAIT;
         let all = || peers.relays.iter().chain(&peers.controls);
-        if let Some((address, asked_at)) = self.asked
-            && let Some(peer) = all().find(|peer| peer.address == address)
-            && self.may_answer(peer, asked_at, starts, now)
+        if let Some(request) = self.asked
+            && let Some(peer) = all().find(|peer| peer.address == request.address)
+            && self.may_answer(peer, request.asked_at, starts, now)
         {
             return None;
         }
-        let asked = self.asked.take().map(|(address, _)| address);
+        let asked = self.asked.take().map(|request| request.address);
         let is_candidate = |peer: &&Peer| {
             peer.up && Some(peer.address) != asked && !self.lacking.contains(&peer.address)
         };
@@ -118,7 +131,11 @@
         let stated_by = |peer: &&Peer| held > 0 && Some(peer.address) == self.known_at;
         let control = controls.clone().find(stated_by).or_else(|| controls.next());
         let address = relay.or(control)?.address;
-        self.asked = Some((address, now));
+        self.asked = Some(Request {
+            address,
+            asked_at: now,
+            version: self.known_version,
+        });
         Some(address)
     }
 
--- a/crates/fleet/tests/config_requests.rs
+++ b/crates/fleet/tests/config_requests.rs
@@ -68,6 +68,18 @@
     assert_eq!(requests.next_peer(7, &controls(now), now), None);
 }
 
+/// The answer to the last request arrived, and the next version is missed as well.
+#[test]
+fn the_next_version_is_requested_at_once() {
+    let now = Instant::now();
+    let mut requests = behind();
+    assert!(requests.next_peer(7, &controls(now), now).is_some());
+    requests.record_known(9, Some(address(3)));
+    assert_eq!(requests.next_peer(7, &controls(now), now), None);
+    let asked = requests.next_peer(8, &controls(now), now);
+    assert_eq!(asked, Some(address(3)));
+}
+
 #[test]
 fn a_relay_is_asked_before_a_control_instance() {
     let now = Instant::now();
