--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -53,9 +53,4 @@
             PrefixSource::Processed
         }
     }
-
-    /// Empties the cache, as a restart does.
-    pub fn clear_cache(&mut self) {
-        self.cached.clear();
-    }
 }
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -262,14 +262,14 @@
         }
     }
 
-    fn handle_arrival(&mut self, now_ms: u64, counts_crashes: bool) {
+    fn handle_arrival(&mut self, now_ms: u64, after_warm_up: bool) {
         self.counts.offered += 1;
         let router = if unit(&mut self.rng) < self.settings.skew {
             0
         } else {
             self.rng.index(self.settings.routers)
         };
-        let prefix = self.next_prefix(counts_crashes);
+        let prefix = self.next_prefix(after_warm_up);
         let part = |hash| PromptPart {
             hash,
             tokens: PREFIX_TOKENS,
@@ -289,7 +289,7 @@
                 break;
             };
             let engine = self.engine_indices[&choice.name];
-            let outcome = if counts_crashes && engine < self.settings.crashed {
+            let outcome = if after_warm_up && engine < self.settings.crashed {
                 Outcome::Unreachable
             } else {
                 self.count_sent(engine);
@@ -326,13 +326,13 @@
         choice: ChosenTarget,
         now_ms: u64,
     ) {
-        let source = choice
+        let can_copy = choice
             .copy_from
             .and_then(engine_index)
             .is_some_and(|source| self.engines[source].has_cached(prefix));
         let mean_s = self.settings.mean_service_s;
         let mut duration = Duration::from_secs_f64(-mean_s * (1.0 - unit(&mut self.rng)).ln());
-        match self.engines[engine].load_prefix(prefix, source) {
+        match self.engines[engine].load_prefix(prefix, can_copy) {
             PrefixSource::Cache => {}
             PrefixSource::Copy => self.counts.copied += 1,
             PrefixSource::Processed => {
--- a/crates/fleet/src/config_history.rs
+++ b/crates/fleet/src/config_history.rs
@@ -33,11 +33,10 @@
         if change.version() <= self.version() {
             return None;
         }
-        let base = match change {
-            Change::Whole(_) => Document::default(),
-            Change::Patch(patch) => self.documents.get(&patch.base_version)?.clone(),
-        };
-        change.clone().apply(&base)
+        match change {
+            Change::Whole(document) => Some(document.clone()),
+            Change::Patch(patch) => self.documents.get(&patch.base_version)?.patched(patch),
+        }
     }
 
     /// Adds a newer version; others are ignored. A patch that led to it is kept for peers
--- a/crates/fleet/src/control/fanout.rs
+++ b/crates/fleet/src/control/fanout.rs
@@ -60,6 +60,23 @@
     replaced_at: Option<Instant>,
 }
 
+impl Relay {
+    fn new(data_centre: &str) -> Self {
+        Self {
+            data_centre: data_centre.to_owned(),
+            replaced_at: None,
+        }
+    }
+}
+
+/// A router, the link to it, and its rank among the routers of its data centre.
+#[derive(Clone, Copy, Debug)]
+struct LinkedRouter<'a> {
+    link: LinkId,
+    rank: u64,
+    location: &'a RouterLocation,
+}
+
 /// Which relays a selection keeps.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Selection {
@@ -131,9 +148,7 @@
         selection: Selection,
         now: Instant,
     ) -> bool {
-        let routers: Vec<(LinkId, u64, &RouterLocation)> = routers
-            .filter_map(|(link, hello)| Some((link, mix64(hello.id), hello.router_location()?)))
-            .collect();
+        let routers = linked_routers(routers);
         let before = self.relays();
         // Hysteresis: with a single bound, a deployment near the bound would switch
         // between both modes again and again.
@@ -162,24 +177,18 @@
         routers: impl Iterator<Item = (LinkId, &'a Hello)>,
     ) -> bool {
         let before = self.relays();
-        let relay = |(data_centre, address): &(String, SocketAddr)| {
-            let relay = Relay {
-                data_centre: data_centre.clone(),
-                replaced_at: None,
-            };
-            (*address, relay)
-        };
-        self.selected = relays.iter().map(relay).collect();
-        let routers: Vec<(LinkId, u64, &RouterLocation)> = routers
-            .filter_map(|(link, hello)| Some((link, mix64(hello.id), hello.router_location()?)))
+        self.selected = relays
+            .iter()
+            .map(|(data_centre, address)| (*address, Relay::new(data_centre)))
             .collect();
+        let routers = linked_routers(routers);
         self.update_links(&routers);
         before != self.relays()
     }
 
     /// Removes relays that have not been linked for [`RELAY_RETURN_TIME`].
-    fn remove_lost(&mut self, routers: &[(LinkId, u64, &RouterLocation)], now: Instant) {
-        let linked: BTreeSet<SocketAddr> = routers.iter().map(|(.., l)| l.links).collect();
+    fn remove_lost(&mut self, routers: &[LinkedRouter<'_>], now: Instant) {
+        let linked: BTreeSet<SocketAddr> = routers.iter().map(|r| r.location.links).collect();
         self.selected.retain(|address, relay| {
             if linked.contains(address) {
                 relay.replaced_at = None;
@@ -190,30 +199,27 @@
     }
 
     /// Selects the routers with the highest ranks for the free places of each data centre.
-    fn fill_places(&mut self, routers: &[(LinkId, u64, &RouterLocation)]) {
+    fn fill_places(&mut self, routers: &[LinkedRouter<'_>]) {
         let mut counts: BTreeMap<String, usize> = BTreeMap::new();
         for relay in self.selected.values() {
             *counts.entry(relay.data_centre.clone()).or_default() += 1;
         }
         let mut ranked: Vec<_> = routers.iter().collect();
-        ranked.sort_by_key(|&&(_, rank, _)| std::cmp::Reverse(rank));
-        for (.., location) in ranked {
+        ranked.sort_by_key(|router| std::cmp::Reverse(router.rank));
+        for LinkedRouter { location, .. } in ranked {
             let count = counts.entry(location.data_centre.clone()).or_default();
             if *count < self.settings.relays && !self.selected.contains_key(&location.links) {
                 *count += 1;
-                let relay = Relay {
-                    data_centre: location.data_centre.clone(),
-                    replaced_at: None,
-                };
+                let relay = Relay::new(&location.data_centre);
                 self.selected.insert(location.links, relay);
             }
         }
     }
 
     /// Finds the links of the relays. If a relay has two links, the newer one is used.
-    fn update_links(&mut self, routers: &[(LinkId, u64, &RouterLocation)]) {
+    fn update_links(&mut self, routers: &[LinkedRouter<'_>]) {
         let mut links: BTreeMap<SocketAddr, LinkId> = BTreeMap::new();
-        for &(link, _, location) in routers {
+        for &LinkedRouter { link, location, .. } in routers {
             if self.selected.contains_key(&location.links) {
                 let newest = links.entry(location.links).or_insert(link);
                 *newest = link.max(*newest);
@@ -243,3 +249,15 @@
         chosen?.router_location().map(|location| location.reports)
     }
 }
+
+/// Returns the routers among the peers of links.
+fn linked_routers<'a>(links: impl Iterator<Item = (LinkId, &'a Hello)>) -> Vec<LinkedRouter<'a>> {
+    let router = |(link, hello): (LinkId, &'a Hello)| {
+        Some(LinkedRouter {
+            link,
+            rank: mix64(hello.id),
+            location: hello.router_location()?,
+        })
+    };
+    links.filter_map(router).collect()
+}
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -273,18 +273,14 @@
 
     fn handle_group_input(&mut self, input: GroupInput) {
         let outputs = self.group.handle(input, Instant::now());
-        let document_changed = outputs
-            .iter()
-            .any(|output| matches!(output, GroupOutput::DocumentChanged));
         for output in outputs {
             self.handle_group_output(output);
         }
-        // After a restart, one call applies many versions of the log.
-        if document_changed {
-            self.publish_newest_document();
-        }
+        self.publish_newest_document();
     }
 
+    /// Publishes the newest document once it changed. After a restart, one input applies
+    /// many versions of the log, of which only the newest is published.
     fn publish_newest_document(&mut self) {
         let document = self.group.document();
         if document.version > self.outbox.configs().version() {
@@ -308,7 +304,6 @@
                 let _sent = self.peers.send_to(to, Frame::Replica { to, message });
             }
             GroupOutput::Reply { ticket, reply } => self.handle_reply(ticket, reply),
-            GroupOutput::DocumentChanged => {}
             GroupOutput::LeaderChanged { leader } => {
                 self.counters.elections += 1;
                 info!(?leader, own = leader == Some(self.id), "leader changed");
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -55,8 +55,7 @@
     pub(super) fn send_prefixes(&self, except: LinkId, prefixes: Vec<(u64, u64)>) {
         let mut links = self.update_links();
         links.retain(|&link| link != except);
-        let _bytes = self
-            .links
+        self.links
             .try_send(&links, &Frame::CachedPrefixes(prefixes));
     }
 
@@ -240,7 +239,7 @@
 
     /// Sends a frame that may be lost on one link.
     pub(super) fn send_to_link(&self, link: LinkId, frame: &Frame) {
-        let _bytes = self.links.try_send(&[link], frame);
+        self.links.try_send(&[link], frame);
     }
 
     /// Handles an operator's request that a peer forwarded, or a peer's answer to one.
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -91,8 +91,7 @@
         let totals = self.loads.totals();
         let entries = totals.len();
         // A router that misses totals receives the next ones.
-        let _bytes = self
-            .links
+        self.links
             .try_send(&self.reporting_router_links(), &Frame::Totals(totals));
         entries
     }
--- a/crates/fleet/src/link/accepted.rs
+++ b/crates/fleet/src/link/accepted.rs
@@ -66,7 +66,7 @@
     /// Sends a frame that may be lost, and drops it for links whose queue is full. The
     /// queued frames keep such a link alive, and lost content is sent or requested again.
     /// Returns the bytes queued on all links.
-    #[must_use]
+    #[expect(clippy::must_use_candidate, reason = "only paced frames are counted")]
     pub fn try_send(&self, links: &[LinkId], frame: &Frame) -> usize {
         let Some(bytes) = encode_for(links, frame) else {
             return 0;
--- a/crates/fleet/src/link/bulk.rs
+++ b/crates/fleet/src/link/bulk.rs
@@ -1,11 +1,11 @@
 //! Large frames that peers wait for, sent at a limited rate.
 //!
-//! A process sends many times the rate of its network link when many peers connect at
-//! once: each needs the targets, the cached prompts or a whole configuration. If all of
+//! A process would send many times the rate of its network link when many peers connect
+//! at once: each needs the targets, the cached prompts or a whole configuration. If all of
 //! that were queued, heartbeats and leases would wait for seconds behind it, links would
 //! time out, and the peers that dial again would ask for the same once more. So a
 //! [`BulkQueue`] keeps what each link waits for, without the content, and releases one
-//! item after the other at a part of the link's rate, configurations at most of it. The content is taken when an item is
+//! item after the other at a part of the link's rate. The content is taken when an item is
 //! released; a newer version replaces the one before without any bytes sent.
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/fleet/src/router/config_requests.rs
+++ b/crates/fleet/src/router/config_requests.rs
@@ -99,14 +99,13 @@
         peers: &Peers,
         now: Instant,
     ) -> Option<SocketAddr> {
-        if self.known_version <= held {
+        let is_answered = self.asked.is_some_and(|request| request.version <= held);
+        if is_answered || self.known_version <= held {
             self.behind_since = None;
             self.asked = None;
-            return None;
         }
-        if self.asked.is_some_and(|request| request.version <= held) {
-            self.behind_since = None;
-            self.asked = None;
+        if self.known_version <= held {
+            return None;
         }
         let behind_since = *self.behind_since.get_or_insert(now);
         let starts = held == 0 && now < behind_since + START_WAIT;
--- a/crates/fleet/src/router/follow/config.rs
+++ b/crates/fleet/src/router/follow/config.rs
@@ -43,7 +43,7 @@
     /// Requests the configuration if the router lacks the newest known one and no request
     /// is in progress.
     pub(super) fn request_config_if_behind(&mut self) {
-        let held = self.router.config_version();
+        let held = self.outbox.configs().version();
         if self.config_requests.known_version() <= held {
             return;
         }
@@ -59,9 +59,7 @@
         let relay = self.relays.get(&address);
         if let Some(followed) = relay.or_else(|| self.controls.get(&address)) {
             // A lost request is repeated after a time-out.
-            let _sent = followed
-                .link
-                .send(Frame::RequestConfig(self.outbox.configs().version()));
+            let _sent = followed.link.send(Frame::RequestConfig(held));
         }
     }
 
@@ -79,8 +77,7 @@
 
     /// Applies a change of the configuration and passes it on.
     pub(super) fn handle_config(&mut self, change: &Change) {
-        let previous = self.outbox.configs().version();
-        if change.version() <= previous {
+        if change.version() <= self.outbox.configs().version() {
             return;
         }
         let Some(document) = self.outbox.configs().document_after(change) else {
@@ -140,11 +137,8 @@
     }
 }
 
-/// Applies a configuration if it is newer and valid; returns whether it was applied.
+/// Applies a newer configuration if it is valid; returns whether it was applied.
 fn apply_config(router: &Router, document: &Document) -> bool {
-    if document.version <= router.config_version() {
-        return false;
-    }
     match config::parse_catalog(document.text()) {
         Ok(catalog) => {
             router.apply_config(catalog);
--- a/crates/fleet/src/router/follow/links.rs
+++ b/crates/fleet/src/router/follow/links.rs
@@ -10,8 +10,8 @@
 use crate::clock::BootTime;
 use crate::link::{DialEvent, Frame, dial};
 
-/// Time between the first link and the request of the state. When a whole fleet starts,
-/// all routers would ask the instance that started first.
+/// Time between the first link and the request of the state. Without it, all routers of a
+/// fleet that starts would ask the instance that started first.
 const STATE_REQUEST_DELAY: Duration = Duration::from_millis(200);
 /// Time after which the link to a control instance is dropped if no control
 /// instance names its address and no frame arrives on the link.
@@ -63,12 +63,11 @@
         }
     }
 
-    /// Requests all known targets from one control instance or, for a router that is no
-    /// relay, from one relay; the others send only changes. A router that has just started
-    /// also needs the cached prompts.
+    /// Requests all known targets from the preferred one of these links. A router that has
+    /// just started also needs the cached prompts.
     fn request_targets(&self, links: &BTreeMap<SocketAddr, FollowedLink>) {
         if let Some(followed) = self.preferred_link(links) {
-            let with_prefixes = !self.router.dispatcher.borrow().has_cached_prefixes();
+            let with_prefixes = self.lacks_prefixes();
             info!(
                 relay = self.is_relay,
                 with_prefixes, "requesting all targets"
@@ -77,6 +76,11 @@
         }
     }
 
+    /// Whether the router knows no cached prompts, as after its start.
+    fn lacks_prefixes(&self) -> bool {
+        !self.router.dispatcher.borrow().has_cached_prefixes()
+    }
+
     fn request_targets_from(&self, followed: &FollowedLink, with_prefixes: bool) {
         // The queue of a link that has just come up has room.
         let _sent = followed.link.send(Frame::RequestTargets {
@@ -210,7 +214,7 @@
                 if let Some(relay) = self.relays.get(&address) {
                     self.request_targets_from(relay, false);
                 }
-                if count_up(&self.relays) == 1 {
+                if count_up(&self.relays) == 1 && self.lacks_prefixes() {
                     self.state_request_at = Some(Instant::now() + STATE_REQUEST_DELAY);
                 }
                 self.request_config_if_behind();
--- a/crates/fleet/src/router/follow/receive.rs
+++ b/crates/fleet/src/router/follow/receive.rs
@@ -63,14 +63,14 @@
             AcceptEvent::Received { link, frame } => match frame {
                 Frame::Alive(number) => {
                     // The follower dials again if it gets no answers.
-                    let _bytes = self.followers.send(link, &Frame::Alive(number));
+                    self.followers.send(link, &Frame::Alive(number));
                 }
                 Frame::Loads(counts) => {
                     self.followers.record_loads(link, counts, Instant::now());
                 }
                 Frame::RequestConfig(held) => {
                     if !self.outbox.request_config(link, held) {
-                        let _bytes = self.followers.send(link, &Frame::NoNewerConfig);
+                        self.followers.send(link, &Frame::NoNewerConfig);
                     }
                 }
                 Frame::RequestTargets { with_prefixes, .. } => {
--- a/crates/fleet/src/router/followers.rs
+++ b/crates/fleet/src/router/followers.rs
@@ -86,6 +86,6 @@
     pub fn send_to_load_reporters(&self, except: Option<LinkId>, frame: &Frame) {
         let mut reporters = self.load_reporters();
         reporters.retain(|&link| except != Some(link));
-        let _bytes = self.links.try_send(&reporters, frame);
+        self.links.try_send(&reporters, frame);
     }
 }
--- a/crates/fleet/tests/bulk.rs
+++ b/crates/fleet/tests/bulk.rs
@@ -144,6 +144,19 @@
     assert_eq!(sent.done.len(), 20);
 }
 
+#[test]
+fn state_leaves_a_third_of_the_link_to_other_traffic() {
+    let start = Instant::now();
+    let mut queue = BulkQueue::new(Some(LINK_BYTES_PER_S), start);
+    for link in 0..300 {
+        queue.push(item(link, BulkKind::CachedPrefixes));
+        queue.push(item(link, BulkKind::Targets));
+    }
+    let sent = run(&mut queue, start, Duration::from_secs(10), |_, _| {});
+    assert!(sent.bytes < 5_000_000, "{} bytes", sent.bytes);
+    assert!(sent.longest_heartbeat_wait < ELECTION_TIMEOUT / 2);
+}
+
 /// 1,400 routes are added: a control instance without relays sends the change to 20 routers.
 #[test]
 fn a_large_change_reaches_all_routers_in_time() {
--- a/crates/group/src/change.rs
+++ b/crates/group/src/change.rs
@@ -63,8 +63,7 @@
 
     /// Returns the document that the change leads to; `None` for a patch of another
     /// document.
-    #[must_use]
-    pub fn apply(self, document: &Document) -> Option<Document> {
+    pub(crate) fn apply(self, document: &Document) -> Option<Document> {
         match self {
             Self::Whole(new) => Some(new),
             Self::Patch(patch) => document.patched(&patch),
--- a/crates/group/src/document.rs
+++ b/crates/group/src/document.rs
@@ -4,13 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::compression::{compress, decompress};
 use crate::patch::Patch;
 
 /// Version number that the operator assigns; the highest one is in force.
 pub type DocumentVersion = u64;
 
-/// Longest text of a document, in bytes.
-const MAX_TEXT_BYTES: usize = 16 * 1024 * 1024;
 /// Usual ratio of the sizes of a text and of its compressed form.
 const COMPRESSION_RATIO: usize = 5;
 
@@ -82,7 +81,7 @@
         let content = if document.text.is_empty() {
             Vec::new()
         } else {
-            lz4_flex::compress_prepend_size(&document.text)
+            compress(&document.text)
         };
         Self {
             version: document.version,
@@ -96,14 +95,10 @@
 
     fn try_from(encoded: EncodedDocument) -> Result<Self, String> {
         let version = encoded.version;
-        let Some(size) = encoded.content.first_chunk() else {
+        if encoded.content.is_empty() {
             return Ok(Self::new(version, &[]));
-        };
-        let size = usize::try_from(u32::from_le_bytes(*size));
-        if size.is_ok_and(|size| size > MAX_TEXT_BYTES) {
-            return Err(format!("the text of version {version} is too long"));
         }
-        let text = lz4_flex::decompress_size_prepended(&encoded.content);
+        let text = decompress(&encoded.content);
         let text = text.map_err(|error| format!("the text of version {version}: {error}"))?;
         Ok(Self::new(version, &text))
     }
--- a/crates/group/src/group.rs
+++ b/crates/group/src/group.rs
@@ -117,8 +117,6 @@
         /// Result of the operation.
         reply: Result<Reply, Unavailable>,
     },
-    /// [`Group::document`] was replaced by a newer document.
-    DocumentChanged,
     /// The known leader changed.
     LeaderChanged {
         /// Current leader; `None` while it is not known.
@@ -378,7 +376,6 @@
     fn replace_if_newer(&mut self, document: Document) {
         if document.version > self.document.version {
             self.document = document;
-            self.outputs.push(GroupOutput::DocumentChanged);
         }
     }
 
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -14,6 +14,7 @@
 //! new id.
 
 mod change;
+mod compression;
 mod document;
 mod group;
 mod members;
--- a/crates/group/src/patch.rs
+++ b/crates/group/src/patch.rs
@@ -14,11 +14,10 @@
 use bamboospur_types::mix64;
 use serde::{Deserialize, Serialize};
 
+use crate::compression::{MAX_TEXT_BYTES, compress, decompress};
 use crate::document::DocumentVersion;
 
 const BLOCK_BYTES: usize = 32;
-/// Longest text that a patch may produce; limits what a malformed patch can allocate.
-const MAX_TEXT_BYTES: usize = 16 * 1024 * 1024;
 
 /// Range of the base to copy, and the length of the new text that follows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -89,7 +88,7 @@
             base_checksum: checksum(base),
             checksum: checksum(new),
             edits,
-            new_text: lz4_flex::compress_prepend_size(&new_text),
+            new_text: compress(&new_text),
         })
     }
 
@@ -106,17 +105,12 @@
         if checksum(base) != self.base_checksum {
             return None;
         }
-        let new_bytes: u64 = self.edits.iter().map(|e| u64::from(e.new_bytes)).sum();
+        let new_text = decompress(&self.new_text).ok()?;
         let copied: u64 = self.edits.iter().map(|e| u64::from(e.length)).sum();
-        let stated = self
-            .new_text
-            .first_chunk()
-            .map(|b| u32::from_le_bytes(*b))?;
-        let total = usize::try_from(copied + new_bytes).ok()?;
-        if u64::from(stated) != new_bytes || total > MAX_TEXT_BYTES {
+        let total = usize::try_from(copied).ok()?.checked_add(new_text.len())?;
+        if total > MAX_TEXT_BYTES {
             return None;
         }
-        let new_text = lz4_flex::decompress_size_prepended(&self.new_text).ok()?;
         let mut rest = new_text.as_slice();
         let mut text = Vec::with_capacity(total);
         for edit in &self.edits {
--- a/crates/group/tests/group.rs
+++ b/crates/group/tests/group.rs
@@ -205,7 +205,6 @@
                 // A voter that was replaced while it was unreachable gets
                 // `Retired` and joins again.
                 GroupOutput::Identity(_)
-                | GroupOutput::DocumentChanged
                 | GroupOutput::LeaderChanged { .. }
                 | GroupOutput::MembersChanged { .. } => {}
             }
