Log the software versions of targets and attempts, and what a request resumes

The logs of the incident could not tell whether a router resumed a stream at another software version itself, or a caller took the stream up at a router that did not know where it began. `target changed` and the attempts of `request ended` now have the version, and `request ended` has the request whose stream is resumed and the last event.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -65,6 +65,7 @@
             let mut target =
                 known.unwrap_or_else(|| Target::new(announcement, is_local, &self.settings));
             target.address = announcement.address;
+            target.software.clone_from(&announcement.software);
             target.slots = announcement.slots;
             let pool = pools.entry(announcement.service.clone()).or_default();
             pool.targets.insert(announcement.name.clone(), target);
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_placement::{hash_node_id, rendezvous_score};
-use bamboospur_registry::{Announcement, StartTime, TargetName};
+use bamboospur_registry::{Announcement, SoftwareVersion, StartTime, TargetName};
 use bamboospur_types::{mix64, stable_id};
 
 use crate::arrivals::{FleetRate, PrefixArrivals, choose_by_water_filling, choose_by_weight};
@@ -26,6 +26,7 @@
 pub struct Target {
     pub start: StartTime,
     pub address: SocketAddr,
+    pub software: SoftwareVersion,
     pub is_local: bool,
     pub data_centre: String,
     pub slots: u32,
@@ -44,6 +45,7 @@
         Self {
             start: announcement.start,
             address: announcement.address,
+            software: announcement.software.clone(),
             is_local,
             data_centre: announcement.data_centre.clone(),
             slots: announcement.slots,
@@ -518,6 +520,7 @@
         name: candidate.name.clone(),
         start: candidate.target.start,
         address: candidate.target.address,
+        software: candidate.target.software.clone(),
         load: candidate.load,
         bound,
         copy_from: None,
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bamboospur_registry::{StartTime, TargetName};
+use bamboospur_registry::{SoftwareVersion, StartTime, TargetName};
 
 /// Part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +39,8 @@
     pub start: StartTime,
     /// Address to send the attempt to.
     pub address: SocketAddr,
+    /// Version of the target's software.
+    pub software: SoftwareVersion,
     /// Estimated requests at the target from all routers, for the log.
     pub load: f64,
     /// Load bound that applied to the choice, for the log; infinite for a request without
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -19,6 +19,7 @@
         sequence: 1,
         phase: Phase::Ready,
         service: service.to_owned(),
+        software: "v1".to_owned(),
         address: format!("10.0.0.{index}:80").parse().expect("an address"),
         data_centre: data_centre.to_owned(),
         slots: 64,
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -385,6 +385,7 @@
         sequence: 1,
         phase: Phase::Ready,
         service: SERVICE.to_owned(),
+        software: "v1".to_owned(),
         address: engine_address(index),
         data_centre: "north".to_owned(),
         slots,
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -155,6 +155,7 @@
                     sequence = announcement.sequence,
                     phase = %announcement.phase,
                     service = announcement.service,
+                    software = announcement.software,
                     address = %announcement.address,
                     direct,
                     "target changed"
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -42,6 +42,9 @@
     team: String,
     version: u64,
     lease_age_ms: Option<u64>,
+    /// Id of the request whose stream this one resumes; empty without one.
+    resumes: String,
+    last_event_id: Option<u64>,
     attempts: Vec<String>,
     pub detail: String,
 }
@@ -59,6 +62,8 @@
             team: String::new(),
             version: 0,
             lease_age_ms: None,
+            resumes: String::new(),
+            last_event_id: None,
             attempts: Vec::new(),
             detail: String::new(),
         }
@@ -68,6 +73,7 @@
     fn record_attempt(&mut self, choice: &ChosenTarget, end: &AttemptEnd) {
         let ChosenTarget {
             name,
+            software,
             rank,
             load,
             bound,
@@ -78,7 +84,7 @@
         } = choice;
         let copied = copy_from.is_some();
         let text = format!(
-            "{name} rank={rank} load={load:.1} bound={bound:.1} cached={is_cached} \
+            "{name} software={software} rank={rank} load={load:.1} bound={bound:.1} cached={is_cached} \
              copied={copied} prefix={prefix_hash:016x} {end}"
         );
         self.attempts.push(text);
@@ -92,6 +98,8 @@
             team = self.team,
             config_version = self.version,
             lease_age_ms = self.lease_age_ms,
+            resumes = self.resumes,
+            last_event_id = self.last_event_id,
             attempts = ?self.attempts,
             detail = self.detail,
             result = %code,
@@ -146,6 +154,8 @@
         let lease = router.lease.borrow();
         (lease.is_valid(now), lease.age(now))
     };
+    trace.resumes = metadata.resumed_id.clone().unwrap_or_default();
+    trace.last_event_id = metadata.last_event_id;
     trace.version = catalog.as_ref().map_or(0, |c| c.version());
     trace.lease_age_ms = age.and_then(|age| u64::try_from(age.as_millis()).ok());
     let path = &request.head.target;
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -201,7 +201,7 @@
         let merge = self.registry.borrow_mut().merge(announcement.clone(), now);
         if merge == Merge::Changed {
             let (phase, start) = (announcement.phase, announcement.start.0);
-            info!(target_name = announcement.name, %phase, start, sequence = announcement.sequence, "target changed");
+            info!(target_name = announcement.name, %phase, start, sequence = announcement.sequence, service = announcement.service, software = announcement.software, "target changed");
         }
         merge
     }
--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -32,6 +32,7 @@
             sequence: 4,
             phase: Phase::Draining,
             service: "s".to_owned(),
+            software: "v1".to_owned(),
             address: "10.0.0.1:80".parse().expect("an address"),
             data_centre: "north".to_owned(),
             slots: 6,
--- a/crates/registry/src/announcement.rs
+++ b/crates/registry/src/announcement.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::TargetName;
+use crate::{SoftwareVersion, TargetName};
 
 /// Start of a target's process by the target's own clock, which orders its restarts.
 /// The registry only compares the values, whatever their unit.
@@ -40,6 +40,8 @@
     pub phase: Phase,
     /// Service that the target belongs to.
     pub service: String,
+    /// Version of the target's software.
+    pub software: SoftwareVersion,
     /// Address on which the target accepts requests.
     pub address: SocketAddr,
     /// Data centre in which the target runs.
@@ -69,6 +71,7 @@
         self.start != other.start
             || self.phase != other.phase
             || self.service != other.service
+            || self.software != other.software
             || self.address != other.address
             || self.slots != other.slots
             || self.data_centre != other.data_centre
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -14,3 +14,6 @@
 
 /// Id that a target gives itself; it can be the same after a restart.
 pub type TargetName = String;
+
+/// Version of a target's software, as the target states it; empty if it states none.
+pub type SoftwareVersion = String;
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -12,6 +12,7 @@
         sequence,
         phase,
         service: "records".to_owned(),
+        software: "v1".to_owned(),
         address: "10.0.0.1:80".parse().expect("an address"),
         data_centre: "north".to_owned(),
         slots: 6,
