--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -6,6 +6,8 @@
 mod proxy;
 mod relays;
 mod soak;
+mod target;
+mod versions;
 
 use std::io::Write;
 use std::net::TcpStream;
--- /dev/null
+++ b/crates/node/tests/deployment/target.rs
@@ -0,0 +1,208 @@
+//! Stand-in targets.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What a stand-in target does with its requests.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Behaviour {
+    Answer,
+    /// Runs the request and closes the connection without an answer.
+    CloseWithoutAnswer,
+    /// Streams ten events with pauses, or those after the last one that the caller has.
+    Stream,
+    /// Streams three events and closes the connection.
+    BreakOff,
+    /// Answers as [`Self::Answer`] and states that it leaves.
+    Leaving,
+    /// Rejects requests without running them, and asks for none for this many seconds.
+    RejectFor(&'static str),
+    /// Sends no answer and waits until the router closes the connection.
+    NeverAnswer,
+    /// Rejects requests without running them, and states that all slots are free.
+    RejectWithRoom,
+    /// Answers before reading the body, reads the body after a pause, and takes the
+    /// next request on the same connection.
+    AnswerEarly,
+}
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 10;
+/// Delay between an early answer and the reading of the body.
+const BODY_READ_DELAY: Duration = Duration::from_millis(300);
+
+/// Stand-in target that records the requests it ran.
+pub struct Target {
+    pub address: SocketAddr,
+    pub runs: Arc<AtomicUsize>,
+    pub heads: Arc<Mutex<Vec<String>>>,
+    /// How many times the target ran each request, by request id.
+    pub ids: Arc<Mutex<BTreeMap<String, u32>>>,
+    /// Times at which routers closed connections before the answer was complete.
+    pub closed_at: Arc<Mutex<Vec<Instant>>>,
+    /// Bytes that arrived as bodies of requests that were answered early.
+    pub bodies: Arc<Mutex<Vec<Vec<u8>>>>,
+}
+
+/// Records that all connections of a target share; see the fields of `Target`.
+#[derive(Clone)]
+struct Observations {
+    runs: Arc<AtomicUsize>,
+    heads: Arc<Mutex<Vec<String>>>,
+    ids: Arc<Mutex<BTreeMap<String, u32>>>,
+    closed_at: Arc<Mutex<Vec<Instant>>>,
+    bodies: Arc<Mutex<Vec<Vec<u8>>>>,
+}
+
+impl Target {
+    pub fn start(host: Ipv4Addr, name: &'static str, behaviour: Behaviour) -> Self {
+        let listener = TcpListener::bind((host, 0)).expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let target = Self {
+            address,
+            runs: Arc::default(),
+            heads: Arc::default(),
+            ids: Arc::default(),
+            closed_at: Arc::default(),
+            bodies: Arc::default(),
+        };
+        let records = Observations {
+            runs: Arc::clone(&target.runs),
+            heads: Arc::clone(&target.heads),
+            ids: Arc::clone(&target.ids),
+            closed_at: Arc::clone(&target.closed_at),
+            bodies: Arc::clone(&target.bodies),
+        };
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let records = records.clone();
+                thread::spawn(move || serve(&stream, name, behaviour, &records));
+            }
+        });
+        target
+    }
+
+    pub fn runs(&self) -> usize {
+        self.runs.load(Ordering::SeqCst)
+    }
+}
+
+fn serve(stream: &TcpStream, name: &str, behaviour: Behaviour, records: &Observations) {
+    while serve_one(stream, name, behaviour, records) == Some(true) {}
+}
+
+/// Serves one request; returns whether another can follow on the connection.
+fn serve_one(
+    mut stream: &TcpStream,
+    name: &str,
+    behaviour: Behaviour,
+    records: &Observations,
+) -> Option<bool> {
+    let mut text = String::new();
+    let mut buffer = [0; 4096];
+    while !text.contains("\r\n\r\n") {
+        let count = stream.read(&mut buffer).ok().filter(|&count| count > 0)?;
+        text.push_str(std::str::from_utf8(&buffer[..count]).ok()?);
+    }
+    let body = text.split_once("\r\n\r\n")?.1.as_bytes().to_vec();
+    let field = |wanted: &str| {
+        let lines = text.lines().filter_map(|line| line.split_once(": "));
+        let mut fields = lines.filter(|(name, _)| name.eq_ignore_ascii_case(wanted));
+        fields.next().map(|(_, value)| value.to_owned())
+    };
+    let id = field("x-bamboospur-request-id")?;
+    assert_eq!(field("x-bamboospur-expect-replica").as_deref(), Some(name));
+    records.heads.lock().ok()?.push(text.clone());
+    records.runs.fetch_add(1, Ordering::SeqCst);
+    *records.ids.lock().ok()?.entry(id.clone()).or_default() += 1;
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Bamboospur-Request-Id: {id}\r\nX-Bamboospur-Replica-Stamp: {name}\r\n"
+    );
+    match behaviour {
+        Behaviour::CloseWithoutAnswer => {}
+        Behaviour::NeverAnswer => {
+            while stream.read(&mut buffer).is_ok_and(|count| count > 0) {}
+            records.closed_at.lock().ok()?.push(Instant::now());
+        }
+        Behaviour::AnswerEarly => {
+            stream
+                .write_all(format!("{head}Content-Length: 2\r\n\r\nok").as_bytes())
+                .ok()?;
+            let length: usize = field("content-length")?.parse().ok()?;
+            return read_body_late(stream, body, length, records);
+        }
+        Behaviour::RejectWithRoom => {
+            let head = head.replace("200 OK", "503 Service Unavailable");
+            let rest = "X-Bamboospur-Not-Executed: 1\r\nX-Bamboospur-Replica-Load: 0,0,4\r\n";
+            stream
+                .write_all(format!("{head}{rest}Content-Length: 0\r\n\r\n").as_bytes())
+                .ok()?;
+        }
+        Behaviour::RejectFor(seconds) => {
+            let head = head.replace("200 OK", "503 Service Unavailable");
+            let rest = format!("X-Bamboospur-Not-Executed: 1\r\nRetry-After: {seconds}\r\n");
+            stream
+                .write_all(format!("{head}{rest}Content-Length: 0\r\n\r\n").as_bytes())
+                .ok()?;
+        }
+        Behaviour::Answer | Behaviour::Leaving => {
+            let leaving = match behaviour {
+                Behaviour::Leaving => "Server-Leaving: 1\r\n",
+                _ => "",
+            };
+            stream
+                .write_all(format!("{head}{leaving}Content-Length: 2\r\n\r\nok").as_bytes())
+                .ok()?;
+        }
+        Behaviour::Stream | Behaviour::BreakOff => {
+            let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+            stream.write_all(format!("{head}{kind}").as_bytes()).ok()?;
+            let last = field("last-event-id").and_then(|value| value.parse().ok());
+            let first = last.unwrap_or(0) + 1;
+            let end = match behaviour {
+                Behaviour::BreakOff => first + 2,
+                _ => EVENTS,
+            };
+            if write_events(stream, name, first, end).is_err() {
+                records.closed_at.lock().ok()?.push(Instant::now());
+                return None;
+            }
+            if end == EVENTS {
+                stream.write_all(b"0\r\n\r\n").ok()?;
+            }
+        }
+    }
+    Some(false)
+}
+
+/// Writes events with these ids and the target's name, with pauses.
+fn write_events(mut stream: &TcpStream, name: &str, first: u64, last: u64) -> std::io::Result<()> {
+    for event in first..=last {
+        let data = format!("id: {event}\ndata: {name}\n\n");
+        let chunk = format!("{:x}\r\n{data}\r\n", data.len());
+        stream.write_all(chunk.as_bytes())?;
+        thread::sleep(Duration::from_millis(200));
+    }
+    Ok(())
+}
+
+/// Reads the rest of a body after a pause; returns whether it was complete.
+fn read_body_late(
+    stream: &TcpStream,
+    mut body: Vec<u8>,
+    length: usize,
+    records: &Observations,
+) -> Option<bool> {
+    thread::sleep(BODY_READ_DELAY);
+    let left = u64::try_from(length.saturating_sub(body.len())).ok()?;
+    // A reset connection ends the body; what arrived before is recorded.
+    let _ = stream.take(left).read_to_end(&mut body);
+    let is_whole = body.len() == length;
+    records.bodies.lock().ok()?.push(body);
+    Some(is_whole)
+}
--- /dev/null
+++ b/crates/node/tests/deployment/versions.rs
@@ -0,0 +1,189 @@
+//! Streams over targets of two software versions: a stream goes on only at the version
+//! that began it, in one answer and over the attempts of its caller.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::harness::{
+    Behaviour, CALLER_PORT, Deployment, Reply, Target, call, eventually, request_text,
+};
+use super::target::EVENTS;
+
+/// Time after which another router knows where a stream began.
+const SPREAD_TIME: Duration = Duration::from_millis(600);
+/// Longest time for a rejection that needs no target.
+const MAX_REJECTION_TIME: Duration = Duration::from_secs(1);
+
+/// Starts a deployment with two routers.
+fn start(network: u8) -> Deployment {
+    let mut deployment = Deployment::without_router(network);
+    deployment.start_router_at(9, "router-9");
+    deployment.start_router_at(10, "router-10");
+    deployment.configure("k1");
+    deployment
+}
+
+fn wait_ready(deployment: &Deployment) {
+    deployment.wait_ready_at(9);
+    deployment.wait_ready_at(10);
+    thread::sleep(SPREAD_TIME);
+}
+
+fn engine(
+    deployment: &Deployment,
+    index: u8,
+    name: &'static str,
+    software: &str,
+    behaviour: Behaviour,
+) -> Target {
+    let target = Target::start(deployment.host(index), name, behaviour);
+    deployment.report_engine(name, &target, software);
+    target
+}
+
+/// Returns a request that takes up the stream of `resumed` after an event.
+fn resume_text(id: &str, resumed: &str, last_event: u64) -> String {
+    let fields = format!("Resumes: {resumed}\r\nLast-Event-Id: {last_event}\r\nContent-Length");
+    request_text("POST", "/talk/1", id, "k1").replacen("Content-Length", &fields, 1)
+}
+
+fn resume(deployment: &Deployment, id: &str, resumed: &str, last_event: u64) -> Reply {
+    let router = deployment.address(10, CALLER_PORT);
+    call(router, &resume_text(id, resumed, last_event)).expect("a reply")
+}
+
+/// Sends a request to the first router and reads its stream up to an event.
+fn begin(deployment: &Deployment, id: &str, last_event: u64) -> (TcpStream, String) {
+    let mut caller = TcpStream::connect(deployment.address(9, CALLER_PORT)).expect("a connection");
+    let text = request_text("POST", "/talk/1", id, "k1");
+    caller.write_all(text.as_bytes()).expect("it is sent");
+    let mut read = String::new();
+    let mut buffer = [0; 1024];
+    let wanted = format!("id: {last_event}\n");
+    while !read.contains(&wanted) {
+        let count = caller.read(&mut buffer).expect("events");
+        assert!(count > 0, "the stream ended early: {read}");
+        read.push_str(std::str::from_utf8(&buffer[..count]).expect("text"));
+    }
+    (caller, read)
+}
+
+/// Returns the targets that wrote the events of an answer.
+fn writers(body: &str) -> Vec<&str> {
+    let lines = body
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .map(str::trim_end);
+    lines.collect()
+}
+
+#[test]
+fn a_stream_that_a_router_resumes_keeps_the_software_version_that_began_it() {
+    let deployment = start(50);
+    let breaking = engine(&deployment, 20, "t1", "v1", Behaviour::BreakOff);
+    wait_ready(&deployment);
+    let (mut caller, mut body) = begin(&deployment, "id-1", 1);
+    let other = engine(&deployment, 21, "t2", "v2", Behaviour::Stream);
+    // The stream breaks after its third event, with only the other version left.
+    let _broken = caller.read_to_string(&mut body);
+    assert_eq!(writers(&body), ["t1"; 3], "{body}");
+    assert_eq!((breaking.runs(), other.runs()), (1, 0));
+
+    // With a second target of its version, a stream goes on there.
+    let same = engine(&deployment, 22, "t3", "v1", Behaviour::Stream);
+    thread::sleep(SPREAD_TIME);
+    let mut resumed = 0;
+    for index in 0..12 {
+        let text = request_text("POST", "/talk/1", &format!("id-b{index}"), "k1");
+        let reply = call(deployment.address(9, CALLER_PORT), &text).expect("a reply");
+        let writers = writers(&reply.body);
+        let versions: Vec<bool> = writers.iter().map(|&name| name == "t2").collect();
+        assert!(versions.iter().all(|v| *v == versions[0]), "{writers:?}");
+        if writers.contains(&"t1") && writers.contains(&"t3") {
+            resumed += 1;
+        }
+    }
+    assert!(resumed > 0, "no stream went on at the same version");
+    assert!(same.runs() > 0);
+}
+
+#[test]
+fn a_stream_that_a_caller_resumes_keeps_the_software_version_that_began_it() {
+    const STREAMS: usize = 8;
+    let mut deployment = start(51);
+    let names = [("t1", "v1"), ("t2", "v1"), ("t3", "v2"), ("t4", "v2")];
+    let targets: Vec<Target> = (20..)
+        .zip(names)
+        .map(|(index, (name, software))| {
+            engine(&deployment, index, name, software, Behaviour::Stream)
+        })
+        .collect();
+    wait_ready(&deployment);
+    let ids: Vec<String> = (0..STREAMS).map(|index| format!("id-{index}")).collect();
+    let begun: Vec<_> = ids.iter().map(|id| begin(&deployment, id, 1)).collect();
+    thread::sleep(SPREAD_TIME);
+    deployment.kill("router-9");
+    let version = |name: &str| names.iter().find(|known| known.0 == name).map(|n| n.1);
+    for (id, (_, body)) in ids.iter().zip(&begun) {
+        let first = writers(body)[0];
+        let reply = resume(&deployment, &format!("{id}-again"), id, 1);
+        assert_eq!(reply.status, 200, "{id}: {}", reply.body);
+        let rest = writers(&reply.body);
+        assert_eq!(rest.len() as u64, EVENTS - 1, "{id}: {}", reply.body);
+        assert!(
+            rest.iter().all(|name| version(name) == version(first)),
+            "{id}: began at {first} and went on at {rest:?}"
+        );
+    }
+    assert!(targets.iter().map(Target::runs).sum::<usize>() >= 2 * STREAMS);
+}
+
+#[test]
+fn a_stream_whose_software_version_has_left_is_rejected_at_once() {
+    let mut deployment = start(52);
+    let first = engine(&deployment, 20, "t1", "v1", Behaviour::Stream);
+    wait_ready(&deployment);
+    let begun = begin(&deployment, "id-1", 1);
+    let second = engine(&deployment, 21, "t2", "v2", Behaviour::Stream);
+    deployment.report("t1", &first, "engine", "draining", 2);
+    thread::sleep(SPREAD_TIME);
+    deployment.kill("router-9");
+    drop(begun);
+    let asked_at = Instant::now();
+    let reply = resume(&deployment, "id-2", "id-1", 1);
+    assert_eq!(reply.status, 503, "{}", reply.body);
+    assert!(asked_at.elapsed() < MAX_REJECTION_TIME);
+    // Nobody knows where this stream began, and two versions have served lately.
+    let reply = resume(&deployment, "id-3", "id-unknown", 1);
+    assert_eq!(reply.status, 503, "{}", reply.body);
+    assert_eq!((first.runs(), second.runs()), (1, 0));
+}
+
+#[test]
+fn a_stream_that_no_router_remembers_goes_on_while_all_targets_have_one_version() {
+    let deployment = start(53);
+    let _first = engine(&deployment, 20, "t1", "v1", Behaviour::Stream);
+    wait_ready(&deployment);
+    let reply = resume(&deployment, "id-2", "id-unknown", 4);
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    assert_eq!(writers(&reply.body).len() as u64, EVENTS - 4);
+}
+
+#[test]
+fn a_stream_that_began_before_the_second_version_started_is_known_to_other_routers() {
+    let mut deployment = start(54);
+    let _first = engine(&deployment, 20, "t1", "v1", Behaviour::Stream);
+    wait_ready(&deployment);
+    let begun = begin(&deployment, "id-1", 1);
+    let second = engine(&deployment, 21, "t2", "v2", Behaviour::Stream);
+    thread::sleep(SPREAD_TIME);
+    deployment.kill("router-9");
+    drop(begun);
+    eventually("the stream goes on", || {
+        let reply = resume(&deployment, "id-2", "id-1", 1);
+        reply.status == 200 && writers(&reply.body) == ["t1"; 9]
+    });
+    assert_eq!(second.runs(), 0);
+}
