Test targets that leave by their answers, and targets that ask for no requests for a time

New rules of the platform: a target that leaves says so in its answers (Server-Leaving: 1), and one that rejects a request with 503 may add Retry-After and wants nothing from this router for so long. Both tests fail on this code and are listed as known red: the next request reached the target that leaves, and nine requests reached the other one within the three seconds it had asked for.

--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -4,6 +4,7 @@
 mod harness;
 mod prompts;
 mod proxy;
+mod rejected;
 mod relays;
 mod soak;
 mod target;
