Let a stream go on only at the service and software version that began it

Cause: the version that a target states in its reports was read by nobody. A router that resumed a stream inside an answer took any target of the service, and so did one that a caller came to after its own router was killed; that router did not even know where the stream had begun. The class: the continuation of something begun is placed like something new. The same fault stood in split routes: a resumed stream drew its service anew from its own request id.

Now the first event of a stream fixes its origin, service and version, and every later attempt gets a target of that origin or none. Routers report origins to a majority of the control instances at once, but only while an origin could be another one: the service has or had several versions in the last minute, the route has several services, or a configuration moved it. A router that does not know a resumed stream asks the instances in turn; without a report, the only possible origin is taken, and with several the stream is rejected at once. A stream that has begun is not refused for the expected load of new ones. Placing streams by a hash of their id and the versions was rejected: routers see a release at different times.

The test of a router's own resume is two tests now: its second half drew twelve streams one after the other, in which time targets that report once count as silent.

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -117,7 +117,12 @@
             .targets
             .iter()
             .zip(&loads)
-            .filter(|((name, _), _)| !request.tried.contains(name))
+            .filter(|((name, target), _)| {
+                let fits = request
+                    .software
+                    .is_none_or(|wanted| target.software == wanted);
+                fits && !request.tried.contains(name)
+            })
             .map(|((name, target), &load)| Candidate { name, target, load })
             .collect();
         if all.is_empty() {
@@ -149,7 +154,9 @@
             expected_same_prefix: self.expected_from_others(same_prefix_arrivals, context),
             expected_per_target: self.expected_at_all_routers(context) / count_at_least_one(&loads),
         };
-        if is_half_full(&available, settings) {
+        // The expected arrivals are those at targets of all versions, and a stream that has
+        // begun comes before new ones.
+        if request.software.is_none() && is_half_full(&available, settings) {
             let admitted_share = self.admitted_share(&available, context);
             if admitted_share < 1.0 {
                 return self
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -24,6 +24,8 @@
     pub prompt: &'a [PromptPart],
     /// Whether the request may be sent again if this attempt fails.
     pub repeatable: bool,
+    /// Software version that the target must have; `None` for any.
+    pub software: Option<&'a str>,
     /// Targets that have failed or refused the request in earlier attempts.
     pub tried: &'a [TargetName],
     /// Largest number of requests that this router may have in flight at one target.
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -39,6 +39,7 @@
         service: "records",
         prompt: &[],
         repeatable: true,
+        software: None,
         tried,
         max_in_flight_per_target: UNLIMITED_CONNECTIONS,
     }
@@ -401,3 +402,78 @@
     assert_eq!(next.start, StartTime(2));
     assert!(next.load.abs() < f64::EPSILON);
 }
+
+/// Returns a dispatcher with targets of version v1 and, from index `old` on, v2.
+fn two_versions(old: u8, count: u8) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), "north", 1);
+    let targets = (0..count).map(|index| {
+        let software = if index < old { "v1" } else { "v2" };
+        Announcement {
+            software: software.to_owned(),
+            ..target(index, "chat", "north")
+        }
+    });
+    let targets: Vec<Announcement> = targets.collect();
+    dispatcher.update(&targets.iter().collect::<Vec<_>>(), &[], Instant::now());
+    dispatcher
+}
+
+#[test]
+fn a_stream_that_has_begun_gets_a_target_of_its_software_version_or_none() {
+    let now = Instant::now();
+    let mut dispatcher = two_versions(2, 9);
+    for key in 0..40 {
+        let prompt = prompt(key);
+        let request = DispatchRequest {
+            software: Some("v1"),
+            ..chat_request(&prompt)
+        };
+        let choice = dispatcher.choose(&request, now).expect("a target");
+        assert_eq!(choice.software, "v1");
+    }
+    let tried = ["t0".to_owned(), "t1".to_owned()];
+    let request = DispatchRequest {
+        software: Some("v1"),
+        tried: &tried,
+        ..chat_request(&[])
+    };
+    let refused = dispatcher.choose(&request, now);
+    assert_eq!(refused, Err(ChooseError::NoTarget));
+}
+
+#[test]
+fn a_stream_that_has_begun_is_not_refused_for_the_expected_load_of_new_ones() {
+    let now = Instant::now();
+    let mut dispatcher = two_versions(1, 9);
+    dispatcher.set_router_count(100);
+    // Every engine is at four fifths of its slots, and many new prompts are expected.
+    let mut choices = Vec::new();
+    for index in 0..9 {
+        let request = chat_request(&[]);
+        let any = dispatcher.choose(&request, now).expect("a target");
+        let choice = ChosenTarget {
+            name: format!("t{index}"),
+            ..any
+        };
+        let report = LoadReport {
+            running: 51,
+            waiting: 0,
+            slots: 64,
+        };
+        dispatcher.record_load_report("chat", &choice, report, now);
+        choices.push(choice);
+    }
+    for key in 0..300 {
+        // Refused or not, each counts as an arrival.
+        let _choice = dispatcher.choose(&chat_request(&prompt(key)), now);
+    }
+    let prompt = prompt(1_000);
+    let request = DispatchRequest {
+        software: Some("v1"),
+        ..chat_request(&prompt)
+    };
+    let new = (0..20).filter(|_| dispatcher.choose(&chat_request(&prompt), now).is_err());
+    assert!(new.count() > 0, "no new prompt was refused");
+    let choice = dispatcher.choose(&request, now);
+    assert_eq!(choice.map(|choice| choice.name), Ok("t0".to_owned()));
+}
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -279,6 +279,7 @@
         for _ in 0..MAX_ATTEMPTS {
             let request = DispatchRequest {
                 service: SERVICE,
+                software: None,
                 prompt: &prompt,
                 repeatable: true,
                 tried: &tried,
--- a/crates/fleet/src/control/counters.rs
+++ b/crates/fleet/src/control/counters.rs
@@ -38,6 +38,8 @@
     pub relays: usize,
     /// Number of large frames that wait for bandwidth.
     pub bulk_waiting: usize,
+    /// Number of streams whose origin is known.
+    pub streams: usize,
 }
 
 impl Counters {
@@ -60,6 +62,7 @@
             ("links_accepted", number(gauges.links)),
             ("relays", number(gauges.relays)),
             ("bulk_waiting", number(gauges.bulk_waiting)),
+            ("streams_known", number(gauges.streams)),
         ];
         let mut text = String::new();
         for (name, value) in lines {
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -3,6 +3,7 @@
 mod config;
 mod links;
 mod outbox;
+mod streams;
 mod targets;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -27,6 +28,7 @@
 use crate::link::{AcceptedLinks, Frame, LinkId};
 use crate::loads::Loads;
 use crate::outbox::Outbox;
+use crate::stream_origins::OriginTable;
 
 /// Time between two rounds of periodic work, such as keep-alives and batches of reports
 /// to peers, and the removal of expired state.
@@ -76,6 +78,8 @@
     /// Newest cached prefixes, oldest first, as pairs of hashes: of the prefix and of the
     /// target.
     cached_prefixes: VecDeque<(u64, u64)>,
+    /// Origins of the streams that routers reported.
+    stream_origins: OriginTable,
     counters: Counters,
     /// Addresses of control instances that were last sent to routers.
     sent_controls: Vec<SocketAddr>,
@@ -143,6 +147,7 @@
             next_updates_at: now,
             reported_silent: BTreeSet::new(),
             cached_prefixes: soft.prefixes.into(),
+            stream_origins: OriginTable::default(),
             counters: Counters::default(),
             sent_controls: Vec::new(),
             loads: Loads::default(),
@@ -197,6 +202,7 @@
         self.pending_requests.remove_expired(now);
         self.peers.remove_silent(now);
         self.registry.remove_expired(now);
+        self.stream_origins.remove_expired(now);
         let announcements: Vec<Announcement> = std::mem::take(&mut self.unsent_to_peers)
             .into_values()
             .collect();
@@ -268,6 +274,7 @@
             links: self.links.len(),
             relays: self.fanout.relay_links().count(),
             bulk_waiting: self.outbox.waiting(),
+            streams: self.stream_origins.len(),
         })
     }
 
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -182,14 +182,10 @@
             }
             Frame::Loads(counts) => self.loads.record_router_counts(hello.id, counts, now),
             Frame::RequestConfig(held) => self.handle_config_request(link, held),
-            // With relays, the other routers get the state from them.
             Frame::RequestTargets {
                 with_prefixes,
                 as_relay,
-            } if as_relay || !self.fanout.has_relays() => {
-                self.outbox.request_state(link, with_prefixes);
-            }
-            Frame::RequestTargets { .. } => {}
+            } => self.handle_targets_request(link, with_prefixes, as_relay),
             // A leader that has just started may have no routers yet.
             Frame::Relays(relays) if self.group.leader() == Some(hello.id) => {
                 self.leader_relays = Some(relays).filter(|relays| !relays.is_empty());
@@ -206,6 +202,9 @@
             | Frame::GetDone { .. } => {
                 self.handle_operator_frame(hello.id, frame, now);
             }
+            Frame::StreamsBegun(_) | Frame::FindStream { .. } => {
+                self.handle_stream_frame(link, frame, now);
+            }
             Frame::Targets(_) | Frame::Heard(_) | Frame::Report { .. } | Frame::Leave { .. } => {
                 self.handle_target_frame(link, hello.router_location().is_some(), frame, now);
             }
@@ -216,6 +215,7 @@
             | Frame::Config(_)
             | Frame::NoNewerConfig
             | Frame::Totals(_)
+            | Frame::StreamFound { .. }
             | Frame::Leader(_)
             | Frame::InForce { .. } => {
                 warn!(
@@ -226,6 +226,13 @@
         }
     }
 
+    /// Queues the state for a router. With relays, the other routers get it from them.
+    fn handle_targets_request(&mut self, link: LinkId, with_prefixes: bool, as_relay: bool) {
+        if as_relay || !self.fanout.has_relays() {
+            self.outbox.request_state(link, with_prefixes);
+        }
+    }
+
     fn handle_replica_message(&mut self, from: InstanceId, to: InstanceId, message: Message) {
         if to == self.id {
             self.handle_group_input(GroupInput::Message { from, message });
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod router;
 pub mod settings_file;
 pub mod signals;
+pub mod stream_origins;
 
 pub use config_history::ConfigHistory;
 pub use loads::{Loads, RequestCounts};
--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -3,11 +3,14 @@
 use std::net::SocketAddr;
 
 use bamboospur_agreement::Message;
+use bamboospur_catalog::ServiceName;
 use bamboospur_group::{Change, Document, DocumentVersion};
 use bamboospur_registry::{Announcement, StartTime, TargetName};
 use bamboospur_types::InstanceId;
 use serde::{Deserialize, Serialize};
 
+use crate::stream_origins::{BegunStreams, StreamId, StreamOrigin};
+
 /// Number that the sender gives to a forwarded request, to match the answer.
 pub type Ticket = u64;
 
@@ -121,6 +124,24 @@
     /// Targets that have cached the shared parts of prompts, as pairs of hashes: of the
     /// parts and of the target.
     CachedPrefixes(Vec<(u64, u64)>),
+    /// Streams that began at the sender, for callers that resume them through other routers.
+    StreamsBegun(Vec<BegunStreams>),
+    /// Query for the origin of a stream.
+    FindStream {
+        /// Returned with the answer.
+        ticket: Ticket,
+        /// Id of the stream; `None` if the caller does not name it.
+        stream: Option<StreamId>,
+        /// Services at which the stream may have begun if its origin is not known.
+        services: Vec<ServiceName>,
+    },
+    /// Answer to [`Frame::FindStream`].
+    StreamFound {
+        /// Ticket of the query.
+        ticket: Ticket,
+        /// The origin, or all possible ones if it is not known.
+        origins: Vec<StreamOrigin>,
+    },
     /// Request counts of the sender: requests in progress by hash of the target, and
     /// arriving requests by hash of the service. A control instance or a relay sends
     /// the sums over the routers that send their counts to it.
--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt_history::Execution;
-use super::event_stream::{StreamEnd, forward_stream};
+use super::event_stream::{EventSource, StreamEnd, forward_stream};
 use super::forward::{Job, is_event_stream};
 use super::rejections::RejectionCause;
 use super::state::ActiveAttempt;
@@ -309,8 +309,11 @@
         let first_event_by = self.first_result_deadline();
         let forwarded = forward_stream(
             self.job,
-            &mut connection,
-            head,
+            EventSource {
+                software: &self.active.choice.software,
+                connection: &mut connection,
+                head,
+            },
             responder,
             first_event_by,
             event_gap_timeout,
--- a/crates/fleet/src/router/event_stream.rs
+++ b/crates/fleet/src/router/event_stream.rs
@@ -71,20 +71,26 @@
     pub first_event_at: Option<Instant>,
 }
 
+/// The answer of a target that is an event stream.
+pub struct EventSource<'a> {
+    /// Version of the target's software.
+    pub software: &'a str,
+    pub connection: &'a mut ClientConnection,
+    pub head: &'a ResponseHead,
+}
+
 /// Forwards events until the stream ends. The first event is expected by
 /// `first_event_by`, and each later one within `event_gap_timeout` of the previous.
 pub async fn forward_stream(
     job: &mut Job<'_>,
-    connection: &mut ClientConnection,
-    head: &ResponseHead,
+    source: EventSource<'_>,
     responder: &mut Responder<'_>,
     first_event_by: Instant,
     event_gap_timeout: Duration,
 ) -> StreamResult {
     let mut forwarder = StreamForwarder {
         job,
-        connection,
-        head,
+        source,
         responder,
         splitter: EventSplitter::default(),
         first_event_at: None,
@@ -98,8 +104,7 @@
 
 struct StreamForwarder<'a, 'j, 'r> {
     job: &'a mut Job<'j>,
-    connection: &'a mut ClientConnection,
-    head: &'a ResponseHead,
+    source: EventSource<'a>,
     responder: &'a mut Responder<'r>,
     splitter: EventSplitter,
     first_event_at: Option<Instant>,
@@ -133,7 +138,7 @@
     /// deadline.
     async fn next_chunk(&mut self, event_by: Instant) -> Result<Option<bytes::Bytes>, StreamEnd> {
         let deadline = self.job.deadline;
-        let next = self.connection.next_chunk();
+        let next = self.source.connection.next_chunk();
         tokio::pin!(next);
         let wait_until = event_by.min(deadline);
         let mut chunk = timeout_at(wait_until, &mut next).await;
@@ -167,6 +172,7 @@
             self.first_event_at = Some(Instant::now());
         }
         if !out.is_empty() {
+            self.job.begin_stream(self.source.software);
             self.send_head().await?;
             let deadline = self.job.deadline;
             let written = timeout_at(deadline, self.responder.write_chunk(&out)).await;
@@ -184,7 +190,7 @@
             return Ok(());
         }
         self.job.progress.head_sent = true;
-        let mut head = self.head.clone();
+        let mut head = self.source.head.clone();
         head.headers.remove_hop_by_hop_fields();
         let sent = self.responder.write_head(&head, Framing::Chunked).await;
         sent.map_err(|_| StreamEnd::CallerGone)
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -8,6 +8,7 @@
 mod links;
 mod receive;
 mod send;
+mod streams;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -23,8 +24,9 @@
 
 use super::config_requests::ConfigRequests;
 use super::followers::Followers;
+use super::origin_queries::OriginQueries;
 use super::reports::{self, Reports};
-use super::state::Router;
+use super::state::{OriginQuery, Router};
 use crate::calls::TargetCall;
 use crate::clock::BootTime;
 use crate::link::{self, AcceptEvent, DialEvent, DialedLink, Hello, Role, RouterLocation};
@@ -79,6 +81,7 @@
     settings: &ProcessSettings,
     links: TcpListener,
     reports: TcpListener,
+    origin_queries: Receiver<OriginQuery>,
 ) -> SeedUpdater {
     let (events, receiver) = channel(MAX_QUEUED_EVENTS);
     let location = RouterLocation {
@@ -104,11 +107,12 @@
         outbox: Outbox::new(settings.link_bytes_per_s, Instant::now()),
         followers: Followers::default(),
         reported_prefixes: Vec::new(),
+        origin_queries: OriginQueries::default(),
     };
     follower.add_controls(&settings.seeds);
     spawn_local(link::serve(links, events.clone(), Event::Accepted));
     spawn_local(reports::serve(reports, events.clone(), Event::Target));
-    spawn_local(follower.run(receiver));
+    spawn_local(follower.run(receiver, origin_queries));
     SeedUpdater(events)
 }
 
@@ -145,10 +149,13 @@
     /// Cached prompts that followers reported, with the targets that hold them; sent
     /// to the relay or control instance with the next batch.
     reported_prefixes: Vec<(u64, u64)>,
+    /// Queries for the origins of streams that callers resume.
+    origin_queries: OriginQueries<OriginQuery>,
 }
 
 impl Follower {
-    async fn run(mut self, mut events: Receiver<Event>) {
+    async fn run(mut self, mut events: Receiver<Event>, mut queries: Receiver<OriginQuery>) {
+        let router = Rc::clone(&self.router);
         let mut query = interval(QUERY_INTERVAL_WITHOUT_LEASE);
         let mut queried_at = Instant::now();
         let mut updates = interval(UPDATE_BATCH_INTERVAL);
@@ -157,12 +164,19 @@
         loop {
             self.send_outbox(Instant::now());
             let outbox_at = self.outbox.next_at().unwrap_or_else(Instant::now).into();
+            let query_at = self.origin_queries.next_timeout();
+            let query_at = query_at.unwrap_or_else(Instant::now).into();
             tokio::select! {
                 event = events.recv() => match event {
                     Some(event) => self.handle(event),
                     None => return,
                 },
                 () = sleep_until(outbox_at), if self.outbox.next_at().is_some() => {}
+                Some(query) = queries.recv() => self.query_origin(query),
+                () = sleep_until(query_at), if self.origin_queries.next_timeout().is_some() => {
+                    self.handle_origin_timeouts();
+                }
+                () = router.stream_began.notified() => self.report_begun_streams(),
                 _ = query.tick() => {
                     self.config_requests.forget_lacking();
                     self.request_config_if_behind();
@@ -176,6 +190,7 @@
                     self.router.apply_pending_targets();
                     self.request_state_if_due();
                     self.send_cached_prefixes();
+                    self.report_begun_streams();
                 }
                 _ = loads.tick() => self.send_loads(),
                 _ = refreshed.tick() => self.send_refreshed_reports(),
--- a/crates/fleet/src/router/follow/links.rs
+++ b/crates/fleet/src/router/follow/links.rs
@@ -187,6 +187,7 @@
                 self.update_relays();
             }
             Frame::Taken { ticket } => self.reports.acknowledge(ticket),
+            Frame::StreamFound { ticket, origins } => self.handle_found_stream(ticket, origins),
             Frame::NoNewerConfig => self.handle_no_newer_config(address),
             Frame::InForce {
                 asked,
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -3,14 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bamboospur_catalog::{Catalog, RequestKind, Route, Service};
+use bamboospur_catalog::{Catalog, RequestKind, Route, Service, ServiceName};
 use bamboospur_dispatch::{ChooseError, ChosenTarget, DispatchRequest, PromptPart};
 use bamboospur_http1::ResponseHead;
 use bamboospur_http1::server::{Request, Responder, build_response_head};
 use bamboospur_platform::names;
 use bamboospur_platform::request::RequestMetadata;
 use bamboospur_types::{ResultCode, stable_id};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 use tracing::info;
 
 use super::admit::{Admitted, admit};
@@ -20,6 +20,7 @@
 use super::rejections::Rejections;
 use super::state::{ActiveAttempt, Router};
 use crate::clock::BootTime;
+use crate::stream_origins::{StreamId, StreamOrigin};
 
 /// Most attempts of a request, including those that did not run the request.
 const MAX_ATTEMPTS: u32 = 4;
@@ -34,6 +35,10 @@
 /// Shortest `Retry-After`; shorter ones would not spread out the retries of callers.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(40);
 
+/// Detail of the log line of a resumed stream that cannot go on.
+const UNKNOWN_ORIGIN: &str =
+    "the origin of the resumed stream is not known, or its service is not on the route";
+
 /// Data of a request for its log line.
 #[derive(Debug)]
 pub struct Trace {
@@ -123,6 +128,9 @@
     pub deadline: Instant,
     /// Part of an event stream that the caller has received.
     pub progress: StreamProgress,
+    /// Origin of the stream, once its first event was delivered by this or an earlier
+    /// request; it goes on only there.
+    origin: Option<StreamOrigin>,
     pub history: AttemptHistory,
     pub rejections: Rejections,
     prompt: Vec<PromptPart>,
@@ -134,6 +142,23 @@
 }
 
 impl Job<'_> {
+    /// Records that a target with this software version wrote the first event of the stream,
+    /// unless the stream has begun before.
+    pub fn begin_stream(&mut self, software: &str) {
+        if self.origin.is_some() {
+            return;
+        }
+        let origin = StreamOrigin {
+            service: self.service.name.clone(),
+            software: software.to_owned(),
+        };
+        if self.route.resumable {
+            let stream = stream_id(&self.metadata.id);
+            self.router.begin_stream(stream, &origin, self.route);
+        }
+        self.origin = Some(origin);
+    }
+
     fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -164,11 +189,7 @@
         Ok(admitted) => admitted,
         Err(refusal) => {
             trace.detail = format!("{refusal:?}");
-            let pause = retry_after(
-                router,
-                NOT_READY_RETRY_AFTER,
-                metadata.timeout.unwrap_or(DEFAULT_WAIT),
-            );
+            let pause = retry_after(router, NOT_READY_RETRY_AFTER, wait(&metadata));
             return refuse(responder, refusal.code(), Some(pause)).await;
         }
     };
@@ -177,7 +198,16 @@
     let Some(catalog) = catalog.as_deref() else {
         return ResultCode::NotReady;
     };
-    let Some(mut job) = new_job(router, request, catalog, admitted, metadata) else {
+    let mut origin = None;
+    if resumes_stream(admitted.route, &metadata) {
+        origin = find_origin(router, admitted.route, &metadata).await;
+        if origin.is_none() {
+            UNKNOWN_ORIGIN.clone_into(&mut trace.detail);
+            let pause = retry_after(router, NOT_READY_RETRY_AFTER, wait(&metadata));
+            return refuse(responder, ResultCode::NoTarget, Some(pause)).await;
+        }
+    }
+    let Some(mut job) = new_job(router, request, catalog, admitted, metadata, origin) else {
         return refuse(responder, ResultCode::NoTarget, None).await;
     };
     router.count_request(&job.service.name);
@@ -191,10 +221,14 @@
     catalog: &'a Catalog,
     admitted: Admitted<'a>,
     metadata: RequestMetadata,
+    origin: Option<StreamOrigin>,
 ) -> Option<Job<'a>> {
     let route = admitted.route;
-    let service = route.service_for(stable_id(&metadata.id))?;
-    let wait = metadata.timeout.unwrap_or(DEFAULT_WAIT).min(route.timeout);
+    let service = match &origin {
+        Some(origin) => &origin.service,
+        None => route.service_for(stable_id(&metadata.id))?,
+    };
+    let wait = wait(&metadata).min(route.timeout);
     let team_priority = admitted.team.and_then(|t| t.priority);
     let to_prompt_part = |&(hash, tokens): &(u64, u64)| PromptPart { hash, tokens };
     let prompt = if route.has_prompt {
@@ -214,6 +248,7 @@
         removes_key: catalog.has_teams(),
         deadline: request.arrived + wait,
         progress: StreamProgress::new(metadata.last_event_id),
+        origin,
         metadata,
         prompt,
         history: AttemptHistory::new(AttemptLimits {
@@ -302,6 +337,7 @@
             service: &self.service.name,
             prompt: &self.prompt,
             repeatable: self.route.is_repeatable(),
+            software: self.origin.as_ref().map(|origin| origin.software.as_str()),
             tried: &self.tried,
             max_in_flight_per_target: self.router.connection_share(self.service),
         };
@@ -359,6 +395,41 @@
     }
 }
 
+fn stream_id(request_id: &str) -> StreamId {
+    stable_id(request_id)
+}
+
+/// Whether a request resumes a stream that an earlier one began.
+fn resumes_stream(route: &Route, metadata: &RequestMetadata) -> bool {
+    let resumes = metadata.resumed_id.is_some() || metadata.last_event_id.is_some();
+    resumes && route.kind == RequestKind::Stream && route.resumable
+}
+
+/// Returns where the stream that a request resumes began, if that is known and the route
+/// still allows it.
+async fn find_origin(
+    router: &Router,
+    route: &Route,
+    metadata: &RequestMetadata,
+) -> Option<StreamOrigin> {
+    let shares = route.shares.iter().filter(|share| share.weight > 0);
+    let services: Vec<ServiceName> = shares.map(|share| share.service.clone()).collect();
+    let stream = metadata.resumed_id.as_deref().map(stream_id);
+    let found = router.find_origin(stream, services.clone());
+    let found = timeout(wait(metadata), found).await.ok().flatten();
+    let origin = found.filter(|origin| services.contains(&origin.service));
+    router.metrics.borrow_mut().record_resume(origin.is_some());
+    if let (Some(stream), Some(origin)) = (stream, &origin) {
+        router.begin_stream(stream, origin, route);
+    }
+    origin
+}
+
+/// Returns how long the caller of a request waits.
+fn wait(metadata: &RequestMetadata) -> Duration {
+    metadata.timeout.unwrap_or(DEFAULT_WAIT)
+}
+
 async fn deliver(responder: &mut Responder<'_>, answer: &Answer) -> ResultCode {
     match responder.write_response(&answer.head, &answer.body).await {
         Ok(()) if answer.is_failure() => ResultCode::TargetFailed,
--- a/crates/fleet/src/router/metrics.rs
+++ b/crates/fleet/src/router/metrics.rs
@@ -18,6 +18,8 @@
     retries: u64,
     connections: u64,
     reused_connections: u64,
+    resumes: u64,
+    rejected_resumes: u64,
 }
 
 impl Metrics {
@@ -43,6 +45,15 @@
         }
     }
 
+    /// Counts a stream that a caller resumes, by whether its origin is known.
+    pub fn record_resume(&mut self, known: bool) {
+        if known {
+            self.resumes += 1;
+        } else {
+            self.rejected_resumes += 1;
+        }
+    }
+
     /// Returns the counters and `gauges` in the Prometheus text format.
     pub fn text(&self, gauges: &[(&str, u64)]) -> String {
         let mut text = String::new();
@@ -66,6 +77,8 @@
         line("retries_total", self.retries);
         line("target_connections_total", self.connections);
         line("target_connections_reused_total", self.reused_connections);
+        line("stream_resumes_total", self.resumes);
+        line("stream_resumes_rejected_total", self.rejected_resumes);
         line("log_lines_dropped_total", crate::log::dropped_lines());
         for (name, value) in gauges {
             line(name, *value);
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -6,6 +6,7 @@
 //! target over a connection from [`pool`], and [`event_stream`] forwards a stream
 //! of events. [`attempt_history`] limits the attempts of a request, and [`rejections`] tells full
 //! targets from a request that no target accepts.
+//! [`origin_queries`] finds out where a stream began that a caller resumes.
 //!
 //! [`reports`] accepts reports of targets on behalf of the control instances of a
 //! large deployment, and [`followers`] keeps the links of the routers that this
@@ -25,6 +26,7 @@
 mod forward;
 mod lease;
 mod metrics;
+mod origin_queries;
 mod pool;
 mod rejections;
 mod reports;
@@ -35,6 +37,7 @@
 pub use attempt_history::{AttemptHistory, AttemptLimits, Execution};
 pub use config_requests::{ConfigRequests, Peer, Peers};
 pub use lease::Lease;
+pub use origin_queries::{OriginQueries, QueryStep};
 pub use rejections::{RejectionCause, Rejections};
 
 use std::future::ready;
@@ -89,7 +92,8 @@
     let ready_listener = socket::listen(readiness).map_err(failed("address for readiness"))?;
     let links = socket::listen(settings.link_address).map_err(failed("address for links"))?;
     let reports = socket::listen(settings.report_address).map_err(failed("address for reports"))?;
-    let router = Rc::new(Router::new(&settings));
+    let (router, origin_queries) = Router::new(&settings);
+    let router = Rc::new(router);
     info!(
         instance = settings.instance,
         data_centre = settings.data_centre,
@@ -97,7 +101,13 @@
         seeds = ?settings.seeds,
         "router started"
     );
-    let seeds = follow::start(Rc::clone(&router), &settings, links, reports);
+    let seeds = follow::start(
+        Rc::clone(&router),
+        &settings,
+        links,
+        reports,
+        origin_queries,
+    );
     spawn_local(serve::serve_callers(callers_listener, Rc::clone(&router)));
     spawn_local(serve::serve_readiness(ready_listener, Rc::clone(&router)));
 
--- /dev/null
+++ b/crates/fleet/src/router/origin_queries.rs
@@ -0,0 +1,116 @@
+//! Queries of control instances for the origin of a stream that a caller resumes.
+//!
+//! The instances are asked one after the other, since an instance that lacks the stream may
+//! have started lately or not have heard of it yet. The query ends with the first instance
+//! that names exactly one origin.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::link::Ticket;
+use crate::stream_origins::StreamOrigin;
+
+/// The next instance is asked when one has not answered for this time.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// What becomes of a query.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum QueryStep<Q> {
+    /// A control instance is to be asked.
+    Ask {
+        /// Link address of the instance.
+        to: SocketAddr,
+        /// Number of the query, which the answer repeats.
+        ticket: Ticket,
+    },
+    /// The query has ended with the origin, if an instance knows it.
+    End(Q, Option<StreamOrigin>),
+}
+
+#[derive(Clone, Debug)]
+struct Pending<Q> {
+    query: Q,
+    /// Instances that are still to be asked.
+    left: VecDeque<SocketAddr>,
+    ask_next_at: Instant,
+}
+
+/// Queries in progress; `Q` is their content and who waits for the answer.
+#[derive(Clone, Debug)]
+pub struct OriginQueries<Q> {
+    next_ticket: Ticket,
+    pending: BTreeMap<Ticket, Pending<Q>>,
+}
+
+impl<Q> Default for OriginQueries<Q> {
+    fn default() -> Self {
+        Self {
+            next_ticket: 0,
+            pending: BTreeMap::new(),
+        }
+    }
+}
+
+impl<Q> OriginQueries<Q> {
+    /// Starts a query at these instances, the preferred one first.
+    pub fn start(
+        &mut self,
+        query: Q,
+        instances: impl IntoIterator<Item = SocketAddr>,
+        now: Instant,
+    ) -> QueryStep<Q> {
+        let pending = Pending {
+            query,
+            left: instances.into_iter().collect(),
+            ask_next_at: now,
+        };
+        self.ask_next(pending, now)
+    }
+
+    /// Handles an answer. `None` if the query has ended or moved on to another instance.
+    pub fn handle_answer(
+        &mut self,
+        ticket: Ticket,
+        mut origins: Vec<StreamOrigin>,
+        now: Instant,
+    ) -> Option<QueryStep<Q>> {
+        let pending = self.pending.remove(&ticket)?;
+        Some(match origins.pop() {
+            Some(origin) if origins.is_empty() => QueryStep::End(pending.query, Some(origin)),
+            _ => self.ask_next(pending, now),
+        })
+    }
+
+    /// Moves on with the queries whose instance has not answered in time.
+    pub fn handle_timeouts(&mut self, now: Instant) -> Vec<QueryStep<Q>> {
+        let late = self.pending.extract_if(.., |_, p| now >= p.ask_next_at);
+        let late: Vec<Pending<Q>> = late.map(|(_, pending)| pending).collect();
+        late.into_iter().map(|p| self.ask_next(p, now)).collect()
+    }
+
+    /// Returns the content of a query.
+    #[must_use]
+    pub fn get(&self, ticket: Ticket) -> Option<&Q> {
+        self.pending.get(&ticket).map(|pending| &pending.query)
+    }
+
+    /// Returns when the next query moves on; `None` without queries.
+    #[must_use]
+    pub fn next_timeout(&self) -> Option<Instant> {
+        self.pending.values().map(|p| p.ask_next_at).min()
+    }
+
+    /// Each instance is asked under a ticket of its own, so that a late answer of the one
+    /// before is not taken for its answer.
+    fn ask_next(&mut self, mut pending: Pending<Q>, now: Instant) -> QueryStep<Q> {
+        let Some(to) = pending.left.pop_front() else {
+            return QueryStep::End(pending.query, None);
+        };
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        pending.ask_next_at = now + ANSWER_TIMEOUT;
+        self.pending.insert(ticket, pending);
+        QueryStep::Ask { to, ticket }
+    }
+}
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -7,19 +7,21 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use bamboospur_catalog::{Catalog, CatalogVersion, Service};
+use bamboospur_catalog::{Catalog, CatalogVersion, Route, Service, ServiceName};
 use bamboospur_dispatch::{ChosenTarget, DispatchSettings, Dispatcher, Outcome};
 use bamboospur_platform::settings::{Bounds, ProcessSettings};
 use bamboospur_registry::{Announcement, Merge, Phase, Registry, RegistrySettings, StartTime};
 use bamboospur_retries::{FleetBudget, FleetBudgetSettings};
 use bamboospur_types::{Rng, stable_id};
-use tokio::sync::watch;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::time::timeout;
 use tracing::info;
 
 use super::lease::Lease;
 use super::metrics::Metrics;
 use super::pool::Pool;
 use crate::clock::BootTime;
+use crate::stream_origins::{BegunStreams, MAX_STREAM_AGE, OwnStreams, StreamId, StreamOrigin};
 
 /// The router's own detection of silent targets is disabled by a timeout of a year:
 /// the control instances report silent targets to the router.
@@ -34,6 +36,23 @@
 /// With more known targets than this, newly ready targets are applied in batches.
 const MAX_IMMEDIATE_UPDATE_TARGETS: usize = 200;
 
+/// Longest wait for the answers of control instances about the origin of a stream.
+const MAX_ORIGIN_WAIT: std::time::Duration = std::time::Duration::from_millis(500);
+/// Queries for origins that can wait to be sent; more callers than this resume streams at
+/// once only if something is wrong, and are refused.
+const MAX_QUEUED_ORIGIN_QUERIES: usize = 1_024;
+
+/// Query of a request for the origin of the stream that it resumes.
+#[derive(Debug)]
+pub struct OriginQuery {
+    /// Id of the stream; `None` if the caller does not name it.
+    pub stream: Option<StreamId>,
+    /// Services at which the stream may have begun.
+    pub services: Vec<ServiceName>,
+    /// Receives the origin, or `None` when no control instance knows it.
+    pub reply: oneshot::Sender<Option<StreamOrigin>>,
+}
+
 /// State of a router.
 pub struct Router {
     pub bounds: Bounds,
@@ -46,6 +65,10 @@
     pub rng: RefCell<Rng>,
     retry_budgets: RefCell<BTreeMap<String, FleetBudget>>,
     retry_settings: FleetBudgetSettings,
+    own_streams: RefCell<OwnStreams>,
+    /// Notified when a stream has begun.
+    pub stream_began: Notify,
+    origin_queries: mpsc::Sender<OriginQuery>,
     /// Number of routers that the leader last stated.
     routers: Cell<u32>,
     /// Whether the registry has targets that the dispatcher does not know yet.
@@ -57,7 +80,8 @@
 }
 
 impl Router {
-    pub fn new(settings: &ProcessSettings) -> Self {
+    /// Creates a router and the queue of its queries to control instances.
+    pub fn new(settings: &ProcessSettings) -> (Self, mpsc::Receiver<OriginQuery>) {
         let seed = stable_id(&settings.instance) ^ BootTime::now().0;
         let bounds = settings.bounds;
         let registry = RegistrySettings {
@@ -65,7 +89,8 @@
             retention: DEPARTURE_RETENTION,
         };
         let dispatch = DispatchSettings::default();
-        Self {
+        let (origin_queries, queries) = mpsc::channel(MAX_QUEUED_ORIGIN_QUERIES);
+        let router = Self {
             bounds,
             catalog: RefCell::new(None),
             lease: RefCell::new(Lease::new(bounds.key_removal_limit)),
@@ -81,12 +106,16 @@
                 window: bounds.retry_window,
                 ..FleetBudgetSettings::default()
             },
+            own_streams: RefCell::default(),
+            stream_began: Notify::new(),
+            origin_queries,
             routers: Cell::new(1),
             has_pending_targets: Cell::new(false),
             draining: Cell::new(false),
             closing: watch::Sender::new(false),
             active: Cell::new(0),
-        }
+        };
+        (router, queries)
     }
 
     /// Whether the balancer should send new connections.
@@ -142,7 +171,14 @@
                 routes = catalog.routes().len(),
                 "configuration in force"
             );
-            *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+            let mut current = self.catalog.borrow_mut();
+            if current
+                .as_ref()
+                .is_some_and(|old| moves_routes(old, &catalog))
+            {
+                self.own_streams.borrow_mut().make_all_due();
+            }
+            *current = Some(Rc::new(catalog));
         }
         self.lease.borrow_mut().record_version(version.max(current));
     }
@@ -273,6 +309,56 @@
         budget.record_request(&self.retry_settings, Instant::now());
     }
 
+    /// Records where a stream began: its first event was delivered, or it goes on here.
+    pub fn begin_stream(&self, stream: StreamId, origin: &StreamOrigin, route: &Route) {
+        let several_services = route.shares.len() > 1;
+        let mut streams = self.own_streams.borrow_mut();
+        streams.record(stream, origin.clone(), several_services, Instant::now());
+        drop(streams);
+        self.stream_began.notify_one();
+    }
+
+    /// Removes and returns the streams whose origin is to be reported now.
+    pub fn take_begun_streams(&self) -> Vec<BegunStreams> {
+        let now = Instant::now();
+        let registry = self.registry.borrow();
+        let has_versions = |service: &ServiceName| {
+            registry
+                .software_versions(service, MAX_STREAM_AGE, now)
+                .len()
+                > 1
+        };
+        self.own_streams.borrow_mut().take_due(has_versions, now)
+    }
+
+    /// Puts back streams whose origin could not be reported.
+    pub fn put_back_streams(&self, begun: Vec<BegunStreams>) {
+        self.own_streams
+            .borrow_mut()
+            .put_back(begun, Instant::now());
+    }
+
+    /// Returns where a stream that a caller resumes began; `None` if neither this router nor
+    /// a control instance can tell.
+    pub async fn find_origin(
+        &self,
+        stream: Option<StreamId>,
+        services: Vec<ServiceName>,
+    ) -> Option<StreamOrigin> {
+        let known = stream.and_then(|stream| self.own_streams.borrow().find(stream).cloned());
+        if known.is_some() {
+            return known;
+        }
+        let (reply, answer) = oneshot::channel();
+        let query = OriginQuery {
+            stream,
+            services,
+            reply,
+        };
+        self.origin_queries.try_send(query).ok()?;
+        timeout(MAX_ORIGIN_WAIT, answer).await.ok()?.ok()?
+    }
+
     /// Takes a retry from the budget of a service. Returns whether the budget had one.
     pub fn try_retry(&self, service: &str) -> bool {
         let mut budgets = self.retry_budgets.borrow_mut();
@@ -306,6 +392,22 @@
     }
 }
 
+/// Whether a new catalog sends the requests of a route to other services than the old one.
+fn moves_routes(old: &Catalog, new: &Catalog) -> bool {
+    let services = |route: &Route| -> Vec<ServiceName> {
+        route.shares.iter().map(|s| s.service.clone()).collect()
+    };
+    let by_place = |catalog: &Catalog| -> BTreeMap<(String, String), Vec<ServiceName>> {
+        let routes = catalog.routes().iter().filter(|route| route.resumable);
+        let place = |route: &Route| (route.host.clone(), route.path_prefix.clone());
+        routes.map(|r| (place(r), services(r))).collect()
+    };
+    let new = by_place(new);
+    by_place(old)
+        .iter()
+        .any(|(place, services)| new.get(place).is_some_and(|moved| moved != services))
+}
+
 /// Guard that counts a request as in progress until it is dropped.
 pub struct ActiveRequest(Rc<Router>);
 
--- a/crates/node/tests/deployment/target.rs
+++ b/crates/node/tests/deployment/target.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -59,6 +60,16 @@
     bodies: Arc<Mutex<Vec<Vec<u8>>>>,
 }
 
+impl Observations {
+    /// Records a run; `None` if a thread of a failed test holds the records.
+    fn record_run(&self, id: &str, head: &str) -> Option<()> {
+        self.heads.lock().ok()?.push(head.to_owned());
+        self.runs.fetch_add(1, Ordering::SeqCst);
+        *self.ids.lock().ok()?.entry(id.to_owned()).or_default() += 1;
+        Some(())
+    }
+}
+
 impl Target {
     pub fn start(host: Ipv4Addr, name: &'static str, behaviour: Behaviour) -> Self {
         let listener = TcpListener::bind((host, 0)).expect("a free port");
@@ -117,9 +128,7 @@
     };
     let id = field("x-bamboospur-request-id")?;
     assert_eq!(field("x-bamboospur-expect-replica").as_deref(), Some(name));
-    records.heads.lock().ok()?.push(text.clone());
-    records.runs.fetch_add(1, Ordering::SeqCst);
-    *records.ids.lock().ok()?.entry(id.clone()).or_default() += 1;
+    records.record_run(&id, &text)?;
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Bamboospur-Request-Id: {id}\r\nX-Bamboospur-Replica-Stamp: {name}\r\n"
     );
@@ -137,24 +146,14 @@
             return read_body_late(stream, body, length, records);
         }
         Behaviour::RejectWithRoom => {
-            let head = head.replace("200 OK", "503 Service Unavailable");
-            let rest = "X-Bamboospur-Not-Executed: 1\r\nX-Bamboospur-Replica-Load: 0,0,4\r\n";
-            stream
-                .write_all(format!("{head}{rest}Content-Length: 0\r\n\r\n").as_bytes())
-                .ok()?;
+            reject(stream, &head, "X-Bamboospur-Replica-Load: 0,0,4")?;
         }
         Behaviour::RejectFor(seconds) => {
-            let head = head.replace("200 OK", "503 Service Unavailable");
-            let rest = format!("X-Bamboospur-Not-Executed: 1\r\nRetry-After: {seconds}\r\n");
-            stream
-                .write_all(format!("{head}{rest}Content-Length: 0\r\n\r\n").as_bytes())
-                .ok()?;
+            reject(stream, &head, &format!("Retry-After: {seconds}"))?;
         }
         Behaviour::Answer | Behaviour::Leaving => {
-            let leaving = match behaviour {
-                Behaviour::Leaving => "Server-Leaving: 1\r\n",
-                _ => "",
-            };
+            let leaves = behaviour == Behaviour::Leaving;
+            let leaving = if leaves { "Server-Leaving: 1\r\n" } else { "" };
             stream
                 .write_all(format!("{head}{leaving}Content-Length: 2\r\n\r\nok").as_bytes())
                 .ok()?;
@@ -163,32 +162,40 @@
             let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
             stream.write_all(format!("{head}{kind}").as_bytes()).ok()?;
             let last = field("last-event-id").and_then(|value| value.parse().ok());
-            let first = last.unwrap_or(0) + 1;
-            let end = match behaviour {
-                Behaviour::BreakOff => first + 2,
-                _ => EVENTS,
-            };
-            if write_events(stream, name, first, end).is_err() {
+            let first: u64 = last.map_or(1, |last: u64| last + 1);
+            let is_whole = behaviour == Behaviour::Stream;
+            let end = if is_whole { EVENTS } else { first + 2 };
+            if write_events(stream, name, first..=end, is_whole).is_err() {
                 records.closed_at.lock().ok()?.push(Instant::now());
                 return None;
             }
-            if end == EVENTS {
-                stream.write_all(b"0\r\n\r\n").ok()?;
-            }
         }
     }
     Some(false)
 }
 
-/// Writes events with these ids and the target's name, with pauses.
-fn write_events(mut stream: &TcpStream, name: &str, first: u64, last: u64) -> std::io::Result<()> {
-    for event in first..=last {
+/// Answers that the request did not run, with a further header line.
+fn reject(mut stream: &TcpStream, head: &str, line: &str) -> Option<()> {
+    let head = head.replace("200 OK", "503 Service Unavailable");
+    let rest = format!("X-Bamboospur-Not-Executed: 1\r\n{line}\r\nContent-Length: 0\r\n\r\n");
+    stream.write_all(format!("{head}{rest}").as_bytes()).ok()
+}
+
+/// Writes events with these ids and the target's name, with pauses, and the end of the
+/// stream if it is whole.
+fn write_events(
+    mut stream: &TcpStream,
+    name: &str,
+    events: RangeInclusive<u64>,
+    is_whole: bool,
+) -> std::io::Result<()> {
+    for event in events {
         let data = format!("id: {event}\ndata: {name}\n\n");
         let chunk = format!("{:x}\r\n{data}\r\n", data.len());
         stream.write_all(chunk.as_bytes())?;
         thread::sleep(Duration::from_millis(200));
     }
-    Ok(())
+    stream.write_all(if is_whole { b"0\r\n\r\n" } else { b"" })
 }
 
 /// Reads the rest of a body after a pause; returns whether it was complete.
--- a/crates/node/tests/deployment/versions.rs
+++ b/crates/node/tests/deployment/versions.rs
@@ -90,23 +90,23 @@
     let _broken = caller.read_to_string(&mut body);
     assert_eq!(writers(&body), ["t1"; 3], "{body}");
     assert_eq!((breaking.runs(), other.runs()), (1, 0));
+}
 
-    // With a second target of its version, a stream goes on there.
-    let same = engine(&deployment, 22, "t3", "v1", Behaviour::Stream);
-    thread::sleep(SPREAD_TIME);
-    let mut resumed = 0;
-    for index in 0..12 {
-        let text = request_text("POST", "/talk/1", &format!("id-b{index}"), "k1");
-        let reply = call(deployment.address(9, CALLER_PORT), &text).expect("a reply");
-        let writers = writers(&reply.body);
-        let versions: Vec<bool> = writers.iter().map(|&name| name == "t2").collect();
-        assert!(versions.iter().all(|v| *v == versions[0]), "{writers:?}");
-        if writers.contains(&"t1") && writers.contains(&"t3") {
-            resumed += 1;
-        }
-    }
-    assert!(resumed > 0, "no stream went on at the same version");
-    assert!(same.runs() > 0);
+#[test]
+fn a_stream_that_a_router_resumes_goes_on_at_another_target_of_its_version() {
+    let deployment = start(57);
+    let _breaking = engine(&deployment, 20, "t1", "v1", Behaviour::BreakOff);
+    wait_ready(&deployment);
+    let (mut caller, mut body) = begin(&deployment, "id-1", 1);
+    let others = [(21, "t2", "v2"), (22, "t3", "v1"), (23, "t4", "v2")];
+    let others = others.map(|(index, name, software)| {
+        engine(&deployment, index, name, software, Behaviour::Stream)
+    });
+    let _closed = caller.read_to_string(&mut body);
+    let mut expected = vec!["t1"; 3];
+    expected.extend(["t3"; 7]);
+    assert_eq!(writers(&body), expected, "{body}");
+    assert_eq!(others.map(|target| target.runs()), [0, 1, 0]);
 }
 
 #[test]
@@ -126,9 +126,17 @@
     thread::sleep(SPREAD_TIME);
     deployment.kill("router-9");
     let version = |name: &str| names.iter().find(|known| known.0 == name).map(|n| n.1);
-    for (id, (_, body)) in ids.iter().zip(&begun) {
+    // All at once, as targets that report only once count as silent after six seconds.
+    let replies: Vec<Reply> = thread::scope(|scope| {
+        let deployment = &deployment;
+        let resume = |id: &String| resume(deployment, &format!("{id}-again"), id, 1);
+        let threads = ids.iter().map(|id| scope.spawn(move || resume(id)));
+        let threads: Vec<_> = threads.collect();
+        let replies = threads.into_iter().map(thread::ScopedJoinHandle::join);
+        replies.map(|reply| reply.expect("a reply")).collect()
+    });
+    for ((id, (_, body)), reply) in ids.iter().zip(&begun).zip(&replies) {
         let first = writers(body)[0];
-        let reply = resume(&deployment, &format!("{id}-again"), id, 1);
         assert_eq!(reply.status, 200, "{id}: {}", reply.body);
         let rest = writers(&reply.body);
         assert_eq!(rest.len() as u64, EVENTS - 1, "{id}: {}", reply.body);
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -1,11 +1,11 @@
 //! Registry of the newest announcement of each target.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::TargetName;
 use crate::announcement::{Announcement, Phase};
+use crate::{SoftwareVersion, TargetName};
 
 /// Time limits of a registry.
 #[derive(Clone, Copy, Debug)]
@@ -157,6 +157,24 @@
         usable
     }
 
+    /// Returns the software versions of the targets of a service that are usable or drain, or
+    /// were or did so within the last `max_age`.
+    #[must_use]
+    pub fn software_versions(
+        &self,
+        service: &str,
+        max_age: Duration,
+        now: Instant,
+    ) -> BTreeSet<&SoftwareVersion> {
+        let served_lately = |entry: &&Entry| match entry.newest.phase {
+            Phase::Ready | Phase::Draining => now < entry.silent_at + max_age,
+            Phase::Gone => now + self.settings.retention < entry.forget_at + max_age,
+        };
+        let entries = self.entries.values().filter(served_lately);
+        let of_service = entries.filter(|entry| entry.newest.service == service);
+        of_service.map(|entry| &entry.newest.software).collect()
+    }
+
     /// Records that a target is silent, as found by another instance. Returns `false`,
     /// and changes nothing, if the target is unknown, not ready or already silent, or
     /// if a newer announcement than `silent` is known.
