Send nothing more to a target whose answers say that it leaves

What callers would see: requests sent to a target that ends under them. A target that leaves now says so in its answers too, which reach a router sooner than its report does, or without any report reaching a control instance at all. Routers ignored the field: in the test, the request after such an answer went to the same target.

A router takes the field like a report of the drain: the target drains for the rest of its start, so that no later report makes it usable again, and a control instance is told, which tells the other routers. Answers of another process at the address, or to another request, say nothing about the target.

--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -6,7 +6,7 @@
 use bamboospur_http1::ResponseHead;
 use bamboospur_http1::client::{ClientConnection, ClientError, request_bytes};
 use bamboospur_http1::server::Responder;
-use bamboospur_platform::answer::{ResponseVerdict, classify_response, parse_load};
+use bamboospur_platform::answer::{ResponseVerdict, classify_response, is_leaving, parse_load};
 use bamboospur_platform::request::{AttemptMetadata, attempt_head};
 use tokio::time::{Instant, timeout_at};
 
@@ -140,6 +140,7 @@
             Ok(Err(error)) => return self.connection_failed(&error, written, reused),
             Err(_) => return self.fail_with(AttemptEnd::Deadline),
         };
+        self.record_leaving(&head, verdict);
         let load = self.record_load(&head);
         match verdict {
             ResponseVerdict::NotRunFull | ResponseVerdict::NotRunMisdirected => {
@@ -219,6 +220,20 @@
         Ok((head, verdict))
     }
 
+    /// Records whether the target says that it leaves. An answer that another process sent,
+    /// or that belongs to another request, says nothing about the target.
+    fn record_leaving(&self, head: &ResponseHead, verdict: ResponseVerdict) {
+        let own = match verdict {
+            ResponseVerdict::Ran | ResponseVerdict::NotRunFull => true,
+            ResponseVerdict::NotRunMisdirected
+            | ResponseVerdict::RequestIdMismatch
+            | ResponseVerdict::InvalidAnswer => false,
+        };
+        if own && is_leaving(&head.headers) {
+            self.job.router.record_leaving(&self.active.choice);
+        }
+    }
+
     /// Records the load that an answer states, and returns it.
     fn record_load(&self, head: &ResponseHead) -> Option<LoadReport> {
         let stated = parse_load(&head.headers)?;
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -191,6 +191,7 @@
                     self.request_state_if_due();
                     self.send_cached_prefixes();
                     self.report_begun_streams();
+                    self.report_leaving_targets();
                 }
                 _ = loads.tick() => self.send_loads(),
                 _ = refreshed.tick() => self.send_refreshed_reports(),
--- a/crates/fleet/src/router/follow/send.rs
+++ b/crates/fleet/src/router/follow/send.rs
@@ -84,6 +84,20 @@
         }
     }
 
+    /// Tells a control instance, and through it the other routers, which targets said in
+    /// answers that they leave.
+    pub(super) fn report_leaving_targets(&self) {
+        let leaving = self.router.take_leaving();
+        if leaving.is_empty() {
+            return;
+        }
+        let frame = Frame::Targets(leaving.clone());
+        let control = self.preferred_link(&self.controls);
+        if !control.is_some_and(|control| control.link.send(frame)) {
+            self.router.put_back_leaving(leaving);
+        }
+    }
+
     /// Handles a call of a target. Without a link to a control instance the call is
     /// refused, and the target calls another instance.
     pub(super) fn handle_target_call(&mut self, call: TargetCall) {
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -71,6 +71,8 @@
     origin_queries: mpsc::Sender<OriginQuery>,
     /// Number of routers that the leader last stated.
     routers: Cell<u32>,
+    /// Targets that said in answers that they leave, to report to a control instance.
+    leaving: RefCell<Vec<Announcement>>,
     /// Whether the registry has targets that the dispatcher does not know yet.
     has_pending_targets: Cell<bool>,
     draining: Cell<bool>,
@@ -110,6 +112,7 @@
             stream_began: Notify::new(),
             origin_queries,
             routers: Cell::new(1),
+            leaving: RefCell::default(),
             has_pending_targets: Cell::new(false),
             draining: Cell::new(false),
             closing: watch::Sender::new(false),
@@ -252,6 +255,32 @@
         }
     }
 
+    /// Records that a target said in an answer that it leaves.
+    pub fn record_leaving(&self, choice: &ChosenTarget) {
+        let now = Instant::now();
+        let mut registry = self.registry.borrow_mut();
+        let drained = registry.drain(&choice.name, choice.start, now);
+        drop(registry);
+        if let Some(drained) = drained {
+            info!(
+                target_name = choice.name,
+                "target says in an answer that it leaves; sending it no further requests"
+            );
+            self.leaving.borrow_mut().push(drained);
+            self.update_targets(now);
+        }
+    }
+
+    /// Removes and returns the targets that said in answers that they leave.
+    pub fn take_leaving(&self) -> Vec<Announcement> {
+        self.leaving.take()
+    }
+
+    /// Puts back targets that could not be reported.
+    pub fn put_back_leaving(&self, leaving: Vec<Announcement>) {
+        self.leaving.borrow_mut().extend(leaving);
+    }
+
     /// Marks targets as silent that have announced nothing for long, according to a
     /// control instance. Returns whether any target changed.
     pub fn mark_silent(&self, silent: &[Announcement]) -> bool {
--- a/crates/node/tests/deployment/rejected.rs
+++ b/crates/node/tests/deployment/rejected.rs
@@ -3,7 +3,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::harness::{Behaviour, Deployment, Target, eventually};
+use super::harness::{Behaviour, CALLER_PORT, Deployment, Target, call, eventually, request_text};
 
 /// Time after which no request may reach a target that has asked for none.
 const SLACK: Duration = Duration::from_millis(500);
@@ -83,3 +83,19 @@
         rejecting.runs() > before
     });
 }
+
+#[test]
+fn other_routers_learn_which_target_says_that_it_leaves() {
+    let mut deployment = Deployment::start(58);
+    deployment.start_router_at(10, "router-10");
+    deployment.configure("k1");
+    let leaving = Target::start(deployment.host(20), "t1", Behaviour::Leaving);
+    deployment.report("t1", &leaving, "s", "ready", 1);
+    deployment.wait_ready();
+    deployment.wait_ready_at(10);
+    assert_eq!(read(&deployment, "id-1"), 200);
+    thread::sleep(Duration::from_millis(600));
+    let text = request_text("GET", "/read/1", "id-2", "k1");
+    let reply = call(deployment.address(10, CALLER_PORT), &text).expect("a reply");
+    assert_eq!((reply.status, leaving.runs()), (503, 1));
+}
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -117,17 +117,38 @@
         name: &str,
         start: Option<crate::StartTime>,
         now: Instant,
+    ) -> Option<Announcement> {
+        self.advance_phase(name, start, Phase::Gone, now)
+    }
+
+    /// Records that this start of a target drains, as found by another way than its
+    /// announcements. Returns the resulting announcement, or `None` if nothing changed.
+    pub fn drain(
+        &mut self,
+        name: &str,
+        start: crate::StartTime,
+        now: Instant,
+    ) -> Option<Announcement> {
+        self.advance_phase(name, Some(start), Phase::Draining, now)
+    }
+
+    fn advance_phase(
+        &mut self,
+        name: &str,
+        start: Option<crate::StartTime>,
+        phase: Phase,
+        now: Instant,
     ) -> Option<Announcement> {
         let known = &self.entries.get(name)?.newest;
-        if start.is_some_and(|start| start != known.start) || known.phase == Phase::Gone {
+        if start.is_some_and(|start| start != known.start) || known.phase >= phase {
             return None;
         }
-        let gone = Announcement {
-            phase: Phase::Gone,
+        let advanced = Announcement {
+            phase,
             ..known.clone()
         };
-        self.merge(gone.clone(), now);
-        Some(gone)
+        self.merge(advanced.clone(), now);
+        Some(advanced)
     }
 
     /// Returns the draining targets that are not silent.
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -169,3 +169,20 @@
         newest(reports.iter().collect()) == newest(reports.iter().rev().collect())
     }
 }
+
+#[test]
+fn a_target_that_is_found_to_drain_stays_so_for_its_start() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    registry.merge(announcement("a", 1, 5, Phase::Ready), now);
+    assert_eq!(registry.drain("a", StartTime(2), now), None);
+    assert_eq!(usable(&registry, now), ["a"]);
+    let drained = registry.drain("a", StartTime(1), now).expect("a change");
+    assert_eq!(drained, announcement("a", 1, 5, Phase::Draining));
+    assert_eq!(registry.drain("a", StartTime(1), now), None);
+    let late = announcement("a", 1, 6, Phase::Ready);
+    assert_eq!(registry.merge(late, now), Merge::Stale);
+    assert!(usable(&registry, now).is_empty());
+    registry.merge(announcement("a", 2, 1, Phase::Ready), now);
+    assert_eq!(usable(&registry, now), ["a"]);
+}
