Send a target no requests for as long as its rejection asks

Requests went on being offered in vain in place of going to targets with room.

The dispatcher now keeps the end of that time for the target and leaves it out of every choice until then, also when no other target is left: the caller is rejected at once with the earliest end as its time to return. Times above an hour count as an hour. A rejection that asks for time says nothing about the request, so it does not count towards "no target accepts this request".

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bamboospur_registry::{Announcement, StartTime};
 use bamboospur_types::{Rng, mix64, stable_id};
@@ -213,6 +213,21 @@
         }
     }
 
+    /// Records that a target asked for no requests for this time, of which at most
+    /// [`DispatchSettings::max_rejection_time`] counts.
+    pub fn record_rejection(
+        &mut self,
+        service: &str,
+        choice: &ChosenTarget,
+        rejected_for: Duration,
+        now: Instant,
+    ) {
+        let until = now + rejected_for.min(self.settings.max_rejection_time);
+        if let Some(target) = self.target_mut(service, &choice.name, choice.start) {
+            target.health.record_rejection(until);
+        }
+    }
+
     /// Records the end and the outcome of an attempt.
     pub fn finish(&mut self, service: &str, choice: &ChosenTarget, outcome: Outcome, now: Instant) {
         let settings = self.settings;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -113,21 +113,7 @@
     ) -> Result<ChosenTarget, ChooseError> {
         let ChoiceContext { settings, now, .. } = context;
         let loads = self.estimate_loads(settings, now);
-        let all: Vec<Candidate<'_>> = self
-            .targets
-            .iter()
-            .zip(&loads)
-            .filter(|((name, target), _)| {
-                let fits = request
-                    .software
-                    .is_none_or(|wanted| target.software == wanted);
-                fits && !request.tried.contains(name)
-            })
-            .map(|((name, target), &load)| Candidate { name, target, load })
-            .collect();
-        if all.is_empty() {
-            return Err(ChooseError::NoTarget);
-        }
+        let all = self.candidates(request, &loads, now)?;
         let mean = mean(loads.iter().copied());
         let all = self.reachable(all, request, settings, now);
         let healthy = self.healthy(all, request, settings, now);
@@ -171,6 +157,38 @@
         Ok(choose_by_prompt(&available, &prompt, mean, context))
     }
 
+    /// Returns the targets that a request may go to: those of the wanted version that were not
+    /// tried before and accept requests.
+    fn candidates<'a>(
+        &'a self,
+        request: &DispatchRequest<'_>,
+        loads: &[f64],
+        now: Instant,
+    ) -> Result<Vec<Candidate<'a>>, ChooseError> {
+        let fits = |name: &TargetName, target: &Target| {
+            let has_version = request
+                .software
+                .is_none_or(|wanted| target.software == wanted);
+            has_version && !request.tried.contains(name)
+        };
+        let fitting = self.targets.iter().zip(loads);
+        let fitting = fitting.filter(|((name, target), _)| fits(name, target));
+        let (rejecting, accepting): (Vec<_>, Vec<_>) = fitting
+            .map(|((name, target), &load)| Candidate { name, target, load })
+            .partition(|candidate| candidate.target.health.rejects_until(now).is_some());
+        if !accepting.is_empty() {
+            return Ok(accepting);
+        }
+        let ends = rejecting
+            .iter()
+            .filter_map(|c| c.target.health.rejects_until(now));
+        Err(ends
+            .min()
+            .map_or(ChooseError::NoTarget, |end| ChooseError::Full {
+                available_in: end.saturating_duration_since(now),
+            }))
+    }
+
     /// Returns the requests of all routers per request of this router.
     fn fleet_ratio(&self, context: ChoiceContext<'_>) -> f64 {
         let max_age = context.settings.report_decay;
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -63,6 +63,8 @@
     pub remote_penalty: Duration,
     /// Time for which a target is avoided after it refused a request for lack of capacity.
     pub full_pause: Duration,
+    /// Longest time for which a target that asks for no requests gets none.
+    pub max_rejection_time: Duration,
 }
 
 impl Default for DispatchSettings {
@@ -90,6 +92,7 @@
             initial_latency: Duration::from_millis(20),
             remote_penalty: Duration::from_millis(4),
             full_pause: Duration::from_millis(100),
+            max_rejection_time: Duration::from_hours(1),
         }
     }
 }
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -477,3 +477,37 @@
     let choice = dispatcher.choose(&request, now);
     assert_eq!(choice.map(|choice| choice.name), Ok("t0".to_owned()));
 }
+
+#[test]
+fn a_target_that_asks_for_no_requests_gets_none_even_if_no_other_is_left() {
+    const REJECTED_FOR: Duration = Duration::from_secs(2);
+    let now = Instant::now();
+    for prompt in [&[][..], &prompt(1)[..]] {
+        let mut dispatcher = dispatcher(2, "chat");
+        let request = chat_request(prompt);
+        let first = dispatcher.choose(&request, now).expect("a target");
+        dispatcher.record_rejection("chat", &first, REJECTED_FOR, now);
+        dispatcher.finish("chat", &first, Outcome::Full, now);
+        for _ in 0..10 {
+            let choice = dispatcher.choose(&request, now).expect("the other target");
+            assert_ne!(choice.name, first.name);
+        }
+        let second = dispatcher.choose(&request, now).expect("the other target");
+        dispatcher.record_rejection("chat", &second, REJECTED_FOR * 2, now);
+        // A shorter time does not end a longer one.
+        dispatcher.record_rejection("chat", &second, Duration::ZERO, now);
+        let refused = dispatcher.choose(&request, now + REJECTED_FOR / 2);
+        let available_in = REJECTED_FOR / 2;
+        assert_eq!(refused, Err(ChooseError::Full { available_in }));
+        let choice = dispatcher.choose(&request, now + REJECTED_FOR);
+        assert_eq!(choice.map(|choice| choice.name), Ok(first.name));
+        let tried = [second.name];
+        let request = DispatchRequest {
+            tried: &tried,
+            ..request
+        };
+        let later = now + REJECTED_FOR / 2;
+        let refused = dispatcher.choose(&request, later);
+        assert_eq!(refused, Err(ChooseError::Full { available_in }));
+    }
+}
--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -6,7 +6,9 @@
 use bamboospur_http1::ResponseHead;
 use bamboospur_http1::client::{ClientConnection, ClientError, request_bytes};
 use bamboospur_http1::server::Responder;
-use bamboospur_platform::answer::{ResponseVerdict, classify_response, is_leaving, parse_load};
+use bamboospur_platform::answer::{
+    ResponseVerdict, classify_response, is_leaving, parse_load, parse_rejection_time,
+};
 use bamboospur_platform::request::{AttemptMetadata, attempt_head};
 use tokio::time::{Instant, timeout_at};
 
@@ -140,7 +142,7 @@
             Ok(Err(error)) => return self.connection_failed(&error, written, reused),
             Err(_) => return self.fail_with(AttemptEnd::Deadline),
         };
-        self.record_leaving(&head, verdict);
+        self.record_wishes(&head, verdict);
         let load = self.record_load(&head);
         match verdict {
             ResponseVerdict::NotRunFull | ResponseVerdict::NotRunMisdirected => {
@@ -220,9 +222,10 @@
         Ok((head, verdict))
     }
 
-    /// Records whether the target says that it leaves. An answer that another process sent,
-    /// or that belongs to another request, says nothing about the target.
-    fn record_leaving(&self, head: &ResponseHead, verdict: ResponseVerdict) {
+    /// Records whether the target says that it leaves, or asks for no requests for a time. An
+    /// answer that another process sent, or that belongs to another request, says nothing
+    /// about the target.
+    fn record_wishes(&self, head: &ResponseHead, verdict: ResponseVerdict) {
         let own = match verdict {
             ResponseVerdict::Ran | ResponseVerdict::NotRunFull => true,
             ResponseVerdict::NotRunMisdirected
@@ -232,6 +235,11 @@
         if own && is_leaving(&head.headers) {
             self.job.router.record_leaving(&self.active.choice);
         }
+        if own && let Some(rejected_for) = parse_rejection_time(head) {
+            let (service, choice) = (&self.job.service.name, &self.active.choice);
+            let mut dispatcher = self.job.router.dispatcher.borrow_mut();
+            dispatcher.record_rejection(service, choice, rejected_for, std::time::Instant::now());
+        }
     }
 
     /// Records the load that an answer states, and returns it.
@@ -268,6 +276,8 @@
             self.active.set_outcome(Outcome::Failed);
             AttemptEnd::NotRun
         } else {
+            // A target that asks for no requests would reject any, not just this one.
+            let load = load.filter(|_| parse_rejection_time(head).is_none());
             match self.job.rejections.record(load) {
                 RejectionCause::Target => {
                     self.active.set_outcome(Outcome::Full);
