--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -1,5 +1,6 @@
 //! Control instances and routers as real processes on loopback addresses.
 
+mod caller;
 mod callers;
 mod harness;
 mod prompts;
@@ -7,6 +8,7 @@
 mod rejected;
 mod relays;
 mod soak;
+mod stream_soak;
 mod target;
 mod versions;
 
