Keep the origins of streams over restarts of control instances, and never guess one

What callers would see: with all control instances restarted while two versions serve, a stream that began at v2 went on at v1 when its router was killed as well.

Cause, found by a test of such a restart (it failed before: t1 in place of t2): the instances had lost the reports, which they keep in memory, and one answered that only v1 was possible, because its stored list of targets was older than the start of v2. A process that has just started does not know what it has not heard of.

Now routers report the streams of the last 15 s again to an instance whose link comes up, which also covers reports lost with a silent link. And a possible origin is only taken as the only one if the instance or the router that asks has run for three report periods, and both together know no other; otherwise the stream is rejected. With that condition taken out, processes_that_have_just_started_do_not_guess_where_a_stream_began gets 200 in place of 503. A start of all processes therefore rejects resumed streams that nobody remembers for 3.6 s at the usual period.

--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -28,7 +28,7 @@
 use crate::link::{AcceptedLinks, Frame, LinkId};
 use crate::loads::Loads;
 use crate::outbox::Outbox;
-use crate::stream_origins::OriginTable;
+use crate::stream_origins::{COMPLETE_AFTER_REPORTS, OriginTable};
 
 /// Time between two rounds of periodic work, such as keep-alives and batches of reports
 /// to peers, and the removal of expired state.
@@ -53,6 +53,8 @@
     group_settings: GroupSettings,
     group: Group,
     registry: Registry,
+    /// When every target had the time for some reports since the start.
+    knows_targets_at: Instant,
     writes: std::sync::mpsc::Sender<Write>,
     soft_schedule: SoftStateSchedule,
     peers: Peers,
@@ -132,6 +134,7 @@
             ),
             group_settings,
             registry,
+            knows_targets_at: now + settings.report_period * COMPLETE_AFTER_REPORTS,
             writes: opened.writes,
             soft_schedule: SoftStateSchedule::new(now),
             peers: Peers::new(opened.id, settings.link_address, &settings.seeds, events),
--- a/crates/fleet/src/control/host/streams.rs
+++ b/crates/fleet/src/control/host/streams.rs
@@ -6,7 +6,7 @@
 
 use super::Host;
 use crate::link::{Frame, LinkId};
-use crate::stream_origins::{BegunStreams, StreamId, StreamOrigin, possible_origins};
+use crate::stream_origins::{BegunStreams, FoundOrigin, PossibleOrigins, StreamId};
 
 impl Host {
     /// Handles reports and queries of routers about the origins of streams.
@@ -18,9 +18,9 @@
                 stream,
                 services,
             } => {
-                let origins = self.find_stream(stream, &services, now);
+                let found = self.find_stream(stream, &services, now);
                 // The router asks another instance if the answer is lost.
-                self.send_to_link(link, &Frame::StreamFound { ticket, origins });
+                self.send_to_link(link, &Frame::StreamFound { ticket, found });
             }
             _ => {}
         }
@@ -34,17 +34,20 @@
         }
     }
 
-    /// Returns the origin of a stream, or all possible ones if it was not reported.
     fn find_stream(
         &self,
         stream: Option<StreamId>,
         services: &[ServiceName],
         now: Instant,
-    ) -> Vec<StreamOrigin> {
-        let known = stream.and_then(|stream| self.stream_origins.find(stream));
-        known.map_or_else(
-            || possible_origins(&self.registry, services, now),
-            |origin| vec![origin.clone()],
-        )
+    ) -> FoundOrigin {
+        match stream.and_then(|stream| self.stream_origins.find(stream)) {
+            Some(origin) => FoundOrigin::Reported(origin.clone()),
+            None => FoundOrigin::NotReported(PossibleOrigins::new(
+                &self.registry,
+                services,
+                self.knows_targets_at,
+                now,
+            )),
+        }
     }
 }
--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -9,7 +9,7 @@
 use bamboospur_types::InstanceId;
 use serde::{Deserialize, Serialize};
 
-use crate::stream_origins::{BegunStreams, StreamId, StreamOrigin};
+use crate::stream_origins::{BegunStreams, FoundOrigin, StreamId};
 
 /// Number that the sender gives to a forwarded request, to match the answer.
 pub type Ticket = u64;
@@ -139,8 +139,8 @@
     StreamFound {
         /// Ticket of the query.
         ticket: Ticket,
-        /// The origin, or all possible ones if it is not known.
-        origins: Vec<StreamOrigin>,
+        /// What the sender knows about the origin.
+        found: FoundOrigin,
     },
     /// Request counts of the sender: requests in progress by hash of the target, and
     /// arriving requests by hash of the service. A control instance or a relay sends
--- a/crates/fleet/src/router/follow/links.rs
+++ b/crates/fleet/src/router/follow/links.rs
@@ -139,6 +139,11 @@
                         // If the frame is lost, the targets still report again.
                         let _sent = followed.link.send(Frame::Targets(reporting));
                     }
+                    let streams = self.router.reported_streams();
+                    if !streams.is_empty() {
+                        // Other instances have the streams as well.
+                        let _sent = followed.link.send(Frame::StreamsBegun(streams));
+                    }
                 }
                 let is_follower = !self.is_relay && !self.named_relays.is_empty();
                 if !is_follower && count_up(&self.controls) == 1 {
@@ -187,7 +192,7 @@
                 self.update_relays();
             }
             Frame::Taken { ticket } => self.reports.acknowledge(ticket),
-            Frame::StreamFound { ticket, origins } => self.handle_found_stream(ticket, origins),
+            Frame::StreamFound { ticket, found } => self.handle_found_stream(ticket, found),
             Frame::NoNewerConfig => self.handle_no_newer_config(address),
             Frame::InForce {
                 asked,
--- a/crates/fleet/src/router/follow/streams.rs
+++ b/crates/fleet/src/router/follow/streams.rs
@@ -10,7 +10,7 @@
 use crate::link::{Frame, Ticket};
 use crate::router::origin_queries::QueryStep;
 use crate::router::state::OriginQuery;
-use crate::stream_origins::StreamOrigin;
+use crate::stream_origins::FoundOrigin;
 
 impl Follower {
     /// Reports the origins of streams that callers could otherwise not resume through other
@@ -40,9 +40,13 @@
         self.continue_query(step);
     }
 
-    pub(super) fn handle_found_stream(&mut self, ticket: Ticket, origins: Vec<StreamOrigin>) {
+    pub(super) fn handle_found_stream(&mut self, ticket: Ticket, found: FoundOrigin) {
+        let Some(query) = self.origin_queries.get(ticket) else {
+            return;
+        };
+        let origin = found.decide(self.router.possible_origins(&query.services));
         let now = Instant::now();
-        if let Some(step) = self.origin_queries.handle_answer(ticket, origins, now) {
+        if let Some(step) = self.origin_queries.handle_answer(ticket, origin, now) {
             self.continue_query(step);
         }
     }
--- a/crates/fleet/src/router/origin_queries.rs
+++ b/crates/fleet/src/router/origin_queries.rs
@@ -2,7 +2,7 @@
 //!
 //! The instances are asked one after the other, since an instance that lacks the stream may
 //! have started lately or not have heard of it yet. The query ends with the first instance
-//! that names exactly one origin.
+//! that leaves one possible origin.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -68,17 +68,17 @@
         self.ask_next(pending, now)
     }
 
-    /// Handles an answer. `None` if the query has ended or moved on to another instance.
+    /// Handles the answer of an instance, with the origin if it leaves only one. `None` if the query has ended or moved on to another instance.
     pub fn handle_answer(
         &mut self,
         ticket: Ticket,
-        mut origins: Vec<StreamOrigin>,
+        origin: Option<StreamOrigin>,
         now: Instant,
     ) -> Option<QueryStep<Q>> {
         let pending = self.pending.remove(&ticket)?;
-        Some(match origins.pop() {
-            Some(origin) if origins.is_empty() => QueryStep::End(pending.query, Some(origin)),
-            _ => self.ask_next(pending, now),
+        Some(match origin {
+            Some(origin) => QueryStep::End(pending.query, Some(origin)),
+            None => self.ask_next(pending, now),
         })
     }
 
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -21,7 +21,10 @@
 use super::metrics::Metrics;
 use super::pool::Pool;
 use crate::clock::BootTime;
-use crate::stream_origins::{BegunStreams, MAX_STREAM_AGE, OwnStreams, StreamId, StreamOrigin};
+use crate::stream_origins::{
+    BegunStreams, COMPLETE_AFTER_REPORTS, MAX_STREAM_AGE, OwnStreams, PossibleOrigins, StreamId,
+    StreamOrigin,
+};
 
 /// The router's own detection of silent targets is disabled by a timeout of a year:
 /// the control instances report silent targets to the router.
@@ -65,6 +68,8 @@
     pub rng: RefCell<Rng>,
     retry_budgets: RefCell<BTreeMap<String, FleetBudget>>,
     retry_settings: FleetBudgetSettings,
+    /// When every target had the time for some reports since the start.
+    knows_targets_at: Instant,
     own_streams: RefCell<OwnStreams>,
     /// Notified when a stream has begun.
     pub stream_began: Notify,
@@ -108,6 +113,7 @@
                 window: bounds.retry_window,
                 ..FleetBudgetSettings::default()
             },
+            knows_targets_at: Instant::now() + settings.report_period * COMPLETE_AFTER_REPORTS,
             own_streams: RefCell::default(),
             stream_began: Notify::new(),
             origin_queries,
@@ -360,6 +366,11 @@
         self.own_streams.borrow_mut().take_due(has_versions, now)
     }
 
+    /// Returns the streams whose origin was reported lately.
+    pub fn reported_streams(&self) -> Vec<BegunStreams> {
+        self.own_streams.borrow().reported_lately(Instant::now())
+    }
+
     /// Puts back streams whose origin could not be reported.
     pub fn put_back_streams(&self, begun: Vec<BegunStreams>) {
         self.own_streams
@@ -367,6 +378,13 @@
             .put_back(begun, Instant::now());
     }
 
+    /// Returns where a stream that was not reported may have begun, as far as this router
+    /// knows.
+    pub fn possible_origins(&self, services: &[ServiceName]) -> PossibleOrigins {
+        let registry = self.registry.borrow();
+        PossibleOrigins::new(&registry, services, self.knows_targets_at, Instant::now())
+    }
+
     /// Returns where a stream that a caller resumes began; `None` if neither this router nor
     /// a control instance can tell.
     pub async fn find_origin(
--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -18,6 +18,12 @@
 /// Longest time from the first event of a stream to its last resume.
 pub const MAX_STREAM_AGE: Duration = Duration::from_mins(1);
 
+/// Report periods of targets after which a process that has started knows all of them.
+pub const COMPLETE_AFTER_REPORTS: u32 = 3;
+/// Time for which a report is sent again to a control instance whose link comes up: the
+/// instance may have lost its memory, or the link the report. Few streams last longer.
+const RESEND_TIME: Duration = Duration::from_secs(15);
+
 /// Stable hash of the id of the request that brought the first event of a stream.
 pub type StreamId = u64;
 
@@ -39,22 +45,63 @@
     pub streams: Vec<StreamId>,
 }
 
-/// Returns where a stream with an unknown origin may have begun: every version that targets
-/// of these services had within the last [`MAX_STREAM_AGE`].
-#[must_use]
-pub fn possible_origins(
-    registry: &Registry,
-    services: &[ServiceName],
-    now: Instant,
-) -> Vec<StreamOrigin> {
-    let origins = services.iter().flat_map(|service| {
-        let versions = registry.software_versions(service, MAX_STREAM_AGE, now);
-        versions.into_iter().map(|software| StreamOrigin {
-            service: service.clone(),
-            software: software.clone(),
-        })
-    });
-    origins.collect()
+/// Where a stream that was not reported may have begun.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PossibleOrigins {
+    /// Every version that targets of its services had within the last [`MAX_STREAM_AGE`].
+    pub origins: BTreeSet<StreamOrigin>,
+    /// Whether the process that says so has run for long enough to know all targets.
+    pub complete: bool,
+}
+
+impl PossibleOrigins {
+    /// Returns the possible origins of a stream of these services. The registry of a process
+    /// is complete once every target had the time for some reports, which is `complete_at`.
+    #[must_use]
+    pub fn new(
+        registry: &Registry,
+        services: &[ServiceName],
+        complete_at: Instant,
+        now: Instant,
+    ) -> Self {
+        let origins = services.iter().flat_map(|service| {
+            let versions = registry.software_versions(service, MAX_STREAM_AGE, now);
+            versions.into_iter().map(|software| StreamOrigin {
+                service: service.clone(),
+                software: software.clone(),
+            })
+        });
+        Self {
+            origins: origins.collect(),
+            complete: now >= complete_at,
+        }
+    }
+}
+
+/// What a control instance knows about the origin of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FoundOrigin {
+    /// The stream was reported.
+    Reported(StreamOrigin),
+    /// The stream was not reported to this instance.
+    NotReported(PossibleOrigins),
+}
+
+impl FoundOrigin {
+    /// Returns the origin if there is only one possibility, also with what the router that
+    /// asks knows itself.
+    #[must_use]
+    pub fn decide(self, mut own: PossibleOrigins) -> Option<StreamOrigin> {
+        match self {
+            Self::Reported(origin) => Some(origin),
+            Self::NotReported(mut possible) => {
+                let is_complete = possible.complete || own.complete;
+                possible.origins.append(&mut own.origins);
+                let only = possible.origins.pop_first()?;
+                (is_complete && possible.origins.is_empty()).then_some(only)
+            }
+        }
+    }
 }
 
 /// Origins of streams, kept for [`MAX_STREAM_AGE`] to twice as long.
@@ -127,11 +174,33 @@
     expires_at: Instant,
 }
 
+/// A stream that was reported.
+#[derive(Clone, Debug)]
+struct ReportedStream {
+    stream: StreamId,
+    origin: StreamOrigin,
+    resend_until: Instant,
+}
+
+fn group<'a>(streams: impl IntoIterator<Item = (StreamId, &'a StreamOrigin)>) -> Vec<BegunStreams> {
+    let mut groups: BTreeMap<&StreamOrigin, Vec<StreamId>> = BTreeMap::new();
+    for (stream, origin) in streams {
+        groups.entry(origin).or_default().push(stream);
+    }
+    let begun = groups.into_iter().map(|(origin, streams)| BegunStreams {
+        origin: origin.clone(),
+        streams,
+    });
+    begun.collect()
+}
+
 /// Streams that began or went on at one router, and those of them that are still to be reported.
 #[derive(Clone, Debug, Default)]
 pub struct OwnStreams {
     table: OriginTable,
     unreported: VecDeque<UnreportedStream>,
+    /// Oldest first.
+    reported: VecDeque<ReportedStream>,
 }
 
 impl OwnStreams {
@@ -182,18 +251,27 @@
             .into_iter()
             .filter(|&service| has_versions(service));
         let mixed: BTreeSet<ServiceName> = mixed.cloned().collect();
-        let mut due: BTreeMap<StreamOrigin, Vec<StreamId>> = BTreeMap::new();
-        self.unreported.retain(|unreported| {
-            let is_due = unreported.due || mixed.contains(&unreported.origin.service);
-            if is_due {
-                let streams = due.entry(unreported.origin.clone()).or_default();
-                streams.push(unreported.stream);
-            }
-            !is_due
-        });
-        let due = due.into_iter();
-        due.map(|(origin, streams)| BegunStreams { origin, streams })
-            .collect()
+        let is_due =
+            |stream: &UnreportedStream| stream.due || mixed.contains(&stream.origin.service);
+        let (due, rest) = self.unreported.drain(..).partition(is_due);
+        self.unreported = rest;
+        let due: VecDeque<UnreportedStream> = due;
+        let begun = group(due.iter().map(|due| (due.stream, &due.origin)));
+        self.reported.retain(|stream| now < stream.resend_until);
+        self.reported
+            .extend(due.into_iter().map(|due| ReportedStream {
+                stream: due.stream,
+                origin: due.origin,
+                resend_until: now + RESEND_TIME,
+            }));
+        begun
+    }
+
+    /// Returns the streams that were reported lately, for an instance that may lack them.
+    #[must_use]
+    pub fn reported_lately(&self, now: Instant) -> Vec<BegunStreams> {
+        let lately = self.reported.iter().filter(|s| now < s.resend_until);
+        group(lately.map(|reported| (reported.stream, &reported.origin)))
     }
 
     /// Puts back streams that could not be reported.
--- a/crates/fleet/tests/stream_origins.rs
+++ b/crates/fleet/tests/stream_origins.rs
@@ -6,7 +6,8 @@
 
 use bamboospur_fleet::router::{OriginQueries, QueryStep};
 use bamboospur_fleet::stream_origins::{
-    BegunStreams, MAX_STREAM_AGE, OriginTable, OwnStreams, StreamOrigin, possible_origins,
+    BegunStreams, FoundOrigin, MAX_STREAM_AGE, OriginTable, OwnStreams, PossibleOrigins,
+    StreamOrigin,
 };
 use bamboospur_registry::{Announcement, Phase, Registry, StartTime};
 use quickcheck::quickcheck;
@@ -80,6 +81,22 @@
     assert_eq!(streams.take_due(|_| false, now).len(), 1);
 }
 
+#[test]
+fn an_instance_that_lost_its_memory_gets_the_streams_of_the_last_seconds_again() {
+    let now = Instant::now();
+    let mut streams = OwnStreams::default();
+    streams.record(1, origin("chat", "v1"), false, now);
+    assert!(streams.reported_lately(now).is_empty());
+    let reported = streams.take_due(|_| true, now);
+    let later = now + Duration::from_secs(10);
+    assert_eq!(streams.reported_lately(later), reported);
+    streams.record(2, origin("chat", "v2"), false, later);
+    let second = streams.take_due(|_| true, later);
+    assert_eq!(streams.reported_lately(later).len(), 2);
+    let much_later = now + Duration::from_secs(20);
+    assert_eq!(streams.reported_lately(much_later), second);
+}
+
 #[test]
 fn streams_are_reported_if_their_route_has_or_had_other_services() {
     let now = Instant::now();
@@ -98,27 +115,61 @@
 #[test]
 fn a_version_that_left_lately_is_a_possible_origin() {
     let now = Instant::now();
-    let services = ["chat".to_owned()];
+    let possible = |registry: &Registry, service: &str, now| {
+        PossibleOrigins::new(registry, &[service.to_owned()], now, now)
+    };
     let mut registry = Registry::default();
     registry.merge(target("a", "v1", Phase::Ready), now);
-    let v1 = origin("chat", "v1");
-    let possible = possible_origins(&registry, &services, now);
-    assert_eq!(possible, std::slice::from_ref(&v1));
+    let only = possible_of(&["v1"], true);
+    assert_eq!(possible(&registry, "chat", now), only);
     registry.merge(target("bb", "v2", Phase::Draining), now);
-    let both = [v1.clone(), origin("chat", "v2")];
-    assert_eq!(possible_origins(&registry, &services, now), both);
+    let both = possible_of(&["v1", "v2"], true);
+    assert_eq!(possible(&registry, "chat", now), both);
     registry.leave("bb", None, now);
-    assert_eq!(possible_origins(&registry, &services, now), both);
+    assert_eq!(possible(&registry, "chat", now), both);
     let later = now + MAX_STREAM_AGE;
-    registry.merge(
-        Announcement {
-            sequence: 2,
-            ..target("a", "v1", Phase::Ready)
-        },
-        later,
-    );
-    assert_eq!(possible_origins(&registry, &services, later), [v1]);
-    assert!(possible_origins(&registry, &["other".to_owned()], now).is_empty());
+    let report = Announcement {
+        sequence: 2,
+        ..target("a", "v1", Phase::Ready)
+    };
+    registry.merge(report, later);
+    assert_eq!(possible(&registry, "chat", later), only);
+    assert_eq!(possible(&registry, "other", now), possible_of(&[], true));
+}
+
+fn possible_of(versions: &[&str], complete: bool) -> PossibleOrigins {
+    let origins = versions.iter().map(|version| origin("chat", version));
+    PossibleOrigins {
+        origins: origins.collect(),
+        complete,
+    }
+}
+
+#[test]
+fn only_processes_that_know_all_targets_can_tell_the_only_possible_origin() {
+    let v1 = Some(origin("chat", "v1"));
+    let cases: [(&[&str], bool, &[&str], bool, _); 7] = [
+        (&["v1"], true, &["v1"], true, v1.clone()),
+        (&["v1"], true, &[], false, v1.clone()),
+        (&[], false, &["v1"], true, v1.clone()),
+        // An instance that has just started may not have heard of the second version yet.
+        (&["v1"], false, &["v1"], false, None),
+        (&["v1"], false, &["v1", "v2"], true, None),
+        (&["v1", "v2"], true, &["v1"], true, None),
+        (&[], true, &[], true, None),
+    ];
+    for (theirs, theirs_complete, own, own_complete, expected) in cases {
+        let found = FoundOrigin::NotReported(possible_of(theirs, theirs_complete));
+        let own = possible_of(own, own_complete);
+        assert_eq!(
+            found.clone().decide(own.clone()),
+            expected,
+            "{found:?} {own:?}"
+        );
+    }
+    let reported = FoundOrigin::Reported(origin("chat", "v2"));
+    let decided = reported.decide(possible_of(&["v1"], true));
+    assert_eq!(decided, Some(origin("chat", "v2")));
 }
 
 fn ask(step: &QueryStep<char>) -> (SocketAddr, u64) {
@@ -129,13 +180,12 @@
 }
 
 #[test]
-fn a_query_goes_on_until_an_instance_names_one_origin() {
+fn a_query_goes_on_until_an_instance_leaves_one_origin() {
     let now = Instant::now();
     let mut queries = OriginQueries::default();
     let (to, first) = ask(&queries.start('q', [1, 2, 3].map(address), now));
     assert_eq!(to, address(1));
-    let several = vec![origin("chat", "v1"), origin("chat", "v2")];
-    let step = queries.handle_answer(first, several, now).expect("a step");
+    let step = queries.handle_answer(first, None, now).expect("a step");
     let (to, second) = ask(&step);
     assert_eq!(to, address(2));
     // The second instance does not answer in time, so the third one is asked.
@@ -143,7 +193,7 @@
     let steps = queries.handle_timeouts(late);
     let (to, third) = ask(&steps[0]);
     assert_eq!(to, address(3));
-    let known = vec![origin("chat", "v2")];
+    let known = Some(origin("chat", "v2"));
     assert_eq!(queries.handle_answer(second, known.clone(), late), None);
     let end = queries.handle_answer(third, known, late);
     assert_eq!(end, Some(QueryStep::End('q', Some(origin("chat", "v2")))));
@@ -156,7 +206,7 @@
     let mut queries = OriginQueries::default();
     assert_eq!(queries.start('q', [], now), QueryStep::End('q', None));
     let (_, ticket) = ask(&queries.start('r', [address(1)], now));
-    let step = queries.handle_answer(ticket, Vec::new(), now);
+    let step = queries.handle_answer(ticket, None, now);
     assert_eq!(step, Some(QueryStep::End('r', None)));
 }
 
--- a/crates/node/tests/deployment/versions.rs
+++ b/crates/node/tests/deployment/versions.rs
@@ -13,6 +13,8 @@
 
 /// Time after which another router knows where a stream began.
 const SPREAD_TIME: Duration = Duration::from_millis(600);
+/// Time after its start in which a process has heard of all targets, which report every 1.2 s.
+const KNOWS_TARGETS_AFTER: Duration = Duration::from_secs(4);
 /// Longest time for a rejection that needs no target.
 const MAX_REJECTION_TIME: Duration = Duration::from_secs(1);
 
@@ -172,6 +174,7 @@
 #[test]
 fn a_stream_that_no_router_remembers_goes_on_while_all_targets_have_one_version() {
     let deployment = start(53);
+    thread::sleep(KNOWS_TARGETS_AFTER);
     let _first = engine(&deployment, 20, "t1", "v1", Behaviour::Stream);
     wait_ready(&deployment);
     let reply = resume(&deployment, "id-2", "id-unknown", 4);
@@ -195,3 +198,51 @@
     });
     assert_eq!(second.runs(), 0);
 }
+
+#[test]
+fn a_stream_is_known_after_all_control_instances_have_restarted() {
+    let mut deployment = start(59);
+    let _first = engine(&deployment, 20, "t1", "v1", Behaviour::Stream);
+    let second = engine(&deployment, 21, "t2", "v2", Behaviour::Stream);
+    wait_ready(&deployment);
+    let begun = begin(&deployment, "id-1", 1);
+    let began_at = writers(&begun.1)[0].to_owned();
+    thread::sleep(SPREAD_TIME);
+    for control in 1..=3 {
+        deployment.kill(&format!("control-{control}"));
+    }
+    for control in 1..=3 {
+        deployment.start_control(control, false);
+    }
+    thread::sleep(SPREAD_TIME * 2);
+    deployment.kill("router-9");
+    drop(begun);
+    let before = second.runs();
+    let reply = resume(&deployment, "id-2", "id-1", 1);
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    assert_eq!(writers(&reply.body), [began_at.as_str(); 9]);
+    assert_eq!(second.runs() - before, usize::from(began_at == "t2"));
+}
+
+#[test]
+fn processes_that_have_just_started_do_not_guess_where_a_stream_began() {
+    let mut deployment = start(60);
+    let first = engine(&deployment, 20, "t1", "v1", Behaviour::Stream);
+    wait_ready(&deployment);
+    // The control instances store what they know of targets every three seconds, and the
+    // second engine starts just before they are killed.
+    thread::sleep(Duration::from_millis(3_500));
+    let second = engine(&deployment, 21, "t2", "v2", Behaviour::Stream);
+    for name in ["control-1", "control-2", "control-3", "router-10"] {
+        deployment.kill(name);
+    }
+    for control in 1..=3 {
+        deployment.start_control(control, false);
+    }
+    deployment.start_router_at(10, "router-10");
+    deployment.wait_ready_at(10);
+    deployment.report_engine("t1", &first, "v1");
+    let reply = resume(&deployment, "id-2", "id-1", 1);
+    assert_eq!(reply.status, 503, "{}", reply.body);
+    assert_eq!((first.runs(), second.runs()), (0, 0));
+}
