Send a request that may be repeated over a new connection when a kept one ends

Cause: the target closed a connection that the router kept while a request went out on it; the router counted the target as tried, so with no other target the request failed.

Such an end says nothing about the target. The router now closes the other connections that it keeps to it, which may have ended too, and may ask the same target again over a new one. A request of which bytes were written still counts as possibly run, so requests that may not be repeated are not sent again, and its resend takes a retry from the budget.

A target that answers once a connection shows it without a race: the new test got 502 at its second request before and passes now. A replica that closes with no answer fails such attempts as before.

--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -69,6 +69,12 @@
     /// The attempt was abandoned because the target was too slow; its retry is
     /// already taken from the retry budget.
     Left,
+    /// A connection that was kept from an earlier request ended before any answer, probably
+    /// because the target had closed it as idle. The target is not to blame.
+    KeptConnectionEnded {
+        /// Whether a byte of the request was written.
+        sent: bool,
+    },
     /// The target may have run the request, and there is no complete answer.
     Failed,
     /// The deadline of the request passed.
@@ -79,8 +85,12 @@
     /// Whether the target may have run the request.
     pub const fn execution(&self) -> Execution {
         match self {
-            Self::NotSent | Self::NotRun | Self::NotAcceptable => Execution::NotRun,
+            Self::NotSent
+            | Self::NotRun
+            | Self::NotAcceptable
+            | Self::KeptConnectionEnded { sent: false } => Execution::NotRun,
             Self::Whole(_)
+            | Self::KeptConnectionEnded { sent: true }
             | Self::Relayed
             | Self::CallerGone
             | Self::Left
@@ -88,6 +98,15 @@
             | Self::Deadline => Execution::MayHaveRun,
         }
     }
+
+    /// Whether another attempt takes no retry from the budget. An attempt that sent nothing
+    /// added no load to the service; an abandoned one has already taken its retry.
+    pub const fn needs_no_retry(&self) -> bool {
+        matches!(
+            self,
+            Self::NotSent | Self::Left | Self::KeptConnectionEnded { sent: false }
+        )
+    }
 }
 
 /// Result of [`wait_or_abandon`].
@@ -377,20 +396,20 @@
     }
 
     /// Handles a failed exchange. On a reused connection, the target may have closed
-    /// the connection while the request was on its way; such a failure does not count
-    /// against the target.
+    /// the connection while the request was on its way. Such a failure does not count
+    /// against the target, and the next attempt there uses a new connection.
     fn connection_failed(
         mut self,
         error: &ClientError,
         written: usize,
         reused: bool,
     ) -> AttemptEnd {
-        let may_be_idle_close = reused && matches!(error, ClientError::Closed | ClientError::Io(_));
-        self.active.set_outcome(if may_be_idle_close {
-            Outcome::Neutral
-        } else {
-            Outcome::Failed
-        });
+        if reused && matches!(error, ClientError::Closed | ClientError::Io(_)) {
+            let mut pool = self.job.router.pool.borrow_mut();
+            pool.close_all(self.active.choice.address);
+            return AttemptEnd::KeptConnectionEnded { sent: written > 0 };
+        }
+        self.active.set_outcome(Outcome::Failed);
         if written == 0 {
             AttemptEnd::NotSent
         } else {
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -134,7 +134,7 @@
     pub history: AttemptHistory,
     pub rejections: Rejections,
     prompt: Vec<PromptPart>,
-    /// Names of the targets of earlier attempts.
+    /// Names of the targets of earlier attempts that are not to be asked again.
     tried: Vec<String>,
     /// Last server error that a target answered; sent to the caller if no other target
     /// gives a better answer.
@@ -272,7 +272,9 @@
             let active = ActiveAttempt::new(self.router, &self.service.name, choice.clone());
             let end = Attempt::new(self, active).run(responder).await;
             trace.record_attempt(&choice, &end);
-            self.tried.push(choice.name.clone());
+            if !matches!(end, AttemptEnd::KeptConnectionEnded { .. }) {
+                self.tried.push(choice.name.clone());
+            }
             self.history.record(end.execution());
             match end {
                 AttemptEnd::Relayed => return ResultCode::Ok,
@@ -301,17 +303,12 @@
                         .answer_failure(ResultCode::TargetRefused, responder)
                         .await;
                 }
-                // A failed connection adds no load to the service, so its retry is not
-                // taken from the budget; an abandoned attempt has already taken its own.
-                AttemptEnd::NotSent | AttemptEnd::Left => {
-                    if !self.may_retry(true) {
-                        return self
-                            .answer_failure(ResultCode::TargetFailed, responder)
-                            .await;
-                    }
-                }
-                AttemptEnd::NotRun | AttemptEnd::Failed => {
-                    if !self.may_retry(false) {
+                failed @ (AttemptEnd::NotSent
+                | AttemptEnd::Left
+                | AttemptEnd::KeptConnectionEnded { .. }
+                | AttemptEnd::NotRun
+                | AttemptEnd::Failed) => {
+                    if !self.may_retry(failed.needs_no_retry()) {
                         return self
                             .answer_failure(ResultCode::TargetFailed, responder)
                             .await;
--- a/crates/fleet/src/router/pool.rs
+++ b/crates/fleet/src/router/pool.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Closes the idle connections to a target.
+    pub fn close_all(&mut self, address: SocketAddr) {
+        self.idle.remove(&address);
+    }
+
     /// Closes connections that are no longer usable.
     pub fn sweep(&mut self, now: Instant) {
         for idle in self.idle.values_mut() {
--- a/crates/node/tests/deployment/callers.rs
+++ b/crates/node/tests/deployment/callers.rs
@@ -124,3 +124,18 @@
     let offers: usize = targets.iter().map(Target::runs).sum();
     assert_eq!(offers, 2);
 }
+
+#[test]
+fn a_repeatable_request_goes_over_a_new_connection_when_a_kept_one_ends() {
+    let mut deployment = Deployment::start(45);
+    deployment.configure("k1");
+    let target = Target::start(deployment.host(20), "t1", Behaviour::AnswerOnce);
+    deployment.report("t1", &target, "s", "ready", 1);
+    deployment.wait_ready();
+    for index in 0..6 {
+        let reply = deployment.request("GET", "/read/1", &format!("id-{index}"), "k1");
+        let reply = reply.expect("a reply");
+        assert_eq!(reply.status, 200, "request {index}: {}", reply.body);
+    }
+    assert_eq!(target.runs(), 6);
+}
--- a/crates/node/tests/deployment/target.rs
+++ b/crates/node/tests/deployment/target.rs
@@ -19,6 +19,9 @@
     Stream,
     /// Streams three events and closes the connection.
     BreakOff,
+    /// Answers the first request of each connection, and closes the connection when the next
+    /// one arrives.
+    AnswerOnce,
     /// Answers as [`Self::Answer`] and states that it leaves.
     Leaving,
     /// Rejects requests without running them, and asks for none for this many seconds.
@@ -104,7 +107,13 @@
 }
 
 fn serve(stream: &TcpStream, name: &str, behaviour: Behaviour, records: &Observations) {
-    while serve_one(stream, name, behaviour, records) == Some(true) {}
+    while serve_one(stream, name, behaviour, records) == Some(true) {
+        if behaviour == Behaviour::AnswerOnce {
+            // The request is discarded unread or read, but never run.
+            let _ = (&mut &*stream).read(&mut [0; 4096]);
+            return;
+        }
+    }
 }
 
 /// Serves one request; returns whether another can follow on the connection.
@@ -139,9 +148,7 @@
             records.closed_at.lock().ok()?.push(Instant::now());
         }
         Behaviour::AnswerEarly => {
-            stream
-                .write_all(format!("{head}Content-Length: 2\r\n\r\nok").as_bytes())
-                .ok()?;
+            answer(stream, &head, "")?;
             let length: usize = field("content-length")?.parse().ok()?;
             return read_body_late(stream, body, length, records);
         }
@@ -151,13 +158,12 @@
         Behaviour::RejectFor(seconds) => {
             reject(stream, &head, &format!("Retry-After: {seconds}"))?;
         }
-        Behaviour::Answer | Behaviour::Leaving => {
-            let leaves = behaviour == Behaviour::Leaving;
-            let leaving = if leaves { "Server-Leaving: 1\r\n" } else { "" };
-            stream
-                .write_all(format!("{head}{leaving}Content-Length: 2\r\n\r\nok").as_bytes())
-                .ok()?;
+        Behaviour::AnswerOnce => {
+            answer(stream, &head, "Keep-Alive: timeout=60\r\n")?;
+            return Some(true);
         }
+        Behaviour::Answer => answer(stream, &head, "")?,
+        Behaviour::Leaving => answer(stream, &head, "Server-Leaving: 1\r\n")?,
         Behaviour::Stream | Behaviour::BreakOff => {
             let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
             stream.write_all(format!("{head}{kind}").as_bytes()).ok()?;
@@ -174,6 +180,12 @@
     Some(false)
 }
 
+/// Answers a request, with further header lines.
+fn answer(mut stream: &TcpStream, head: &str, lines: &str) -> Option<()> {
+    let text = format!("{head}{lines}Content-Length: 2\r\n\r\nok");
+    stream.write_all(text.as_bytes()).ok()
+}
+
 /// Answers that the request did not run, with a further header line.
 fn reject(mut stream: &TcpStream, head: &str, line: &str) -> Option<()> {
     let head = head.replace("200 OK", "503 Service Unavailable");
