--- a/crates/fleet/src/control/soft.rs
+++ b/crates/fleet/src/control/soft.rs
@@ -11,6 +11,9 @@
 use serde::{Deserialize, Serialize};
 use tracing::warn;
 
+/// Start of a stored state of this format. Bytes of another format could decode to targets
+/// that do not exist.
+const FORMAT: &[u8] = b"soft2";
 /// Least time between two writes of the soft state, unless a target departs.
 const WRITE_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -25,14 +28,18 @@
 }
 
 impl SoftState {
-    /// Decodes the stored state. Returns an empty state when there is none or the bytes
-    /// are damaged.
+    /// Decodes the stored state. Returns an empty state when there is none, the bytes are
+    /// damaged, or another version of the program wrote them.
     #[must_use]
     pub fn decode(blob: Option<Vec<u8>>) -> Self {
         let Some(blob) = blob else {
             return Self::default();
         };
-        postcard::from_bytes(&blob).unwrap_or_else(|error| {
+        let Some(content) = blob.strip_prefix(FORMAT) else {
+            warn!("the soft state has another format; starting without it");
+            return Self::default();
+        };
+        postcard::from_bytes(content).unwrap_or_else(|error| {
             warn!(%error, "failed to decode the soft state; starting without it");
             Self::default()
         })
@@ -41,7 +48,7 @@
     /// Encodes the state for the disk.
     #[must_use]
     pub fn encode(&self) -> Option<Vec<u8>> {
-        postcard::to_stdvec(self).ok()
+        postcard::to_extend(self, FORMAT.to_vec()).ok()
     }
 }
 
--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -5,6 +5,7 @@
 use bamboospur_fleet::Loads;
 use bamboospur_fleet::control::{SoftState, SoftStateSchedule};
 use bamboospur_fleet::link::{Frame, FrameReader, encode};
+use bamboospur_fleet::stream_origins::{BegunStreams, FoundOrigin, StreamOrigin};
 use bamboospur_registry::{Announcement, Phase, StartTime};
 use quickcheck::quickcheck;
 
@@ -46,10 +47,13 @@
 fn soft_state_round_trips_and_damaged_bytes_decode_as_empty() {
     let blob = state().encode().expect("bytes");
     assert_eq!(SoftState::decode(Some(blob.clone())), state());
-    assert_eq!(
-        SoftState::decode(Some(blob[..5].to_vec())),
-        SoftState::default()
-    );
+    for length in 0..blob.len() {
+        let cut = blob[..length].to_vec();
+        assert_eq!(SoftState::decode(Some(cut)), SoftState::default());
+    }
+    // A state without the mark of its format, as earlier versions of the program stored it.
+    let unmarked = postcard::to_stdvec(&state()).expect("bytes");
+    assert_eq!(SoftState::decode(Some(unmarked)), SoftState::default());
     assert_eq!(SoftState::decode(None), SoftState::default());
 }
 
@@ -67,12 +71,32 @@
     assert!(!schedule.take_due(now + Duration::from_secs(9)));
 }
 
+fn origin() -> StreamOrigin {
+    StreamOrigin {
+        service: "s".to_owned(),
+        software: "v1".to_owned(),
+    }
+}
+
 #[test]
 fn frames_are_decoded_from_chunks_of_any_size() {
     let frames = [
         Frame::Alive(7),
         Frame::CachedPrefixes(vec![(1, 2), (3, 4)]),
         Frame::Targets(state().targets),
+        Frame::StreamsBegun(vec![BegunStreams {
+            origin: origin(),
+            streams: vec![5, 6],
+        }]),
+        Frame::FindStream {
+            ticket: 1,
+            stream: Some(5),
+            services: vec!["s".to_owned()],
+        },
+        Frame::StreamFound {
+            ticket: 1,
+            found: FoundOrigin::Reported(origin()),
+        },
     ];
     let bytes: Vec<u8> = frames.iter().filter_map(encode).flatten().collect();
     for chunk_bytes in 1..bytes.len() {
@@ -93,7 +117,9 @@
         let mut reader = FrameReader::default();
         reader.push(&bytes);
         while matches!(reader.take(), Ok(Some(_))) {}
-        let _state = SoftState::decode(Some(bytes));
+        let _state = SoftState::decode(Some(bytes.clone()));
+        let marked = b"soft2".iter().copied().chain(bytes).collect();
+        let _state = SoftState::decode(Some(marked));
         true
     }
 }
