Confirm a drain only when a control instance has taken it, also if an answer announced it

Cause, found in reading: since routers take Server-Leaving from answers, a target's later report of its drain changed nothing at the router that takes its reports, and was answered at once, while no control instance and no other router might know. A target relies on that answer. Reports of a drain are now always passed on and answered when a control instance has taken them. The new test, with suspended control instances, got the confirmation before and gets none now.

Streams to report are no longer moved about when none is due.

--- a/crates/fleet/src/router/reports.rs
+++ b/crates/fleet/src/router/reports.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_http1::server::{ReadLimits, Request};
-use bamboospur_registry::{Announcement, Merge, StartTime, TargetName};
+use bamboospur_registry::{Announcement, Merge, Phase, StartTime, TargetName};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
@@ -100,22 +100,25 @@
         now: Instant,
     ) -> Option<Frame> {
         self.reported_at.insert(announcement.name.clone(), now);
-        match self.router.merge_report(&announcement) {
-            Merge::Changed => {
+        let merge = self.router.merge_report(&announcement);
+        match (merge, announcement.phase) {
+            // The router may know of a drain already, from an answer of the target or a lost
+            // report, but the target relies on all routers knowing it.
+            (Merge::Changed, _) | (_, Phase::Draining | Phase::Gone) => {
                 let ticket = self.add_pending_reply(reply);
                 Some(Frame::Report {
                     ticket,
                     announcement: Box::new(announcement),
                 })
             }
-            Merge::Refreshed => {
+            (Merge::Refreshed, Phase::Ready) => {
                 let reported = (announcement.start, announcement.sequence);
                 self.refreshed.insert(announcement.name, reported);
                 // The target may no longer wait for the reply.
                 let _sent = reply.send(None);
                 None
             }
-            Merge::Stale => {
+            (Merge::Stale, Phase::Ready) => {
                 let _sent = reply.send(None);
                 None
             }
--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -253,6 +253,9 @@
         let mixed: BTreeSet<ServiceName> = mixed.cloned().collect();
         let is_due =
             |stream: &UnreportedStream| stream.due || mixed.contains(&stream.origin.service);
+        if !self.unreported.iter().any(is_due) {
+            return Vec::new();
+        }
         let (due, rest) = self.unreported.drain(..).partition(is_due);
         self.unreported = rest;
         let due: VecDeque<UnreportedStream> = due;
--- a/crates/node/tests/deployment/relays.rs
+++ b/crates/node/tests/deployment/relays.rs
@@ -4,6 +4,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rustix::process::Signal;
+
 use super::harness::{
     Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, SINGLE_RELAY_OPTIONS, Target, call,
     eventually, json_call, next_report_address, report_body, request_text,
@@ -222,3 +224,29 @@
         assert!(took < Duration::from_secs(2), "{took:?}");
     }
 }
+
+#[test]
+fn a_drain_that_an_answer_announced_is_confirmed_only_by_a_control_instance() {
+    let deployment = start(35);
+    let leaving = Target::start(deployment.host(20), "t1", Behaviour::Leaving);
+    let at = report_until_router_named(&deployment, "t1", &leaving);
+    let router = ROUTER_INDEXES
+        .into_iter()
+        .find(|&index| at.ip() == deployment.host(index))
+        .expect("a router");
+    eventually("the router knows that the target leaves", || {
+        request_status(&deployment, router, "id-1");
+        leaving.runs() > 0
+    });
+    // No other router can learn of the drain now, so the target must not rely on it.
+    for control in 1..=3 {
+        deployment.signal(&format!("control-{control}"), Signal::STOP);
+    }
+    assert_eq!(report(at, "t1", &leaving, "draining", 1_000), None);
+    for control in 1..=3 {
+        deployment.signal(&format!("control-{control}"), Signal::CONT);
+    }
+    eventually("the drain is confirmed", || {
+        report(at, "t1", &leaving, "draining", 1_001).is_some()
+    });
+}
