Keep a router's request for all targets open until a list arrives

What callers saw: after a restart of the whole fleet, 503 no-target from a relay and all routers that follow it, for good.

Found by a_fleet_that_is_killed_as_a_whole_serves_again, which failed once ("every router serves again" not within 15 s). The logs: router 39 became the relay at 55.16 and asked control instance 1 or 3, whose links were up but whose processes began to serve at 56.91 only, because their disks were slow; these links timed out at 55.88. The request was lost with them, and a router asked again only when its first link came up. All later news of targets were changes, and this target did not change.

The request now stays open until a whole list, a frame of its own kind, has arrived from any peer.

--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -215,6 +215,7 @@
             | Frame::Config(_)
             | Frame::NoNewerConfig
             | Frame::Totals(_)
+            | Frame::AllTargets(_)
             | Frame::StreamFound { .. }
             | Frame::Leader(_)
             | Frame::InForce { .. } => {
--- a/crates/fleet/src/control/host/outbox.rs
+++ b/crates/fleet/src/control/host/outbox.rs
@@ -22,7 +22,9 @@
     fn frames(&self, content: Content) -> Vec<Frame> {
         match content {
             Content::Config(change) => vec![Frame::Config(change)],
-            Content::Targets => vec![Frame::Targets(self.registry.all().cloned().collect())],
+            Content::Targets => {
+                vec![Frame::AllTargets(self.registry.all().cloned().collect())]
+            }
             Content::CachedPrefixes => prefix_frames(self.cached_prefixes.iter().copied()),
         }
     }
--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -95,6 +95,8 @@
     },
     /// Announcements that changed the state known to the sender.
     Targets(Vec<Announcement>),
+    /// Answer to [`Frame::RequestTargets`]: the newest announcements of all targets.
+    AllTargets(Vec<Announcement>),
     /// Newest announcements of targets whose reports have stopped.
     Silent(Vec<Announcement>),
     /// Targets that reported to the sender since its last frame of this kind, with
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -27,6 +27,7 @@
 use super::origin_queries::OriginQueries;
 use super::reports::{self, Reports};
 use super::state::{OriginQuery, Router};
+use super::state_request::StateRequest;
 use crate::calls::TargetCall;
 use crate::clock::BootTime;
 use crate::link::{self, AcceptEvent, DialEvent, DialedLink, Hello, Role, RouterLocation};
@@ -103,7 +104,7 @@
         relays: BTreeMap::new(),
         is_relay: false,
         config_requests: ConfigRequests::default(),
-        state_request_at: None,
+        state_request: StateRequest::default(),
         outbox: Outbox::new(settings.link_bytes_per_s, Instant::now()),
         followers: Followers::default(),
         reported_prefixes: Vec::new(),
@@ -140,8 +141,8 @@
     is_relay: bool,
     /// Requests for the newest configuration that the router has heard of.
     config_requests: ConfigRequests,
-    /// When to request the state that may have been missed while there was no link.
-    state_request_at: Option<Instant>,
+    /// Request for the state that may have been missed while there was no link.
+    state_request: StateRequest,
     /// Configurations that were in force here, and what followers wait for.
     outbox: Outbox,
     followers: Followers,
--- a/crates/fleet/src/router/follow/links.rs
+++ b/crates/fleet/src/router/follow/links.rs
@@ -49,7 +49,7 @@
         }
         let was_relay = std::mem::replace(&mut self.is_relay, is_relay);
         if is_relay && !was_relay {
-            self.request_targets(&self.controls);
+            self.state_request.record_missing(Instant::now());
         }
         self.relays.retain(|address, _| local.contains(address));
         for address in local {
@@ -63,19 +63,6 @@
         }
     }
 
-    /// Requests all known targets from the preferred one of these links. A router that has
-    /// just started also needs the cached prompts.
-    fn request_targets(&self, links: &BTreeMap<SocketAddr, FollowedLink>) {
-        if let Some(followed) = self.preferred_link(links) {
-            let with_prefixes = self.lacks_prefixes();
-            info!(
-                relay = self.is_relay,
-                with_prefixes, "requesting all targets"
-            );
-            self.request_targets_from(followed, with_prefixes);
-        }
-    }
-
     /// Whether the router knows no cached prompts, as after its start.
     fn lacks_prefixes(&self) -> bool {
         !self.router.dispatcher.borrow().has_cached_prefixes()
@@ -89,17 +76,28 @@
         });
     }
 
-    /// Requests the state from the preferred relay or, without relays, from the preferred
-    /// control instance, once the links had time to come up.
+    /// Requests all targets that may have been missed from a relay or, without relays, from a
+    /// control instance. A router that has just started also needs the cached prompts.
     pub(super) fn request_state_if_due(&mut self) {
-        if self.state_request_at.is_none_or(|at| Instant::now() < at) {
-            return;
-        }
-        self.state_request_at = None;
-        if self.is_relay || self.relays.is_empty() {
-            self.request_targets(&self.controls);
+        let from_controls = self.is_relay || self.relays.is_empty();
+        let links = if from_controls {
+            &self.controls
         } else {
-            self.request_targets(&self.relays);
+            &self.relays
+        };
+        let linked: Vec<SocketAddr> = self.ranked(links).map(|(&address, _)| address).collect();
+        let Some(peer) = self.state_request.next_peer(&linked, Instant::now()) else {
+            return;
+        };
+        let with_prefixes = self.lacks_prefixes();
+        info!(
+            %peer,
+            relay = self.is_relay,
+            with_prefixes,
+            "requesting all targets"
+        );
+        if let Some(followed) = links.get(&peer) {
+            self.request_targets_from(followed, with_prefixes);
         }
     }
 
@@ -147,7 +145,8 @@
                 }
                 let is_follower = !self.is_relay && !self.named_relays.is_empty();
                 if !is_follower && count_up(&self.controls) == 1 {
-                    self.state_request_at = Some(Instant::now() + STATE_REQUEST_DELAY);
+                    let ask_at = Instant::now() + STATE_REQUEST_DELAY;
+                    self.state_request.record_missing(ask_at);
                 }
                 self.query_control(address);
             }
@@ -221,7 +220,8 @@
                     self.request_targets_from(relay, false);
                 }
                 if count_up(&self.relays) == 1 && self.lacks_prefixes() {
-                    self.state_request_at = Some(Instant::now() + STATE_REQUEST_DELAY);
+                    let ask_at = Instant::now() + STATE_REQUEST_DELAY;
+                    self.state_request.record_missing(ask_at);
                 }
                 self.request_config_if_behind();
             }
--- a/crates/fleet/src/router/follow/receive.rs
+++ b/crates/fleet/src/router/follow/receive.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use bamboospur_dispatch::CachedPrefix;
+use bamboospur_registry::Announcement;
 use tracing::warn;
 
 use super::Follower;
@@ -14,11 +15,10 @@
     /// followers.
     pub(super) fn handle_frame(&mut self, frame: Frame) {
         match frame {
-            Frame::Targets(announcements) => {
-                let changed = self.router.merge_announcements(announcements);
-                if !changed.is_empty() {
-                    self.followers.send_to_all(&Frame::Targets(changed));
-                }
+            Frame::Targets(announcements) => self.merge_targets(announcements),
+            Frame::AllTargets(announcements) => {
+                self.state_request.record_complete();
+                self.merge_targets(announcements);
             }
             Frame::Silent(silent) if self.router.mark_silent(&silent) => {
                 self.followers.send_to_all(&Frame::Silent(silent));
@@ -38,6 +38,14 @@
         }
     }
 
+    /// Merges announcements of targets and forwards those that changed something.
+    fn merge_targets(&mut self, announcements: Vec<Announcement>) {
+        let changed = self.router.merge_announcements(announcements);
+        if !changed.is_empty() {
+            self.followers.send_to_all(&Frame::Targets(changed));
+        }
+    }
+
     /// Records cached prompts and forwards them to all followers that report their
     /// loads here, except to `from`.
     fn add_cached_prefixes(&mut self, from: Option<LinkId>, prefixes: Vec<(u64, u64)>) {
--- a/crates/fleet/src/router/follow/send.rs
+++ b/crates/fleet/src/router/follow/send.rs
@@ -1,5 +1,6 @@
 //! Frames that this router sends to control instances and relays.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -43,15 +44,23 @@
         relay.or_else(|| self.preferred_link(&self.controls))
     }
 
-    /// Returns the link with the highest rank among those that are up. The rank
-    /// depends on this router, so that routers spread over the addresses.
+    /// Returns the link with the highest rank among those that are up.
     pub(super) fn preferred_link<'a>(
         &self,
         links: &'a BTreeMap<SocketAddr, FollowedLink>,
     ) -> Option<&'a FollowedLink> {
-        let up = links.iter().filter(|(_, followed)| followed.up);
-        up.max_by_key(|&(&address, _)| self.rank(address))
-            .map(|(_, followed)| followed)
+        self.ranked(links).next().map(|(_, followed)| followed)
+    }
+
+    /// Returns the links that are up, those with the highest rank first. The rank depends on
+    /// this router, so that routers spread over the addresses.
+    pub(super) fn ranked<'a>(
+        &self,
+        links: &'a BTreeMap<SocketAddr, FollowedLink>,
+    ) -> impl Iterator<Item = (&'a SocketAddr, &'a FollowedLink)> + use<'a> {
+        let mut up: Vec<_> = links.iter().filter(|(_, followed)| followed.up).collect();
+        up.sort_by_key(|&(&address, _)| Reverse(self.rank(address)));
+        up.into_iter()
     }
 
     /// Returns the rank of an address among the relays or the control instances.
--- a/crates/fleet/src/router/follow/streams.rs
+++ b/crates/fleet/src/router/follow/streams.rs
@@ -1,12 +1,10 @@
 //! Reports and queries of the origins of streams.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Instant;
 
 use tracing::info;
 
-use super::{FollowedLink, Follower};
+use super::Follower;
 use crate::link::{Frame, Ticket};
 use crate::router::origin_queries::QueryStep;
 use crate::router::state::OriginQuery;
@@ -23,7 +21,7 @@
         }
         let majority = self.controls.len() / 2 + 1;
         let frame = Frame::StreamsBegun(begun);
-        let links = self.linked_controls().into_iter();
+        let links = self.ranked(&self.controls);
         let sent = links.filter(|(_, followed)| followed.link.send(frame.clone()));
         let count = sent.take(majority).count();
         if count == 0
@@ -34,8 +32,8 @@
     }
 
     pub(super) fn query_origin(&mut self, query: OriginQuery) {
-        let linked = self.linked_controls();
-        let instances: Vec<SocketAddr> = linked.into_iter().map(|(&address, _)| address).collect();
+        let linked = self.ranked(&self.controls);
+        let instances = linked.map(|(&address, _)| address);
         let step = self.origin_queries.start(query, instances, Instant::now());
         self.continue_query(step);
     }
@@ -82,13 +80,4 @@
             }
         }
     }
-
-    /// Returns the control instances whose link is up, the preferred one first.
-    fn linked_controls(&self) -> Vec<(&SocketAddr, &FollowedLink)> {
-        let up = self.controls.iter().filter(|(_, followed)| followed.up);
-        let by_rank: BTreeMap<u64, _> = up
-            .map(|(address, followed)| (self.rank(*address), (address, followed)))
-            .collect();
-        by_rank.into_values().rev().collect()
-    }
 }
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -13,7 +13,7 @@
 //! router is a relay for.
 //!
 //! [`follow`] keeps links to control instances and receives the configuration and
-//! the targets from them, asking the peers that [`config_requests`] chooses; [`lease`] decides how long the configuration is trusted
+//! the targets from them, asking the peers that [`config_requests`] chooses; [`state_request`] sees to it that the list of all targets arrives; [`lease`] decides how long the configuration is trusted
 //! after the last confirmation by the control group.
 
 mod admit;
@@ -32,6 +32,7 @@
 mod reports;
 mod serve;
 mod state;
+mod state_request;
 
 pub use admit::{Admission, Admitted, Refusal, admit};
 pub use attempt_history::{AttemptHistory, AttemptLimits, Execution};
@@ -39,6 +40,7 @@
 pub use lease::Lease;
 pub use origin_queries::{OriginQueries, QueryStep};
 pub use rejections::{RejectionCause, Rejections};
+pub use state_request::StateRequest;
 
 use std::future::ready;
 use std::rc::Rc;
--- a/crates/node/tests/deployment/relays.rs
+++ b/crates/node/tests/deployment/relays.rs
@@ -250,3 +250,29 @@
         report(at, "t1", &leaving, "draining", 1_001).is_some()
     });
 }
+
+#[test]
+fn a_router_asks_again_for_the_targets_when_its_request_is_lost() {
+    let mut deployment = Deployment::with_options(36, SINGLE_RELAY_OPTIONS);
+    deployment.start_router();
+    deployment.configure("k1");
+    let target = Target::start(deployment.host(20), "t1", Behaviour::Answer);
+    let mut sequence = 0;
+    // Each control instance is once the one that does not answer.
+    for suspended in 1..=3 {
+        let name = format!("control-{suspended}");
+        deployment.signal(&name, Signal::STOP);
+        deployment.kill("router");
+        deployment.start_router();
+        eventually("the router serves", || {
+            sequence += 1;
+            for control in (1..=3).filter(|&control| control != suspended) {
+                let at = deployment.address(control, CONTROL_PORT);
+                let _taken = report(at, "t1", &target, "ready", sequence);
+            }
+            request_status(&deployment, 9, "probe") == 200
+        });
+        deployment.signal(&name, Signal::CONT);
+        thread::sleep(Duration::from_secs(1));
+    }
+}
