Request the cached prompts of the others until they have arrived

What callers saw: after a restart of a router, prompts that engines had cached were read again.

Whether the places have arrived is now part of the open request: they are requested until the peer that was asked answers, whatever others report meanwhile.

Two deployment tests used one network; each has its own now.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -156,12 +156,6 @@
         self.cache_map.take_unsent()
     }
 
-    /// Whether any cached prefix is known.
-    #[must_use]
-    pub fn has_cached_prefixes(&self) -> bool {
-        self.cache_map.iter().next().is_some()
-    }
-
     /// Returns at most `max_count` known cached prefixes, for a router that has just started.
     #[must_use]
     pub fn cached_prefixes(&self, max_count: usize) -> Vec<CachedPrefix> {
--- a/crates/fleet/src/router/follow/links.rs
+++ b/crates/fleet/src/router/follow/links.rs
@@ -63,11 +63,6 @@
         }
     }
 
-    /// Whether the router knows no cached prompts, as after its start.
-    fn lacks_prefixes(&self) -> bool {
-        !self.router.dispatcher.borrow().has_cached_prefixes()
-    }
-
     fn request_targets_from(&self, followed: &FollowedLink, with_prefixes: bool) {
         // The queue of a link that has just come up has room.
         let _sent = followed.link.send(Frame::RequestTargets {
@@ -89,7 +84,7 @@
         let Some(peer) = self.state_request.next_peer(&linked, Instant::now()) else {
             return;
         };
-        let with_prefixes = self.lacks_prefixes();
+        let with_prefixes = self.state_request.lacks_prefixes();
         info!(
             %peer,
             relay = self.is_relay,
@@ -192,6 +187,7 @@
             }
             Frame::Taken { ticket } => self.reports.acknowledge(ticket),
             Frame::StreamFound { ticket, found } => self.handle_found_stream(ticket, found),
+            Frame::AllTargets(targets) => self.handle_all_targets(address, targets),
             Frame::NoNewerConfig => self.handle_no_newer_config(address),
             Frame::InForce {
                 asked,
@@ -219,7 +215,7 @@
                 if let Some(relay) = self.relays.get(&address) {
                     self.request_targets_from(relay, false);
                 }
-                if count_up(&self.relays) == 1 && self.lacks_prefixes() {
+                if count_up(&self.relays) == 1 && self.state_request.lacks_prefixes() {
                     let ask_at = Instant::now() + STATE_REQUEST_DELAY;
                     self.state_request.record_missing(ask_at);
                 }
@@ -234,6 +230,7 @@
                     followed.heard_at = Some(Instant::now());
                 }
                 match frame {
+                    Frame::AllTargets(targets) => self.handle_all_targets(address, targets),
                     Frame::NoNewerConfig => self.handle_no_newer_config(address),
                     frame => self.handle_frame(frame),
                 }
--- a/crates/fleet/src/router/follow/receive.rs
+++ b/crates/fleet/src/router/follow/receive.rs
@@ -1,6 +1,7 @@
 //! Handling of frames from control instances, relays and followers.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use bamboospur_dispatch::CachedPrefix;
@@ -16,10 +17,6 @@
     pub(super) fn handle_frame(&mut self, frame: Frame) {
         match frame {
             Frame::Targets(announcements) => self.merge_targets(announcements),
-            Frame::AllTargets(announcements) => {
-                self.state_request.record_complete();
-                self.merge_targets(announcements);
-            }
             Frame::Silent(silent) if self.router.mark_silent(&silent) => {
                 self.followers.send_to_all(&Frame::Silent(silent));
             }
@@ -38,6 +35,12 @@
         }
     }
 
+    /// Handles the list of all targets of a peer.
+    pub(super) fn handle_all_targets(&mut self, from: SocketAddr, targets: Vec<Announcement>) {
+        self.state_request.record_complete(from);
+        self.merge_targets(targets);
+    }
+
     /// Merges announcements of targets and forwards those that changed something.
     fn merge_targets(&mut self, announcements: Vec<Announcement>) {
         let changed = self.router.merge_announcements(announcements);
--- a/crates/fleet/src/router/state_request.rs
+++ b/crates/fleet/src/router/state_request.rs
@@ -1,8 +1,10 @@
-//! The open request of a router for all targets.
+//! The open request of a router for all targets and, after its start, for the places of cached
+//! prompts.
 //!
 //! A peer can be silent behind a link that looks up, and a request is lost with its link. So
 //! the request stays open until a whole list of targets arrives, from whichever peer, and
-//! another peer is asked when the asked one does not answer.
+//! another peer is asked when the asked one does not answer. The places of prompts follow the
+//! list of the peer that was asked; news of others' prompts do not replace them.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -30,6 +32,8 @@
     phase: Phase,
     /// The peer that was asked last.
     last_asked: Option<SocketAddr>,
+    /// Whether a peer has sent the places of prompts that were cached before the start.
+    has_prefixes: bool,
 }
 
 impl Default for StateRequest {
@@ -37,6 +41,7 @@
         Self {
             phase: Phase::Complete,
             last_asked: None,
+            has_prefixes: false,
         }
     }
 }
@@ -48,9 +53,23 @@
         self.phase = Phase::Due { ask_at };
     }
 
-    /// Records that a whole list arrived.
-    pub fn record_complete(&mut self) {
-        self.phase = Phase::Complete;
+    /// Whether the places of cached prompts are still to be requested.
+    #[must_use]
+    pub const fn lacks_prefixes(&self) -> bool {
+        !self.has_prefixes
+    }
+
+    /// Records that a whole list arrived. Peers also send lists that were not requested, or
+    /// requested without the places of prompts.
+    pub fn record_complete(&mut self, from: SocketAddr) {
+        if let Phase::Asked { peer, .. } = self.phase
+            && peer == from
+        {
+            self.has_prefixes = true;
+        }
+        if self.has_prefixes {
+            self.phase = Phase::Complete;
+        }
     }
 
     /// Returns the peer to ask now, which counts as asked; `None` to wait. `linked` are the
--- a/crates/fleet/tests/state_request.rs
+++ b/crates/fleet/tests/state_request.rs
@@ -22,7 +22,7 @@
     assert_eq!(request.next_peer(&[], ask_at), None);
     assert_eq!(request.next_peer(&peers, ask_at), Some(address(1)));
     assert_eq!(request.next_peer(&peers, ask_at), None);
-    request.record_complete();
+    request.record_complete(address(1));
     let later = ask_at + Duration::from_mins(1);
     assert_eq!(request.next_peer(&peers, later), None);
 }
@@ -50,3 +50,22 @@
         now += Duration::from_secs(6);
     }
 }
+
+#[test]
+fn a_list_that_was_not_requested_does_not_replace_the_places_of_prompts() {
+    let now = Instant::now();
+    let peers = [1, 2].map(address);
+    let mut request = StateRequest::default();
+    request.record_missing(now);
+    request.record_complete(address(1));
+    assert!(request.lacks_prefixes());
+    assert_eq!(request.next_peer(&peers, now), Some(address(1)));
+    request.record_complete(address(2));
+    assert!(request.lacks_prefixes());
+    request.record_complete(address(1));
+    assert!(!request.lacks_prefixes());
+    // Later lists are all that is needed.
+    request.record_missing(now);
+    request.record_complete(address(2));
+    assert_eq!(request.next_peer(&peers, now), None);
+}
--- a/crates/node/tests/deployment/prompts.rs
+++ b/crates/node/tests/deployment/prompts.rs
@@ -1,6 +1,7 @@
 //! Routers that start learn where prompts are cached.
 
 use std::fs;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -53,3 +54,47 @@
         assert_eq!(log.matches("cached=true").count(), PROMPTS.len(), "{name}");
     }
 }
+
+/// A router that heard of a newly cached prompt before it asked for the others never asked for
+/// them.
+#[test]
+fn a_router_that_starts_into_traffic_learns_the_prompts_that_were_sent_before() {
+    let mut deployment = Deployment::start(62);
+    deployment.configure("k1");
+    let target = Target::start(deployment.host(20), "t1", Behaviour::Answer);
+    deployment.report("t1", &target, "engine", "ready", 1);
+    deployment.wait_ready();
+    for prompt in PROMPTS {
+        eventually("a prompt is answered", || {
+            send_prompt(&deployment, 9, prompt, prompt)
+        });
+    }
+    thread::sleep(Duration::from_millis(500));
+    deployment.start_router_at(10, "router-10");
+    let done = AtomicBool::new(false);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            for number in 0x1000.. {
+                if done.load(Ordering::SeqCst) {
+                    return;
+                }
+                let prompt = format!("{number:x}");
+                send_prompt(&deployment, 9, &prompt, &prompt);
+                thread::sleep(Duration::from_millis(10));
+            }
+        });
+        deployment.wait_ready_at(10);
+        thread::sleep(Duration::from_secs(1));
+        for (index, prompt) in PROMPTS.iter().enumerate() {
+            assert!(send_prompt(&deployment, 10, prompt, &format!("10{index}")));
+        }
+        done.store(true, Ordering::SeqCst);
+    });
+    let log_path = deployment.folder.join("router-10.log");
+    eventually("the requests are logged", || {
+        let log = fs::read_to_string(&log_path).expect("a log");
+        log.matches("request ended").count() == PROMPTS.len()
+    });
+    let log = fs::read_to_string(&log_path).expect("a log");
+    assert_eq!(log.matches("cached=true").count(), PROMPTS.len());
+}
--- a/crates/node/tests/deployment/versions.rs
+++ b/crates/node/tests/deployment/versions.rs
@@ -83,7 +83,7 @@
 
 #[test]
 fn a_stream_that_a_router_resumes_keeps_the_software_version_that_began_it() {
-    let deployment = start(50);
+    let deployment = start(61);
     let breaking = engine(&deployment, 20, "t1", "v1", Behaviour::BreakOff);
     wait_ready(&deployment);
     let (mut caller, mut body) = begin(&deployment, "id-1", 1);
