Ask the target of an ended connection again only when no other is left

What callers saw: late answers while targets were dark or a router was cut off.

Cause: since a kept connection that ends no longer counts against its target, the retry went to the same target, which is often the one that is gone; a connection that timed out was taken for one that the target had closed as idle.

The target counts as tried again, and is asked a second time only if no other can be. A connection that timed out gives no second try. The test of a single target that closes kept connections still passes, three runs of three.

--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request at one target.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use bamboospur_dispatch::{LoadReport, Outcome};
@@ -404,12 +405,23 @@
         written: usize,
         reused: bool,
     ) -> AttemptEnd {
-        if reused && matches!(error, ClientError::Closed | ClientError::Io(_)) {
+        let ended = match error {
+            ClientError::Closed => true,
+            // A connection that timed out leads to a silent target.
+            ClientError::Io(error) => error.kind() != ErrorKind::TimedOut,
+            _ => false,
+        };
+        if reused && ended {
             let mut pool = self.job.router.pool.borrow_mut();
             pool.close_all(self.active.choice.address);
             return AttemptEnd::KeptConnectionEnded { sent: written > 0 };
         }
-        self.active.set_outcome(Outcome::Failed);
+        let timed_out = reused && matches!(error, ClientError::Io(_));
+        self.active.set_outcome(if timed_out {
+            Outcome::Neutral
+        } else {
+            Outcome::Failed
+        });
         if written == 0 {
             AttemptEnd::NotSent
         } else {
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -134,8 +134,10 @@
     pub history: AttemptHistory,
     pub rejections: Rejections,
     prompt: Vec<PromptPart>,
-    /// Names of the targets of earlier attempts that are not to be asked again.
+    /// Names of the targets of earlier attempts.
     tried: Vec<String>,
+    /// Those of them that are not to blame, to be asked again if no other target is left.
+    second_choices: Vec<String>,
     /// Last server error that a target answered; sent to the caller if no other target
     /// gives a better answer.
     failed_answer: Option<(ChosenTarget, Answer)>,
@@ -258,6 +260,7 @@
         }),
         rejections: Rejections::default(),
         tried: Vec::new(),
+        second_choices: Vec::new(),
         failed_answer: None,
     })
 }
@@ -272,8 +275,9 @@
             let active = ActiveAttempt::new(self.router, &self.service.name, choice.clone());
             let end = Attempt::new(self, active).run(responder).await;
             trace.record_attempt(&choice, &end);
-            if !matches!(end, AttemptEnd::KeptConnectionEnded { .. }) {
-                self.tried.push(choice.name.clone());
+            self.tried.push(choice.name.clone());
+            if matches!(end, AttemptEnd::KeptConnectionEnded { .. }) {
+                self.second_choices.push(choice.name.clone());
             }
             self.history.record(end.execution());
             match end {
@@ -329,7 +333,18 @@
         }
     }
 
-    fn choose(&self) -> Result<ChosenTarget, ChooseError> {
+    /// Chooses the target of the next attempt.
+    fn choose(&mut self) -> Result<ChosenTarget, ChooseError> {
+        let choice = self.choose_untried();
+        if choice.is_ok() || self.second_choices.is_empty() {
+            return choice;
+        }
+        let second_choices = std::mem::take(&mut self.second_choices);
+        self.tried.retain(|name| !second_choices.contains(name));
+        self.choose_untried()
+    }
+
+    fn choose_untried(&self) -> Result<ChosenTarget, ChooseError> {
         let request = DispatchRequest {
             service: &self.service.name,
             prompt: &self.prompt,
