Count a stream as reported once

Found in reading: a stream whose report could not be sent stayed in the list of reported ones, and was added again with each try, ten times a second while a router with two versions of a service has no link to a control instance. The list was kept and sent larger than needed, for 15 s at most; no origin was wrong.

What is put back is no longer counted as reported. The new test failed before.

--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -279,6 +279,11 @@
 
     /// Puts back streams that could not be reported.
     pub fn put_back(&mut self, begun: Vec<BegunStreams>, now: Instant) {
+        let put_back = |reported: &ReportedStream| {
+            let mut groups = begun.iter();
+            groups.any(|group| group.streams.contains(&reported.stream))
+        };
+        self.reported.retain(|reported| !put_back(reported));
         for BegunStreams { origin, streams } in begun {
             for stream in streams {
                 self.unreported.push_back(UnreportedStream {
--- a/crates/fleet/tests/stream_origins.rs
+++ b/crates/fleet/tests/stream_origins.rs
@@ -97,6 +97,21 @@
     assert_eq!(streams.reported_lately(much_later), second);
 }
 
+#[test]
+fn a_stream_that_could_not_be_reported_does_not_count_as_reported() {
+    let now = Instant::now();
+    let mut streams = OwnStreams::default();
+    streams.record(1, origin("chat", "v1"), false, now);
+    for _ in 0..3 {
+        let begun = streams.take_due(|_| true, now);
+        assert_eq!(begun[0].streams, [1]);
+        streams.put_back(begun, now);
+        assert!(streams.reported_lately(now).is_empty());
+    }
+    streams.take_due(|_| true, now);
+    assert_eq!(streams.reported_lately(now)[0].streams, [1]);
+}
+
 #[test]
 fn streams_are_reported_if_their_route_has_or_had_other_services() {
     let now = Instant::now();
