Log the prompt of a request whose answer broke off, and how it broke off

The log had one hash for all shared parts of a prompt, so that no common part could be seen, and the same word for a connection that the target ended and for bytes that are no answer. Attempts now end as broken-off or failed, with the time since the first event, and the line lists the parts. What happens to requests is unchanged.

--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt of a request at one target.
 
-use std::io::ErrorKind;
 use std::time::Duration;
 
 use bamboospur_dispatch::{LoadReport, Outcome};
@@ -76,6 +75,12 @@
         /// Whether a byte of the request was written.
         sent: bool,
     },
+    /// The target may have run the request, and ended the connection before its answer was
+    /// complete.
+    BrokenOff {
+        /// How long the target had been answering; `None` before the first event.
+        answering_for: Option<Duration>,
+    },
     /// The target may have run the request, and there is no complete answer.
     Failed,
     /// The deadline of the request passed.
@@ -95,6 +100,7 @@
             | Self::Relayed
             | Self::CallerGone
             | Self::Left
+            | Self::BrokenOff { .. }
             | Self::Failed
             | Self::Deadline => Execution::MayHaveRun,
         }
@@ -322,9 +328,15 @@
         let read = read_body(&mut connection);
         let body = match wait_or_abandon(self.job, self.first_result_deadline(), read).await {
             WaitResult::Done(Ok(body)) => body,
-            WaitResult::Done(Err(_)) => {
-                self.active.set_outcome(Outcome::Failed);
-                return AttemptEnd::Failed;
+            WaitResult::Done(Err(error)) => {
+                let end = if error.is_connection_end() {
+                    AttemptEnd::BrokenOff {
+                        answering_for: None,
+                    }
+                } else {
+                    AttemptEnd::Failed
+                };
+                return self.fail_with(end);
             }
             WaitResult::Abandoned => return self.fail_with(AttemptEnd::Left),
             WaitResult::Deadline => return self.fail_with(AttemptEnd::Deadline),
@@ -376,10 +388,11 @@
                 self.active.set_outcome(outcome);
                 AttemptEnd::CallerGone
             }
-            StreamEnd::Broken => {
-                self.active.set_outcome(Outcome::Failed);
-                AttemptEnd::Failed
+            StreamEnd::BrokenOff => {
+                let answering_for = forwarded.first_event_at.map(|at| at.elapsed());
+                self.fail_with(AttemptEnd::BrokenOff { answering_for })
             }
+            StreamEnd::Malformed => self.fail_with(AttemptEnd::Failed),
             StreamEnd::Abandoned => self.fail_with(AttemptEnd::Left),
             StreamEnd::Deadline => self.fail_with(AttemptEnd::Deadline),
         }
@@ -405,12 +418,7 @@
         written: usize,
         reused: bool,
     ) -> AttemptEnd {
-        let ended = match error {
-            ClientError::Closed => true,
-            // A connection that timed out leads to a silent target.
-            ClientError::Io(error) => error.kind() != ErrorKind::TimedOut,
-            _ => false,
-        };
+        let ended = error.is_connection_end();
         if reused && ended {
             let mut pool = self.job.router.pool.borrow_mut();
             pool.close_all(self.active.choice.address);
@@ -424,6 +432,10 @@
         });
         if written == 0 {
             AttemptEnd::NotSent
+        } else if ended {
+            AttemptEnd::BrokenOff {
+                answering_for: None,
+            }
         } else {
             AttemptEnd::Failed
         }
--- a/crates/fleet/src/router/event_stream.rs
+++ b/crates/fleet/src/router/event_stream.rs
@@ -56,8 +56,10 @@
     Complete,
     /// The caller closed its connection.
     CallerGone,
-    /// The target's stream broke before its end or is malformed.
-    Broken,
+    /// The connection ended before the stream did.
+    BrokenOff,
+    /// The target's stream is malformed.
+    Malformed,
     /// The attempt was abandoned because the target sent no event in time; its retry is
     /// already taken from the retry budget.
     Abandoned,
@@ -128,7 +130,7 @@
                 Err(end) => return end,
             }
             if self.splitter.is_overlong() {
-                return StreamEnd::Broken;
+                return StreamEnd::Malformed;
             }
         }
     }
@@ -151,7 +153,8 @@
         }
         match chunk {
             Ok(Ok(chunk)) => Ok(chunk),
-            Ok(Err(_)) => Err(StreamEnd::Broken),
+            Ok(Err(error)) if error.is_connection_end() => Err(StreamEnd::BrokenOff),
+            Ok(Err(_)) => Err(StreamEnd::Malformed),
             Err(_) => Err(StreamEnd::Deadline),
         }
     }
@@ -198,7 +201,7 @@
 
     async fn finish(&mut self) -> StreamEnd {
         if self.splitter.has_partial() {
-            return StreamEnd::Broken;
+            return StreamEnd::BrokenOff;
         }
         if let Err(end) = self.send_head().await {
             return end;
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -51,6 +51,8 @@
     resumes: String,
     last_event_id: Option<u64>,
     attempts: Vec<String>,
+    /// Parts of the prompt, if an answer broke off; otherwise empty.
+    prompt: String,
     pub detail: String,
 }
 
@@ -70,12 +72,13 @@
             resumes: String::new(),
             last_event_id: None,
             attempts: Vec::new(),
+            prompt: String::new(),
             detail: String::new(),
         }
     }
 
     /// Adds an attempt to the log line.
-    fn record_attempt(&mut self, choice: &ChosenTarget, end: &AttemptEnd) {
+    fn record_attempt(&mut self, choice: &ChosenTarget, end: &AttemptEnd, prompt: &[PromptPart]) {
         let ChosenTarget {
             name,
             software,
@@ -92,7 +95,20 @@
             "{name} software={software} rank={rank} load={load:.1} bound={bound:.1} \
              cached={is_cached} copied={copied} prefix={prefix_hash:016x} {end}"
         );
-        self.attempts.push(text);
+        let answering = match end {
+            AttemptEnd::BrokenOff {
+                answering_for: Some(time),
+            } => format!(" answering_ms={}", time.as_millis()),
+            _ => String::new(),
+        };
+        self.attempts.push(text + &answering);
+        if matches!(
+            end,
+            AttemptEnd::BrokenOff { .. } | AttemptEnd::KeptConnectionEnded { sent: true }
+        ) {
+            let parts = prompt.iter().map(|part| format!("{:x}", part.hash));
+            self.prompt = parts.collect::<Vec<_>>().join(",");
+        }
     }
 
     /// Logs the end of the request.
@@ -106,6 +122,7 @@
             resumes = self.resumes,
             last_event_id = self.last_event_id,
             attempts = ?self.attempts,
+            prompt = self.prompt,
             detail = self.detail,
             result = %code,
             number = code.number(),
@@ -274,7 +291,7 @@
             };
             let active = ActiveAttempt::new(self.router, &self.service.name, choice.clone());
             let end = Attempt::new(self, active).run(responder).await;
-            trace.record_attempt(&choice, &end);
+            trace.record_attempt(&choice, &end, &self.prompt);
             self.tried.push(choice.name.clone());
             if matches!(end, AttemptEnd::KeptConnectionEnded { .. }) {
                 self.second_choices.push(choice.name.clone());
@@ -311,6 +328,7 @@
                 | AttemptEnd::Left
                 | AttemptEnd::KeptConnectionEnded { .. }
                 | AttemptEnd::NotRun
+                | AttemptEnd::BrokenOff { .. }
                 | AttemptEnd::Failed) => {
                     if !self.may_retry(failed.needs_no_retry()) {
                         return self
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -47,6 +47,19 @@
     }
 }
 
+impl ClientError {
+    /// Whether the target ended the connection, as it does when its process ends. Bytes that
+    /// are no answer and a silent connection are other failures.
+    #[must_use]
+    pub fn is_connection_end(&self) -> bool {
+        match self {
+            Self::Closed | Self::Body(BodyError::Truncated) => true,
+            Self::Io(error) => error.kind() != ErrorKind::TimedOut,
+            Self::Connect(_) | Self::InvalidResponse | Self::Body(_) => false,
+        }
+    }
+}
+
 impl From<HeadError> for ClientError {
     fn from(_: HeadError) -> Self {
         Self::InvalidResponse
