--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -2,6 +2,8 @@
 
 mod caller;
 mod callers;
+mod crashing;
+mod crashing_engine;
 mod harness;
 mod prompts;
 mod proxy;
