Send requests to the process that took over an ended target's address

Cause: of two targets at one address the later start owned it, and targets that state no start tied, so the first name did; half of the engines that came back were hidden until their predecessors counted as silent. Each router also asked the ended target again. Change: among equal starts the last one to report ready owns the address, lists of all targets keep that order, and a 421 makes a router give the address to the successor, or pause the target for 3 s if there is none yet.

--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -299,7 +299,10 @@
     ) -> AttemptEnd {
         let misdirected = verdict == ResponseVerdict::NotRunMisdirected;
         let end = if misdirected {
-            self.active.set_outcome(Outcome::Failed);
+            let service = &self.job.service.name;
+            self.job
+                .router
+                .record_replaced(service, &self.active.choice);
             AttemptEnd::NotRun
         } else {
             // A target that asks for no requests would reject any, not just this one.
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -36,6 +36,10 @@
 /// reserved for closed connections whose close the target has not noticed yet.
 const ROUTER_CONNECTION_FRACTION: f64 = 0.9;
 
+/// Time for which a target gets no requests after another process answered at its address.
+/// Meanwhile that process reports, or the target counts as silent.
+const REPLACED_PAUSE: std::time::Duration = std::time::Duration::from_secs(3);
+
 /// With more known targets than this, newly ready targets are applied in batches.
 const MAX_IMMEDIATE_UPDATE_TARGETS: usize = 200;
 
@@ -284,6 +288,27 @@
         }
     }
 
+    /// Records that another process answered at the address of a target, which has probably
+    /// ended.
+    pub fn record_replaced(&self, service: &str, choice: &ChosenTarget) {
+        let now = Instant::now();
+        info!(
+            target_name = choice.name,
+            address = %choice.address,
+            "another process answers at the address of a target; avoiding the target"
+        );
+        let has_successor = self
+            .registry
+            .borrow_mut()
+            .disown(&choice.name, choice.start, now);
+        if has_successor {
+            self.update_targets(now);
+        } else {
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            dispatcher.record_rejection(service, choice, REPLACED_PAUSE, now);
+        }
+    }
+
     /// Removes and returns the targets that said in answers that they leave.
     pub fn take_leaving(&self) -> Vec<Announcement> {
         self.leaving.take()
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -42,6 +42,8 @@
 #[derive(Clone, Debug)]
 struct Entry {
     newest: Announcement,
+    /// Number of the last merge that said that the target is ready; 0 without one.
+    ready_order: u64,
     silent_at: Instant,
     forget_at: Instant,
 }
@@ -51,6 +53,8 @@
 pub struct Registry {
     settings: RegistrySettings,
     entries: BTreeMap<TargetName, Entry>,
+    /// Number of merges so far.
+    merges: u64,
 }
 
 impl Registry {
@@ -60,12 +64,19 @@
         Self {
             settings,
             entries: BTreeMap::new(),
+            merges: 0,
         }
     }
 
     /// Stores an announcement unless one at least as new is known.
     pub fn merge(&mut self, announcement: Announcement, now: Instant) -> Merge {
-        let entry = Entry {
+        self.merges += 1;
+        let mut entry = Entry {
+            ready_order: if announcement.phase == Phase::Ready {
+                self.merges
+            } else {
+                0
+            },
             silent_at: now + self.settings.silence_timeout,
             forget_at: now + self.settings.retention,
             newest: announcement,
@@ -78,6 +89,7 @@
             return Merge::Stale;
         }
         let was_silent = known.newest.phase == Phase::Ready && now >= known.silent_at;
+        entry.ready_order = entry.ready_order.max(known.ready_order);
         let changed = was_silent || entry.newest.differs_for_routers(&known.newest);
         *known = entry;
         if changed {
@@ -161,18 +173,21 @@
     /// Returns the targets that accept new requests, sorted by name.
     ///
     /// If several targets announce one address, the one with the latest start owns
-    /// it: a late announcement of an earlier owner does not make that owner usable.
+    /// it: a late announcement of an earlier owner does not make that owner usable. Among
+    /// equal starts, as of targets that state none, the last one to announce that it is ready
+    /// owns the address.
     #[must_use]
     pub fn usable(&self, now: Instant) -> Vec<&Announcement> {
-        let mut owners: BTreeMap<SocketAddr, &Announcement> = BTreeMap::new();
-        let live = self.entries.values().filter(|e| now < e.silent_at);
-        for newest in live.map(|e| &e.newest) {
-            let owner = owners.entry(newest.address).or_insert(newest);
-            if newest.start > owner.start {
-                *owner = newest;
+        let mut owners: BTreeMap<SocketAddr, &Entry> = BTreeMap::new();
+        let rank = |entry: &Entry| (entry.newest.start, entry.ready_order);
+        for entry in self.entries.values().filter(|e| now < e.silent_at) {
+            let owner = owners.entry(entry.newest.address).or_insert(entry);
+            if rank(entry) > rank(owner) {
+                *owner = entry;
             }
         }
-        let mut usable: Vec<&Announcement> = owners.into_values().collect();
+        let owners = owners.into_values().map(|entry| &entry.newest);
+        let mut usable: Vec<&Announcement> = owners.collect();
         usable.retain(|a| a.phase == Phase::Ready);
         usable.sort_by(|a, b| a.name.cmp(&b.name));
         usable
@@ -215,6 +230,20 @@
         true
     }
 
+    /// Records that another process answers at the address of this start of a target: any
+    /// other target that announces the address owns it, until this one announces again that
+    /// it is ready. Returns whether there is another one.
+    pub fn disown(&mut self, name: &str, start: crate::StartTime, now: Instant) -> bool {
+        let known = self.entries.get_mut(name);
+        let Some(entry) = known.filter(|entry| entry.newest.start == start) else {
+            return false;
+        };
+        entry.ready_order = 0;
+        let address = entry.newest.address;
+        let mut live = self.entries.values().filter(|e| now < e.silent_at);
+        live.any(|e| e.newest.address == address && e.newest.name != name && e.ready_order > 0)
+    }
+
     /// Returns the ready targets that are silent.
     pub fn silent(&self, now: Instant) -> impl Iterator<Item = &Announcement> {
         let silent = self.entries.values().filter(move |e| now >= e.silent_at);
@@ -224,9 +253,12 @@
     }
 
     /// Returns the newest announcement of every known target, departed ones included,
-    /// for an instance that starts with an empty registry.
+    /// for an instance that starts with an empty registry. Merged in this order, they have
+    /// the same owners of addresses there.
     pub fn all(&self) -> impl Iterator<Item = &Announcement> {
-        self.entries.values().map(|e| &e.newest)
+        let mut entries: Vec<&Entry> = self.entries.values().collect();
+        entries.sort_by_key(|entry| entry.ready_order);
+        entries.into_iter().map(|entry| &entry.newest)
     }
 
     /// Returns the number of known targets, departed ones included.
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -49,6 +49,47 @@
     assert_eq!(usable(&registry, now), ["a"]);
 }
 
+/// Without start times, the first name in the order of names owned the address, so that half
+/// of the engines that had ended and started again got no requests for 6 s.
+#[test]
+fn the_last_target_that_is_ready_at_an_address_owns_it_if_no_start_is_stated() {
+    let now = Instant::now();
+    for (ended, successor) in [("a", "b"), ("b", "a")] {
+        let mut registry = Registry::default();
+        registry.merge(announcement(ended, 0, 7, Phase::Ready), now);
+        registry.merge(announcement(successor, 0, 1, Phase::Ready), now);
+        assert_eq!(usable(&registry, now), [successor]);
+        // A late word that the ended target leaves changes nothing.
+        registry.leave(ended, None, now);
+        assert_eq!(usable(&registry, now), [successor]);
+        let mut started = Registry::default();
+        for known in registry.all() {
+            started.merge(known.clone(), now);
+        }
+        assert_eq!(usable(&started, now), [successor]);
+    }
+}
+
+#[test]
+fn a_target_whose_address_another_process_answers_at_owns_it_again_after_a_report() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    registry.merge(announcement("b", 0, 1, Phase::Ready), now);
+    assert!(!registry.disown("b", StartTime(0), now));
+    assert_eq!(usable(&registry, now), ["b"]);
+    // A late report of a target that has ended.
+    registry.merge(announcement("a", 0, 7, Phase::Ready), now);
+    assert_eq!(usable(&registry, now), ["a"]);
+    assert!(!registry.disown("a", StartTime(1), now));
+    assert_eq!(usable(&registry, now), ["a"]);
+    registry.merge(announcement("b", 0, 2, Phase::Ready), now);
+    registry.merge(announcement("a", 0, 8, Phase::Ready), now);
+    assert!(registry.disown("a", StartTime(0), now));
+    assert_eq!(usable(&registry, now), ["b"]);
+    registry.merge(announcement("a", 0, 9, Phase::Ready), now);
+    assert_eq!(usable(&registry, now), ["a"]);
+}
+
 #[test]
 fn a_target_that_another_instance_hears_is_not_silent() {
     let now = Instant::now();
