Reject requests with a part that crashes the targets which begin to answer it

Callers saw: one kind of request ended one engine after the other, and all requests of the service were late, broken or refused while the engines started again. Cause: routers remembered nothing of what a target was processing when it ended. Each request with the part was placed, retried and repeated like any other, and no router alone sees enough to tell: it knows only its own requests there. Change: a router whose unanswered request broke off checks whether the target still accepts connections, and reports the parts of all such requests to every control instance. A part that was at three targets when they ended and was never answered (five if it was answered before the crashes, each answer starting the count anew) is blocked at all routers for ten minutes (one), and its requests get 503 with that time as Retry-After. Crashes that a blocked part explains count against no other, so parts shared with it stay in use. Routers and control instances that start learn the blocked parts. Ruled out: a block by first part, team or whole prefix (sound requests share them); a decision at each router (the crashes of one part spread over all).

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -12,7 +12,7 @@
 use crate::cache_map::{CacheId, PrefixHash};
 use crate::health::Health;
 use crate::load::Load;
-use crate::request::{ChooseError, ChosenTarget, DispatchRequest, PromptPart};
+use crate::request::{ChooseError, ChosenTarget, DispatchRequest, PromptPart, target_start_id};
 use crate::settings::DispatchSettings;
 
 /// Shortest time in which a pool without capacity is expected to have some again.
@@ -60,7 +60,7 @@
 
 /// Returns the identity of the cache of one start of a target.
 pub fn cache_id(announcement: &Announcement) -> CacheId {
-    mix64(stable_id(&announcement.name) ^ mix64(announcement.start.0))
+    target_start_id(&announcement.name, announcement.start)
 }
 
 #[derive(Clone, Debug, Default)]
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_registry::{SoftwareVersion, StartTime, TargetName};
+use bamboospur_types::{mix64, stable_id};
 
 /// Part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,6 +63,19 @@
     pub rank: usize,
 }
 
+impl ChosenTarget {
+    /// Returns the identity of this start of the target.
+    #[must_use]
+    pub fn start_id(&self) -> u64 {
+        target_start_id(&self.name, self.start)
+    }
+}
+
+/// Returns the identity of one start of a target.
+pub fn target_start_id(name: &str, start: StartTime) -> u64 {
+    mix64(stable_id(name) ^ mix64(start.0))
+}
+
 /// Why no target was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChooseError {
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -1,6 +1,7 @@
 //! Task that owns the state of a control instance.
 
 mod config;
+mod crashes;
 mod links;
 mod outbox;
 mod streams;
@@ -10,6 +11,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use bamboospur_crashes::{Hub, HubSettings};
 use bamboospur_group::{Group, GroupInput, GroupOutput, GroupSettings};
 use bamboospur_platform::settings::ProcessSettings;
 use bamboospur_registry::{Announcement, Registry, RegistrySettings, StartTime, TargetName};
@@ -82,6 +84,8 @@
     cached_prefixes: VecDeque<(u64, u64)>,
     /// Origins of the streams that routers reported.
     stream_origins: OriginTable,
+    /// Parts of prompts that crash targets.
+    crash_hub: Hub,
     counters: Counters,
     /// Addresses of control instances that were last sent to routers.
     sent_controls: Vec<SocketAddr>,
@@ -111,19 +115,13 @@
         let group_settings = group_settings(opened.id);
         let silence_timeout = settings.report_period * MAX_MISSED_REPORTS;
         info!(id = opened.id, founder = is_founder, "data folder opened");
-        let mut registry = Registry::new(RegistrySettings {
-            silence_timeout,
-            ..RegistrySettings::default()
-        });
         let soft = SoftState::decode(opened.soft);
         info!(
             targets = soft.targets.len(),
             prefixes = soft.prefixes.len(),
             "soft state loaded"
         );
-        for announcement in soft.targets {
-            registry.merge(announcement, now);
-        }
+        let registry = restore_registry(soft.targets, silence_timeout, now);
         Ok(Self {
             id: opened.id,
             group: Group::new(
@@ -151,6 +149,7 @@
             reported_silent: BTreeSet::new(),
             cached_prefixes: soft.prefixes.into(),
             stream_origins: OriginTable::default(),
+            crash_hub: Hub::new(HubSettings::default()),
             counters: Counters::default(),
             sent_controls: Vec::new(),
             loads: Loads::default(),
@@ -179,7 +178,8 @@
         let periodic = self.next_round_at.min(self.next_loads_at);
         let updates = (!self.pending_updates.is_empty()).then_some(self.next_updates_at);
         let deadline = self.group.next_deadline().min(periodic);
-        let optional = [updates, self.outbox.next_at()];
+        let blocks = self.crash_hub.next_deadline(Instant::now());
+        let optional = [updates, blocks, self.outbox.next_at()];
         optional.into_iter().flatten().fold(deadline, Instant::min)
     }
 
@@ -191,6 +191,7 @@
         if now >= self.next_updates_at {
             self.send_updates(now);
         }
+        self.block_parts(now);
         if now >= self.next_loads_at {
             let entries = self.exchange_loads(now);
             self.next_loads_at = now + loads_interval(entries);
@@ -206,6 +207,7 @@
         self.peers.remove_silent(now);
         self.registry.remove_expired(now);
         self.stream_origins.remove_expired(now);
+        self.crash_hub.remove_expired(now);
         let announcements: Vec<Announcement> = std::mem::take(&mut self.unsent_to_peers)
             .into_values()
             .collect();
@@ -278,6 +280,7 @@
             relays: self.fanout.relay_links().count(),
             bulk_waiting: self.outbox.waiting(),
             streams: self.stream_origins.len(),
+            blocked_parts: self.crash_hub.blocked_count(now),
         })
     }
 
@@ -338,6 +341,21 @@
     }
 }
 
+fn restore_registry(
+    announcements: Vec<Announcement>,
+    silence_timeout: Duration,
+    now: Instant,
+) -> Registry {
+    let mut registry = Registry::new(RegistrySettings {
+        silence_timeout,
+        ..RegistrySettings::default()
+    });
+    for announcement in announcements {
+        registry.merge(announcement, now);
+    }
+    registry
+}
+
 /// Returns the settings of the group. On a narrow network link a heartbeat can wait for
 /// some hundred milliseconds behind a read or a change of a large configuration, which is
 /// no reason to replace the leader.
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -142,6 +142,7 @@
     /// Sends the current state to a router, or the relays that it receives the state from.
     fn send_initial_state(&mut self, link: LinkId, now: Instant) {
         self.send_to_link(link, &Frame::Controls(self.peers.recent_addresses(now)));
+        self.send_crash_state(link, now);
         if !self.fanout.has_relays() {
             self.outbox.request_state(link, false);
             return;
@@ -192,9 +193,8 @@
             }
             Frame::Ask(asked) => self.handle_ask(link, asked, now),
             Frame::Controls(addresses) => {
-                for address in addresses {
-                    self.peers.add_address(address);
-                }
+                let addresses = addresses.into_iter();
+                addresses.for_each(|address| self.peers.add_address(address));
             }
             Frame::Put { .. }
             | Frame::PutDone { .. }
@@ -202,6 +202,7 @@
             | Frame::GetDone { .. } => {
                 self.handle_operator_frame(hello.id, frame, now);
             }
+            Frame::Crashes(message) => self.handle_crash_message(message, now),
             Frame::StreamsBegun(_) | Frame::FindStream { .. } => {
                 self.handle_stream_frame(link, frame, now);
             }
--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -4,6 +4,7 @@
 
 use bamboospur_agreement::Message;
 use bamboospur_catalog::ServiceName;
+use bamboospur_crashes::CrashMessage;
 use bamboospur_group::{Change, Document, DocumentVersion};
 use bamboospur_registry::{Announcement, StartTime, TargetName};
 use bamboospur_types::InstanceId;
@@ -200,4 +201,7 @@
         /// Newest configuration, or `None` when the leader could not confirm it.
         document: Option<Document>,
     },
+    /// Message between a router and the control instances about parts of prompts that crash
+    /// targets.
+    Crashes(CrashMessage),
 }
--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -44,6 +44,11 @@
 }
 
 impl Answer {
+    /// Whether the status says that the request succeeded.
+    pub const fn is_success(&self) -> bool {
+        matches!(self.head.status, 200..=299)
+    }
+
     /// Whether the status is a server error.
     pub const fn is_failure(&self) -> bool {
         self.head.status >= 500
@@ -146,6 +151,7 @@
             Ok(connected) => connected,
             Err(end) => return end,
         };
+        self.active.set_connected();
         self.job
             .router
             .metrics
--- a/crates/fleet/src/router/event_stream.rs
+++ b/crates/fleet/src/router/event_stream.rs
@@ -11,6 +11,7 @@
 use bamboospur_http1::{EventSplitter, Framing, ResponseHead};
 use tokio::time::{Instant, timeout_at};
 
+use super::crashes::SOUND_AFTER;
 use super::forward::Job;
 
 /// Part of an event stream that the caller has received.
@@ -96,6 +97,7 @@
         responder,
         splitter: EventSplitter::default(),
         first_event_at: None,
+        is_sound: false,
     };
     let end = forwarder.run(first_event_by, event_gap_timeout).await;
     StreamResult {
@@ -110,6 +112,9 @@
     responder: &'a mut Responder<'r>,
     splitter: EventSplitter,
     first_event_at: Option<Instant>,
+    /// Whether the target has been answering for long enough to show that the request does
+    /// not crash it.
+    is_sound: bool,
 }
 
 impl StreamForwarder<'_, '_, '_> {
@@ -171,8 +176,12 @@
                 self.job.progress.last_event_id = event.id.or(self.job.progress.last_event_id);
             }
         }
-        if count > 0 && self.first_event_at.is_none() {
-            self.first_event_at = Some(Instant::now());
+        if count > 0 {
+            let first_event_at = *self.first_event_at.get_or_insert_with(Instant::now);
+            if !self.is_sound && first_event_at.elapsed() >= SOUND_AFTER {
+                self.is_sound = true;
+                self.job.record_answer();
+            }
         }
         if !out.is_empty() {
             self.job.begin_stream(self.source.software);
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -178,6 +178,7 @@
                     self.handle_origin_timeouts();
                 }
                 () = router.stream_began.notified() => self.report_begun_streams(),
+                () = router.crashes.pending.notified() => self.send_crash_messages(),
                 _ = query.tick() => {
                     self.config_requests.forget_lacking();
                     self.request_config_if_behind();
--- a/crates/fleet/src/router/follow/links.rs
+++ b/crates/fleet/src/router/follow/links.rs
@@ -137,6 +137,10 @@
                         // Other instances have the streams as well.
                         let _sent = followed.link.send(Frame::StreamsBegun(streams));
                     }
+                    for message in self.router.crashes.state(Instant::now()) {
+                        // Other routers tell the instance as well.
+                        let _sent = followed.link.send(Frame::Crashes(message));
+                    }
                 }
                 let is_follower = !self.is_relay && !self.named_relays.is_empty();
                 if !is_follower && count_up(&self.controls) == 1 {
--- a/crates/fleet/src/router/follow/receive.rs
+++ b/crates/fleet/src/router/follow/receive.rs
@@ -31,6 +31,7 @@
                     .apply_load_totals(&totals, Instant::now());
             }
             Frame::Config(change) => self.handle_config(&change),
+            Frame::Crashes(message) => self.router.crashes.handle(&message, Instant::now()),
             _ => {}
         }
     }
--- a/crates/fleet/src/router/follow/send.rs
+++ b/crates/fleet/src/router/follow/send.rs
@@ -93,6 +93,17 @@
         }
     }
 
+    /// Sends what was noticed of crashes to all control instances: each decides for itself, so
+    /// that the loss of one delays no decision.
+    pub(super) fn send_crash_messages(&self) {
+        for message in self.router.crashes.take_pending() {
+            for control in self.controls.values() {
+                // What an instance misses, later crashes and the other instances make up for.
+                let _sent = control.link.send(Frame::Crashes(message.clone()));
+            }
+        }
+    }
+
     /// Tells a control instance, and through it the other routers, which targets said in
     /// answers that they leave.
     pub(super) fn report_leaving_targets(&self) {
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -16,6 +16,7 @@
 use super::admit::{Admitted, admit};
 use super::attempt::{Answer, Attempt, AttemptEnd};
 use super::attempt_history::{AttemptHistory, AttemptLimits};
+use super::crashes::{SOUND_AFTER, check_target};
 use super::event_stream::StreamProgress;
 use super::rejections::Rejections;
 use super::state::{ActiveAttempt, Router};
@@ -39,6 +40,9 @@
 const UNKNOWN_ORIGIN: &str =
     "the origin of the resumed stream is not known, or its service is not on the route";
 
+/// Detail of the log line of a request with a part that crashes targets.
+const BLOCKED_PART: &str = "a part of the prompt has crashed several targets";
+
 /// Data of a request for its log line.
 #[derive(Debug)]
 pub struct Trace {
@@ -178,6 +182,25 @@
         self.origin = Some(origin);
     }
 
+    /// Records that a target answered the request, or has been answering for long.
+    pub fn record_answer(&self) {
+        self.router.crashes.record_answer(&self.prompt);
+    }
+
+    /// Checks whether a target has ended that processed the request and did not answer it.
+    fn check_target(&self, choice: &ChosenTarget, end: &AttemptEnd) {
+        let was_unanswered = match end {
+            AttemptEnd::BrokenOff { answering_for } => {
+                answering_for.is_none_or(|time| time < SOUND_AFTER)
+            }
+            AttemptEnd::KeptConnectionEnded { sent } => *sent,
+            _ => false,
+        };
+        if was_unanswered {
+            check_target(self.router, choice, &self.prompt);
+        }
+    }
+
     fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -285,20 +308,18 @@
 impl Job<'_> {
     async fn run(&mut self, responder: &mut Responder<'_>, trace: &mut Trace) -> ResultCode {
         loop {
+            if let Some(until) = self.router.crashes.blocked_until(&self.prompt) {
+                return self.reject_blocked(until, responder, trace).await;
+            }
             let choice = match self.choose() {
                 Ok(choice) => choice,
                 Err(no_choice) => return self.refuse_without_target(no_choice, responder).await,
             };
-            let active = ActiveAttempt::new(self.router, &self.service.name, choice.clone());
-            let end = Attempt::new(self, active).run(responder).await;
-            trace.record_attempt(&choice, &end, &self.prompt);
-            self.tried.push(choice.name.clone());
-            if matches!(end, AttemptEnd::KeptConnectionEnded { .. }) {
-                self.second_choices.push(choice.name.clone());
-            }
-            self.history.record(end.execution());
-            match end {
-                AttemptEnd::Relayed => return ResultCode::Ok,
+            match self.attempt(&choice, responder, trace).await {
+                AttemptEnd::Relayed => {
+                    self.record_answer();
+                    return ResultCode::Ok;
+                }
                 AttemptEnd::CallerGone => return ResultCode::CallerGone,
                 AttemptEnd::Deadline => {
                     return self
@@ -307,6 +328,9 @@
                 }
                 AttemptEnd::Whole(answer) if !answer.is_failure() => {
                     self.record_failed_answer();
+                    if answer.is_success() {
+                        self.record_answer();
+                    }
                     return deliver(responder, &answer).await;
                 }
                 AttemptEnd::Whole(answer) => {
@@ -340,6 +364,43 @@
         }
     }
 
+    /// Makes one attempt and records how it ended.
+    async fn attempt(
+        &mut self,
+        choice: &ChosenTarget,
+        responder: &mut Responder<'_>,
+        trace: &mut Trace,
+    ) -> AttemptEnd {
+        let active = ActiveAttempt::new(self.router, &self.service.name, choice.clone());
+        let end = Attempt::new(self, active).run(responder).await;
+        trace.record_attempt(choice, &end, &self.prompt);
+        self.tried.push(choice.name.clone());
+        if matches!(end, AttemptEnd::KeptConnectionEnded { .. }) {
+            self.second_choices.push(choice.name.clone());
+        }
+        self.history.record(end.execution());
+        self.check_target(choice, &end);
+        end
+    }
+
+    /// Rejects the request because one of its parts crashes targets. Nothing is known to
+    /// change before the block ends, so the caller is told to return then.
+    async fn reject_blocked(
+        &mut self,
+        until: std::time::Instant,
+        responder: &mut Responder<'_>,
+        trace: &mut Trace,
+    ) -> ResultCode {
+        BLOCKED_PART.clone_into(&mut trace.detail);
+        if !self.history.proves_not_run() || self.progress.has_begun() {
+            return self
+                .answer_failure(ResultCode::TargetFailed, responder)
+                .await;
+        }
+        let pause = until.saturating_duration_since(std::time::Instant::now());
+        refuse(responder, ResultCode::CrashesTargets, Some(pause)).await
+    }
+
     /// Counts the last server error against the target that answered with it. Called
     /// when another target served the request: an error that every target returns is
     /// caused by the request.
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -21,6 +21,7 @@
 mod attempt;
 mod attempt_history;
 mod config_requests;
+mod crashes;
 mod event_stream;
 mod follow;
 mod followers;
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 use tracing::info;
 
+use super::crashes::{Connected, Crashes};
 use super::lease::Lease;
 use super::metrics::Metrics;
 use super::pool::Pool;
@@ -78,6 +79,7 @@
     /// Notified when a stream has begun.
     pub stream_began: Notify,
     origin_queries: mpsc::Sender<OriginQuery>,
+    pub crashes: Crashes,
     /// Number of routers that the leader last stated.
     routers: Cell<u32>,
     /// Targets that said in answers that they leave, to report to a control instance.
@@ -121,6 +123,7 @@
             own_streams: RefCell::default(),
             stream_began: Notify::new(),
             origin_queries,
+            crashes: Crashes::default(),
             routers: Cell::new(1),
             leaving: RefCell::default(),
             has_pending_targets: Cell::new(false),
@@ -503,6 +506,7 @@
     service: String,
     pub choice: ChosenTarget,
     outcome: Outcome,
+    connected: Option<Connected>,
 }
 
 impl ActiveAttempt {
@@ -513,9 +517,15 @@
             service: service.to_owned(),
             choice,
             outcome: Outcome::Neutral,
+            connected: None,
         }
     }
 
+    /// Records that the attempt has a connection to the target.
+    pub fn set_connected(&mut self) {
+        self.connected = Some(Crashes::connect(&self.router, &self.choice));
+    }
+
     /// Sets the outcome that is recorded for the target when the attempt ends.
     pub fn set_outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/crates/node/tests/deployment/crashing.rs
+++ b/crates/node/tests/deployment/crashing.rs
@@ -191,6 +191,43 @@
     assert!(head.contains("Retry-After: "), "{head}");
 }
 
+/// Routers that start, and control instances that lose their memory, would have to see more
+/// engines end.
+#[test]
+fn routers_and_control_instances_that_start_learn_which_requests_crash_engines() {
+    let mut scene = Scene::start(72);
+    let done = AtomicBool::new(false);
+    thread::scope(|scope| {
+        scope.spawn(|| scene.send_crashing(&done));
+        thread::sleep(Duration::from_secs(3));
+        done.store(true, Ordering::SeqCst);
+    });
+    let crashes = scene.crashes().len();
+    assert!((3..=COUNTED_CRASHES).contains(&crashes), "{crashes}");
+    scene.deployment.start_router_at(12, "router-12");
+    scene.deployment.wait_ready_at(12);
+    let is_rejected = |scene: &Scene, router: u8| {
+        let text = prompt_text(&format!("{CRASHING_PART}:200,f0{router}:50"), "id-1");
+        let reply = call(scene.deployment.address(router, CALLER_PORT), &text).expect("a reply");
+        reply.status == 503 && reply.body.contains("crashes-targets")
+    };
+    assert!(is_rejected(&scene, 12));
+    for control in 1..=3 {
+        scene.deployment.kill(&format!("control-{control}"));
+    }
+    for control in 1..=3 {
+        scene.deployment.start_control(control, false);
+    }
+    thread::sleep(SPREAD_TIME);
+    scene.deployment.start_router_at(13, "router-13");
+    scene.deployment.wait_ready_at(13);
+    assert!(is_rejected(&scene, 13));
+    eventually("sound requests are served", || {
+        scene.send(13, "a1:400,ffff:10", "id-2")
+    });
+    assert_eq!(scene.crashes().len(), crashes);
+}
+
 /// Engines that end one after the other, or several at once, under requests that share parts
 /// with all others: no part is to blame.
 #[test]
--- a/crates/types/src/result_code.rs
+++ b/crates/types/src/result_code.rs
@@ -79,6 +79,8 @@
     NoTarget = 500,
     /// Every target of the pool is at its load bound.
     Overloaded = 501,
+    /// A part of the request has crashed several targets; it is sent to no other.
+    CrashesTargets = 502,
 
     /// No target could be connected to.
     ConnectFailed = 600,
@@ -158,6 +160,7 @@
             | Self::KeyReused
             | Self::NoTarget
             | Self::Overloaded
+            | Self::CrashesTargets
             | Self::ConnectFailed
             | Self::TargetRefused
             | Self::RetryBudgetSpent
@@ -198,6 +201,7 @@
             | Self::NoQuorum
             | Self::NoTarget
             | Self::Overloaded
+            | Self::CrashesTargets
             | Self::ConnectFailed
             | Self::TargetRefused
             | Self::RetryBudgetSpent
