--- a/crates/node/tests/support/heartbeat.rs
+++ b/crates/node/tests/support/heartbeat.rs
@@ -12,6 +12,7 @@
 pub struct Heartbeat {
     operators: SocketAddr,
     name: String,
+    incarnation: Value,
     shared: Arc<Shared>,
 }
 
@@ -26,19 +27,22 @@
         let name = record["name"].as_str().expect("name").to_owned();
         let shared = Arc::new(Shared::default());
         let thread_shared = Arc::clone(&shared);
-        let own_name = name.clone();
+        let incarnation = record["incarnation"].clone();
+        let (own_name, own_incarnation) = (name.clone(), incarnation.clone());
         thread::spawn(move || {
             post(operators, "/targets/announce", &record);
             let mut sequence = 0;
             while !thread_shared.stop.load(Ordering::Relaxed) {
                 sequence += 1;
-                send_heartbeat(operators, &own_name, sequence, &thread_shared);
+                let own = (own_name.as_str(), &own_incarnation);
+                send_heartbeat(operators, own, sequence, &thread_shared);
                 thread::sleep(Duration::from_millis(100));
             }
         });
         Self {
             operators,
             name,
+            incarnation,
             shared,
         }
     }
@@ -50,7 +54,7 @@
     /// Stops the heartbeats and removes the target from the node.
     pub fn leave(&self) {
         self.shared.stop.store(true, Ordering::Relaxed);
-        let body = json!({"name": self.name, "incarnation": 1});
+        let body = json!({"name": self.name, "incarnation": self.incarnation});
         post(self.operators, "/targets/leave", &body);
     }
 }
@@ -61,11 +65,16 @@
     }
 }
 
-fn send_heartbeat(operators: SocketAddr, name: &str, sequence: u64, shared: &Shared) {
+fn send_heartbeat(
+    operators: SocketAddr,
+    (name, incarnation): (&str, &Value),
+    sequence: u64,
+    shared: &Shared,
+) {
     let draining = shared.draining.load(Ordering::Relaxed);
     let state = if draining { "draining" } else { "ready" };
     let body = json!({
-        "name": name, "incarnation": 1, "sequence": sequence,
+        "name": name, "incarnation": incarnation, "sequence": sequence,
         "load_tokens": 0, "load_requests": 0, "state": state,
     });
     post(operators, "/targets/heartbeat", &body);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -8,11 +8,13 @@
 )]
 
 mod caller;
+mod crashing;
 mod heartbeat;
 mod node;
 mod target;
 
-pub use caller::{Answer, Caller, read_answer};
+pub use caller::{Answer, Caller, chat_body, read_answer};
+pub use crashing::{CRASHING_MESSAGE, CrashRecords, CrashingEngine};
 pub use heartbeat::Heartbeat;
 pub use node::{Node, test_folder};
 pub use target::{Target, TargetAction};
