Let timers and other tasks run while a peer sends faster than its bytes are read

One target that sent informational responses without end stopped its router for good: no caller was answered, and the deadline of the request did not end the read. Cause: the socket is then always readable, and waiting for that never gives the thread to another task. Each read now takes part in the scheduler's budget.

--- a/crates/http1/src/io.rs
+++ b/crates/http1/src/io.rs
@@ -8,6 +8,7 @@
 
 use bytes::BytesMut;
 use tokio::net::TcpStream;
+use tokio::task::consume_budget;
 
 /// Buffer space reserved for one read.
 const READ_BYTES: usize = 4 * 1024;
@@ -20,6 +21,9 @@
 /// Returns the error of the socket.
 pub async fn read(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
     loop {
+        // A peer that sends faster than its bytes are read leaves the socket always readable,
+        // so that no timer and no other task of the thread would run.
+        consume_budget().await;
         stream.readable().await?;
         match try_read(stream, buffer) {
             Err(error) if error.kind() == ErrorKind::WouldBlock => {}
