Limit what is read from a target that sends no answer, and end at the deadline

Bytes without end were read at full speed: informational responses, the body of a rejection and of an answer to an earlier request; and comments or repeated events of a stream, which counted as progress. While the next bytes had always arrived already, the deadline of a stream never came: a time-out first asks for the data. Change: informational responses are counted; bodies that nobody needs are skipped up to a size and, for rejections, 100 ms; late answers fall under the wait for a first result; comments and events that the caller has are no progress, and at most 1 MiB of them follow each other; the deadline is checked between chunks. The same for what ends: a stream without events and without a length that ended with its connection reached its caller as a complete success; it is broken off now.

--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -28,6 +28,10 @@
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Most answers to earlier requests that are skipped on one connection.
 const MAX_LATE_ANSWERS: usize = 2;
+/// Size limit of the body of a rejection, which is read only to keep the connection.
+const MAX_REJECTION_BYTES: usize = 64 * 1024;
+/// Time limit for that body; the request goes to another target afterwards.
+const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 /// A repeatable request waits this multiple of its latency objective for a
 /// first result before it is retried on another target.
 const FIRST_RESULT_TIMEOUT_FACTOR: f64 = 2.0;
@@ -161,19 +165,16 @@
         let method = self.job.request.head.method.clone();
         let mut written = 0;
         let first_result_by = self.first_result_deadline();
-        let exchange = connection.exchange(&bytes, &method, &mut written);
-        let head = match wait_or_abandon(self.job, first_result_by, exchange).await {
-            WaitResult::Done(Ok(head)) => head,
+        let exchange = async {
+            let head = connection.exchange(&bytes, &method, &mut written).await?;
+            self.skip_late_answers(&mut connection, head, &method).await
+        };
+        let (head, verdict) = match wait_or_abandon(self.job, first_result_by, exchange).await {
+            WaitResult::Done(Ok(matched)) => matched,
             WaitResult::Done(Err(error)) => return self.connection_failed(&error, written, reused),
             WaitResult::Abandoned => return self.fail_with(AttemptEnd::Left),
             WaitResult::Deadline => return self.fail_with(AttemptEnd::Deadline),
         };
-        let matched = self.skip_late_answers(&mut connection, head, &method);
-        let (head, verdict) = match timeout_at(self.job.deadline, matched).await {
-            Ok(Ok(matched)) => matched,
-            Ok(Err(error)) => return self.connection_failed(&error, written, reused),
-            Err(_) => return self.fail_with(AttemptEnd::Deadline),
-        };
         self.record_wishes(&head, verdict);
         let load = self.record_load(&head);
         match verdict {
@@ -247,7 +248,9 @@
             if verdict != ResponseVerdict::RequestIdMismatch {
                 break;
             }
-            while connection.next_chunk().await?.is_some() {}
+            if !connection.skip_body(MAX_BODY_BYTES).await? {
+                return Err(ClientError::InvalidResponse);
+            }
             head = connection.next_head(method).await?;
             verdict = classify_response(&head, &self.job.metadata.id);
         }
@@ -294,7 +297,7 @@
     }
 
     /// Handles an answer that says that the target did not run the request. The
-    /// connection is kept if the body ends before the deadline, unless the request
+    /// connection is kept if the body is short and ends soon, unless the request
     /// reached a process other than the chosen target.
     async fn handle_refusal(
         mut self,
@@ -321,9 +324,12 @@
                 RejectionCause::Request => AttemptEnd::NotAcceptable,
             }
         };
-        let body = async { while matches!(connection.next_chunk().await, Ok(Some(_))) {} };
-        let ended = timeout_at(self.job.deadline, body).await.is_ok();
-        if ended && !misdirected {
+        let read_by = self
+            .job
+            .deadline
+            .min(Instant::now() + REJECTION_BODY_TIMEOUT);
+        let body = timeout_at(read_by, connection.skip_body(MAX_REJECTION_BYTES)).await;
+        if matches!(body, Ok(Ok(true))) && !misdirected {
             self.keep_connection(connection, head);
         }
         end
--- a/crates/fleet/src/router/event_stream.rs
+++ b/crates/fleet/src/router/event_stream.rs
@@ -14,6 +14,9 @@
 use super::crashes::SOUND_AFTER;
 use super::forward::Job;
 
+/// Most bytes of comments and of events that the caller has already between two new events.
+const MAX_BYTES_WITHOUT_EVENT: usize = 1024 * 1024;
+
 /// Part of an event stream that the caller has received.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamProgress {
@@ -97,6 +100,7 @@
         responder,
         splitter: EventSplitter::default(),
         first_event_at: None,
+        bytes_without_event: 0,
         is_sound: false,
     };
     let end = forwarder.run(first_event_by, event_gap_timeout).await;
@@ -112,6 +116,8 @@
     responder: &'a mut Responder<'r>,
     splitter: EventSplitter,
     first_event_at: Option<Instant>,
+    /// Bytes since the last event that the caller did not have.
+    bytes_without_event: usize,
     /// Whether the target has been answering for long enough to show that the request does
     /// not crash it.
     is_sound: bool,
@@ -128,13 +134,17 @@
             let Some(chunk) = chunk else {
                 return self.finish().await;
             };
+            // A time-out never fires while the next bytes have always arrived already.
+            if Instant::now() >= self.job.deadline {
+                return StreamEnd::Deadline;
+            }
             self.splitter.push(&chunk);
             match self.forward_events().await {
                 Ok(0) => {}
                 Ok(_) => event_by = Instant::now() + event_gap_timeout,
                 Err(end) => return end,
             }
-            if self.splitter.is_overlong() {
+            if self.splitter.is_overlong() || self.bytes_without_event > MAX_BYTES_WITHOUT_EVENT {
                 return StreamEnd::Malformed;
             }
         }
@@ -164,14 +174,22 @@
         }
     }
 
-    /// Forwards the complete events among the bytes read so far. Returns their number,
-    /// including those that the caller already has.
+    /// Forwards the complete events among the bytes read so far. Returns the number of those
+    /// that the caller did not have; comments are none.
     async fn forward_events(&mut self) -> Result<usize, StreamEnd> {
         let mut out = Vec::new();
         let mut count = 0;
         while let Some(event) = self.splitter.next_event() {
-            count += 1;
-            if self.job.progress.is_new(event.id) {
+            let is_new = self.job.progress.is_new(event.id);
+            if is_new && !event.is_comment {
+                count += 1;
+                self.bytes_without_event = 0;
+            } else {
+                self.bytes_without_event += event.bytes.len();
+            }
+            // A comment alone does not begin the answer, so that another target can still.
+            let is_forwarded = is_new && (!event.is_comment || self.job.progress.head_sent);
+            if is_forwarded {
                 out.extend_from_slice(&event.bytes);
                 self.job.progress.last_event_id = event.id.or(self.job.progress.last_event_id);
             }
@@ -209,7 +227,10 @@
     }
 
     async fn finish(&mut self) -> StreamEnd {
-        if self.splitter.has_partial() {
+        let has_ended_inside_event = self.splitter.has_partial();
+        // Such a stream ends like one whose target fails, so one without events is no answer.
+        let is_empty = !self.job.progress.head_sent && self.source.connection.ended_by_close();
+        if has_ended_inside_event || is_empty {
             return StreamEnd::BrokenOff;
         }
         if let Err(end) = self.send_head().await {
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -52,6 +52,8 @@
     ChunkEnd,
     Trailer,
     UntilClose,
+    /// The end of a body that ends with the connection.
+    Closed,
     Done,
 }
 
@@ -80,8 +82,14 @@
 
     /// Whether the whole body was decoded.
     #[must_use]
-    pub fn is_done(&self) -> bool {
-        self.state == DecoderState::Done
+    pub const fn is_done(&self) -> bool {
+        matches!(self.state, DecoderState::Done | DecoderState::Closed)
+    }
+
+    /// Whether the body ended only with the connection.
+    #[must_use]
+    pub const fn ended_by_close(&self) -> bool {
+        matches!(self.state, DecoderState::Closed)
     }
 
     /// Removes the next bytes of the body from the buffer. Returns `None` when the
@@ -94,7 +102,7 @@
     pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, BodyError> {
         loop {
             match self.state {
-                DecoderState::Done => return Ok(None),
+                DecoderState::Done | DecoderState::Closed => return Ok(None),
                 DecoderState::UntilClose => return Ok(take_up_to(buffer, u64::MAX)),
                 DecoderState::FixedLength(left) => {
                     let data = take_up_to(buffer, left);
@@ -157,9 +165,9 @@
     /// Fails when the body is not complete.
     pub fn end(&mut self) -> Result<(), BodyError> {
         match self.state {
-            DecoderState::Done => Ok(()),
+            DecoderState::Done | DecoderState::Closed => Ok(()),
             DecoderState::UntilClose => {
-                self.state = DecoderState::Done;
+                self.state = DecoderState::Closed;
                 Ok(())
             }
             _ => Err(BodyError::Truncated),
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -16,6 +16,8 @@
 
 /// Largest response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Most informational (1xx) responses before the final one.
+const MAX_INTERIM_RESPONSES: u32 = 8;
 
 quick_error! {
     /// Why an exchange failed.
@@ -35,7 +37,8 @@
         Closed {
             display("the target closed the connection before the response head was complete")
         }
-        /// The bytes are not an HTTP/1 response head, or the head is too large.
+        /// The bytes are not an HTTP/1 response head, the head is too large, or it follows
+        /// too many informational ones.
         InvalidResponse {
             display("the target sent bytes that are not an HTTP/1 response head, or a head that is too large")
         }
@@ -211,6 +214,29 @@
         }
     }
 
+    /// Reads the rest of a body that nobody needs, so that the connection can be reused.
+    /// Returns whether it was complete after at most `max_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`ClientConnection::next_chunk`] does.
+    pub async fn skip_body(&mut self, max_bytes: usize) -> Result<bool, ClientError> {
+        let mut skipped_bytes = 0;
+        while let Some(data) = self.next_chunk().await? {
+            skipped_bytes += data.len();
+            if skipped_bytes > max_bytes {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    /// Whether the body ended only with the connection, as one without length and chunks does.
+    #[must_use]
+    pub const fn ended_by_close(&self) -> bool {
+        self.body.ended_by_close()
+    }
+
     /// Whether the connection can be reused: the response is complete, no bytes
     /// follow it, and the target keeps the connection open.
     #[must_use]
@@ -225,6 +251,7 @@
 }
 
 async fn read_head(stream: &TcpStream, buffer: &mut BytesMut) -> Result<ResponseHead, ClientError> {
+    let mut interim_responses = 0;
     loop {
         match ResponseHead::parse(buffer)? {
             Some((head, length)) => {
@@ -233,6 +260,10 @@
                 if !(100..200).contains(&head.status) {
                     return Ok(head);
                 }
+                interim_responses += 1;
+                if interim_responses > MAX_INTERIM_RESPONSES {
+                    return Err(ClientError::InvalidResponse);
+                }
             }
             None if buffer.len() > MAX_HEAD_BYTES => return Err(ClientError::InvalidResponse),
             None => {
--- a/crates/http1/src/events.rs
+++ b/crates/http1/src/events.rs
@@ -13,6 +13,8 @@
     /// Number in the first `id` line; `None` when there is no such line or its value
     /// is not a number.
     pub id: Option<u64>,
+    /// Whether there are only comments, as targets send to keep connections alive.
+    pub is_comment: bool,
 }
 
 /// Splits a byte stream into events and buffers an incomplete one.
@@ -35,7 +37,12 @@
         let bytes = self.buffer.split_to(end).freeze();
         self.scanned = 0;
         let id = event_id(&bytes);
-        Some(Event { bytes, id })
+        let is_comment = is_comment(&bytes);
+        Some(Event {
+            bytes,
+            id,
+            is_comment,
+        })
     }
 
     /// Whether the buffer holds bytes of an incomplete event, once `next_event` has
@@ -75,6 +82,12 @@
     }
 }
 
+fn is_comment(event: &[u8]) -> bool {
+    let lines = event.split(|&byte| byte == b'\n');
+    let mut lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    lines.all(|line| line.is_empty() || line.starts_with(b":"))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|&byte| byte == b'\n');
     let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/node/tests/deployment/harness.rs
+++ b/crates/node/tests/deployment/harness.rs
@@ -260,7 +260,7 @@
         self.send_report(name, &body.replacen('{', &version, 1));
     }
 
-    fn send_report(&self, name: &str, body: &str) {
+    pub fn send_report(&self, name: &str, body: &str) {
         eventually("a report is taken", || {
             let path = format!("/replicas/{name}");
             (1..=5).any(|control| {
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod crashing;
 mod crashing_engine;
+mod endless;
 mod harness;
 mod prompts;
 mod proxy;
@@ -12,6 +13,7 @@
 mod soak;
 mod stream_soak;
 mod target;
+mod unframed;
 mod versions;
 
 use std::io::Write;
