Limit what is read from a target on the product's own interface

Informational responses, comments and repeated events without end were read until the deadline (256 MB of informational responses in 6 s). Bytes before the head, comments between events, and repetitions are limited now; a resumed stream repeats each event once at most. A resume also ends when the connection is refused: the process that had the stream is gone, and a new one at its address would run the request again. Evidence: seven forms in streams.rs, checked for the bytes that the target wrote; informational responses and repeated events failed before.

--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -231,3 +231,38 @@
         }
     }
 }
+
+/// Comments and repeated events without end were read at full speed until the deadline.
+#[test]
+fn bytes_without_end_that_are_no_answer_are_read_up_to_a_limit() {
+    const STREAM: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                          x-request-id: ID\r\n\r\n";
+    const REJECTED: &str = "HTTP/1.1 503 Full\r\nx-request-id: ID\r\nx-not-run: true\r\n\r\n";
+    /// For each of the attempts of a request: the largest body that is read, and the
+    /// buffers of a connection.
+    const MAX_BYTES: u64 = 3 * 24 * 1024 * 1024;
+    for (name, begin, repeated) in [
+        ("comments", STREAM, ": alive\n\n"),
+        ("an event", STREAM, "data: more\n"),
+        ("a repeated event", STREAM, "id: 1\ndata: t\n\n"),
+        ("interim heads", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("fields", "HTTP/1.1 200 OK\r\n", "x-field: value\r\n"),
+        ("no head", "", "\u{1}\u{2}bytes"),
+        ("a rejection", REJECTED, "body"),
+    ] {
+        let node = node();
+        let endless = TargetAction::Endless(begin, repeated);
+        let engine = node.add_engine(&[endless; 8]);
+        let sent_at = std::time::Instant::now();
+        let answer = node.caller().with_deadline_ms(6_000).stream_chat();
+        let took = sent_at.elapsed();
+        assert!(!answer.has_end_event(), "{name}: {answer:?}");
+        let bytes = engine.endless_bytes();
+        println!(
+            "{name}: {bytes} bytes in {took:?}, status {}",
+            answer.status
+        );
+        assert!(bytes <= MAX_BYTES, "{name}: {bytes} bytes");
+        assert!(took < Duration::from_secs(5), "{name}: {took:?}");
+    }
+}
--- a/crates/node/tests/support/target.rs
+++ b/crates/node/tests/support/target.rs
@@ -54,6 +54,9 @@
     Gone,
     /// Streams events until the connection breaks.
     EndlessStream,
+    /// Sends these parts again and again after a beginning, until the connection breaks.
+    /// `ID` in the beginning stands for the id of the request.
+    Endless(&'static str, &'static str),
 }
 
 /// A request as the target received it.
@@ -83,6 +86,7 @@
     requests: Mutex<Vec<ReceivedRequest>>,
     connections: Mutex<u64>,
     endless_events: Mutex<u64>,
+    endless_bytes: Mutex<u64>,
 }
 
 /// A running target that performs a list of actions, one for each request, and then
@@ -175,6 +179,11 @@
         *self.shared.endless_events.lock().expect("events")
     }
 
+    /// Returns the number of bytes that [`TargetAction::Endless`] wrote.
+    pub fn endless_bytes(&self) -> u64 {
+        *self.shared.endless_bytes.lock().expect("bytes")
+    }
+
     pub fn push_action(&self, action: TargetAction) {
         self.shared
             .actions
@@ -297,6 +306,13 @@
             wait_for_close(stream);
         }
         TargetAction::EndlessStream => write_endless(stream, id, shared),
+        TargetAction::Endless(begin, repeated) => {
+            write(stream, &begin.replace("ID", id));
+            let repeated = repeated.repeat(16 * 1024 / repeated.len());
+            while stream.write_all(repeated.as_bytes()).is_ok() {
+                *shared.endless_bytes.lock().expect("bytes") += repeated.len() as u64;
+            }
+        }
         _ => wait_for_close(stream),
     }
 }
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client for targets, with a connection pool.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -163,6 +164,7 @@
         };
     }
     match error {
+        Error::Io(error) if error.kind() == ErrorKind::ConnectionRefused => FailureKind::Refused,
         Error::Io(_) | Error::Timeout(_) => FailureKind::Connect,
         _ => FailureKind::BadCall,
     }
--- a/crates/upstream/src/event.rs
+++ b/crates/upstream/src/event.rs
@@ -33,6 +33,8 @@
     body: AnswerBody,
     pending: Vec<u8>,
     scanned_bytes: usize,
+    /// Bytes of blocks without data since the last event.
+    skipped_bytes: usize,
 }
 
 impl EventReader {
@@ -43,6 +45,7 @@
             body,
             pending: Vec::new(),
             scanned_bytes: 0,
+            skipped_bytes: 0,
         }
     }
 
@@ -51,13 +54,13 @@
     /// # Errors
     ///
     /// Fails when the body fails or ends before the `[DONE]` event, or when an event is
-    /// not UTF-8 or larger than 256 KiB.
+    /// not UTF-8 or larger than 256 KiB, comments before it included.
     pub fn next_event(&mut self) -> Result<Event, Failure> {
         loop {
             if let Some(event) = self.take_event()? {
                 return Ok(event);
             }
-            if self.pending.len() > MAX_EVENT_BYTES {
+            if self.pending.len() + self.skipped_bytes > MAX_EVENT_BYTES {
                 let detail = "an event is larger than the limit";
                 return Err(self.body.failure(FailureKind::Malformed, detail));
             }
@@ -94,8 +97,10 @@
                 return Err(self.body.failure(FailureKind::Malformed, detail));
             };
             if let Some(event) = parse_event(text) {
+                self.skipped_bytes = 0;
                 return Ok(Some(event));
             }
+            self.skipped_bytes += block.len();
         }
         Ok(None)
     }
--- a/crates/upstream/src/failure.rs
+++ b/crates/upstream/src/failure.rs
@@ -8,8 +8,10 @@
 pub enum FailureKind {
     /// The request is not valid HTTP.
     BadCall,
-    /// The connection was refused or could not be opened.
+    /// The connection could not be opened.
     Connect,
+    /// The connection was refused: no process accepts connections at the address.
+    Refused,
     /// The connection broke before the response head was complete.
     CutHead,
     /// The response body ended early or is invalid: the connection broke, the framing
@@ -38,7 +40,7 @@
     pub const fn description(self) -> &'static str {
         match self {
             Self::BadCall => "the request cannot be sent to the target",
-            Self::Connect => "no connection to the target could be opened",
+            Self::Connect | Self::Refused => "no connection to the target could be opened",
             Self::CutHead => "the connection to the target broke before its answer began",
             Self::CutBody => "the target's answer ended before its stated end",
             Self::Unframed => "the target's answer does not show its end",
--- a/crates/upstream/src/state.rs
+++ b/crates/upstream/src/state.rs
@@ -1,7 +1,7 @@
 //! Shared state of one call, and its cancellation.
 
 use std::net::{Shutdown, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -25,6 +25,8 @@
     sent: AtomicBool,
     reused: AtomicBool,
     head_received: AtomicBool,
+    /// Bytes that arrived before the head was complete.
+    head_bytes: AtomicUsize,
     /// Whether the response repeated the request id.
     reusable: AtomicBool,
     /// Whether the call finished with its socket without being cancelled.
@@ -41,6 +43,7 @@
             sent: AtomicBool::new(false),
             reused: AtomicBool::new(false),
             head_received: AtomicBool::new(false),
+            head_bytes: AtomicUsize::new(0),
             reusable: AtomicBool::new(false),
             completed: AtomicBool::new(false),
             timeout_cause: AtomicU8::new(TimeoutCause::None as u8),
@@ -60,6 +63,14 @@
         self.head_received.store(true, Ordering::Relaxed);
     }
 
+    /// Counts bytes that arrived; returns the number of those before the head was complete.
+    pub fn count_received(&self, bytes: usize) -> usize {
+        if self.head_received.load(Ordering::Relaxed) {
+            return 0;
+        }
+        self.head_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes
+    }
+
     /// Allows the connection to return to the pool after a complete response.
     pub fn allow_reuse(&self) {
         self.reusable.store(true, Ordering::Relaxed);
--- a/crates/upstream/src/stream.rs
+++ b/crates/upstream/src/stream.rs
@@ -28,6 +28,8 @@
     reader: EventReader,
     last_id: u64,
     resumes: u32,
+    /// Repeated events since the last new one or the last resume.
+    repeated_events: u64,
 }
 
 impl EventStream {
@@ -41,6 +43,7 @@
             reader: EventReader::new(answer.body),
             last_id: 0,
             resumes: 0,
+            repeated_events: 0,
         }
     }
 
@@ -87,8 +90,16 @@
             return Err(broken_stream("an event has no id"));
         };
         if id <= self.last_id {
+            self.repeated_events += 1;
+            // A target that begins anew repeats each event once.
+            if self.repeated_events > self.last_id {
+                return Err(broken_stream(
+                    "the stream repeats its events again and again",
+                ));
+            }
             return Ok(false);
         }
+        self.repeated_events = 0;
         if id != self.last_id + 1 {
             return Err(broken_stream("the stream skipped an event id"));
         }
@@ -106,6 +117,7 @@
             match self.try_resume(resume_deadline) {
                 Ok(answer) => {
                     self.reader = EventReader::new(answer.body);
+                    self.repeated_events = 0;
                     return Ok(());
                 }
                 Err(failure) if is_final(failure.kind) => return Err(failure),
@@ -149,7 +161,10 @@
 const fn is_final(kind: FailureKind) -> bool {
     matches!(
         kind,
+        // A process that has ended has no streams; a new one at its address would run the
+        // request again.
         FailureKind::NotResumable
+            | FailureKind::Refused
             | FailureKind::Cancelled
             | FailureKind::Deadline
             | FailureKind::WrongAnswer
--- a/crates/upstream/src/transport.rs
+++ b/crates/upstream/src/transport.rs
@@ -25,6 +25,10 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 3;
 
+/// Most bytes that arrive before the head of a response is complete: informational responses,
+/// the head, and what comes with it.
+const MAX_BYTES_BEFORE_HEAD: usize = 128 * 1024;
+
 /// Opens TCP connections without TLS to targets.
 #[derive(Debug)]
 pub struct TargetConnector {
@@ -133,6 +137,13 @@
         let buffer = self.buffers.input_append_buf();
         let amount = read(&self.stream, buffer)
             .map_err(|error| io_error(&call, error, Timeout::RecvBody))?;
+        let head_bytes = call.count_received(amount);
+        if head_bytes > MAX_BYTES_BEFORE_HEAD {
+            return Err(Error::LargeResponseHeader(
+                head_bytes,
+                MAX_BYTES_BEFORE_HEAD,
+            ));
+        }
         self.buffers.input_appended(amount);
         Ok(amount > 0)
     }
