Reject chats with a message that crashes engines on the product's own interface

Change: routers report the messages of unanswered chats at an engine that refuses connections to the two live routers with the lowest ids of the data centre, which decide as control instances do. The engine gets no new work at once: until membership noticed, it counted as idle in the mean load, and the others seemed to be above their bound. A repeated call on a new connection no longer hides that the first one may have run the request.

--- a/crates/crashes/src/member.rs
+++ b/crates/crashes/src/member.rs
@@ -8,7 +8,7 @@
 
 /// Time for which answered parts are remembered, to twice as long.
 const ANSWER_RETENTION: Duration = Duration::from_mins(5);
-/// Most answered parts that are remembered in each half of that time.
+/// Answered parts in each half of that time beyond which the older half is forgotten.
 const MAX_ANSWERED_PARTS: usize = 20_000;
 /// Time between two reports that one watched part was answered.
 const ANSWER_REPORT_INTERVAL: Duration = Duration::from_millis(100);
@@ -70,9 +70,7 @@
         self.rotate(now);
         let mut report = Vec::new();
         for part in parts {
-            if self.recent_answers.len() < MAX_ANSWERED_PARTS {
-                self.recent_answers.insert(part, now);
-            }
+            self.recent_answers.insert(part, now);
             let watched = self.watched.get_mut(&part);
             if let Some(watched) = watched.filter(|w| now < w.until && now >= w.next_report_at) {
                 watched.next_report_at = now + ANSWER_REPORT_INTERVAL;
@@ -136,7 +134,8 @@
     }
 
     fn rotate(&mut self, now: Instant) {
-        if self.rotate_at.is_none_or(|at| now >= at) {
+        let is_full = self.recent_answers.len() >= MAX_ANSWERED_PARTS;
+        if is_full || self.rotate_at.is_none_or(|at| now >= at) {
             self.rotate_at = Some(now + ANSWER_RETENTION);
             self.older_answers = std::mem::take(&mut self.recent_answers);
         }
--- a/crates/node/src/actors/mod.rs
+++ b/crates/node/src/actors/mod.rs
@@ -7,6 +7,7 @@
 mod control;
 mod control_messages;
 mod counters;
+mod crashes;
 mod formation;
 mod inspect;
 mod links;
--- a/crates/node/src/actors/placing.rs
+++ b/crates/node/src/actors/placing.rs
@@ -31,6 +31,10 @@
         reply: ReplySender<Placement>,
         now: Instant,
     ) {
+        if let Some(until) = self.crashes.blocked_until(&place.parts, now) {
+            let _ = reply.try_send(Placement::Blocked { until });
+            return;
+        }
         let mut excluded = place.excluded.clone();
         excluded.extend(self.targets.with_open_breaker(&place.pool, now));
         let Some(pool) = self.pools.get_mut(&place.pool) else {
@@ -81,6 +85,7 @@
     ) {
         let chosen = self.targets.get_mut(target).map(|entry| ChosenTarget {
             target,
+            start_id: entry.start_id(),
             name: entry.name.clone(),
             address: entry.address,
             kind: entry.kind,
--- a/crates/node/src/actors/router.rs
+++ b/crates/node/src/actors/router.rs
@@ -13,6 +13,7 @@
 use stakker::{CX, after};
 use tracing::error;
 
+use super::crashes::Crashes;
 use super::placement_packets::PoolShortIds;
 use super::placing::DeniedRequest;
 use super::router_messages::RouterMessage;
@@ -56,6 +57,7 @@
     /// Placements that have ended since the start.
     pub(super) finished: u64,
     pub(super) violations: u64,
+    pub(super) crashes: Crashes,
 }
 
 impl Router {
@@ -87,6 +89,7 @@
             placed: 0,
             finished: 0,
             violations: 0,
+            crashes: Crashes::new(now),
         })
     }
 
@@ -136,6 +139,10 @@
                 sequence,
                 messages,
             } => self.handle_placement(from, pool, sequence, &messages, now),
+            RouterMessage::Answered { .. }
+            | RouterMessage::BrokenOff { .. }
+            | RouterMessage::TargetChecked { .. }
+            | RouterMessage::Crashes { .. } => self.handle_crash_evidence(message, now),
             RouterMessage::Limits { from, message } => {
                 self.shares.handle(from, &message, &self.peers, now);
             }
@@ -215,6 +222,7 @@
             pool.placer.set_routers(&routers, now);
         }
         self.routers = routers;
+        self.update_hub(now);
     }
 
     /// Handles a change of a target's prefix cache.
@@ -256,6 +264,7 @@
 
     fn limits_tick(&mut self, cx: CX![]) {
         self.shares.tick(&self.peers, cx.now());
+        self.crashes_tick(cx.now());
         after!(LIMITS_TICK_PERIOD, [cx], limits_tick());
     }
 
--- a/crates/node/src/actors/router_messages.rs
+++ b/crates/node/src/actors/router_messages.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bamboospur_crashes::{CrashMessage, PartHash, TargetStartId};
 use bamboospur_limits::{Admission, AdmissionTicket as LimitTicket, LimitsMessage};
 use bamboospur_placement::Ticket;
 use bamboospur_retries::{AttemptOutcome, Permit};
@@ -73,6 +74,35 @@
         /// Messages, with targets, instances and offers as short ids.
         messages: Vec<WirePlacement>,
     },
+    /// A target answered a request with these parts.
+    Answered {
+        /// Parts of the request.
+        parts: Vec<PartHash>,
+    },
+    /// A request broke off at a target before its answer. The answer says whether the target
+    /// is to be checked.
+    BrokenOff {
+        /// The start of the target.
+        target: TargetStartId,
+        /// Parts of the request.
+        parts: Vec<PartHash>,
+        /// Channel for the answer.
+        reply: ReplySender<bool>,
+    },
+    /// A target was checked after requests had broken off there.
+    TargetChecked {
+        /// The start of the target.
+        target: TargetStartId,
+        /// Whether its process has ended.
+        has_ended: bool,
+    },
+    /// Message of another instance about parts of requests that crash targets.
+    Crashes {
+        /// Instance that sent the message.
+        from: InstanceId,
+        /// Content of the message.
+        message: CrashMessage,
+    },
     /// Message of another instance about leases of team shares.
     Limits {
         /// Instance that sent the message.
--- a/crates/node/src/actors/targets.rs
+++ b/crates/node/src/actors/targets.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use bamboospur_crashes::TargetStartId;
 use bamboospur_membership::MemberState;
 use bamboospur_placement::{LoadReport, TargetView};
 use bamboospur_retries::{Breaker, BreakerSettings};
-use bamboospur_types::{Offer, OfferId, TargetId, TargetKind, TargetState, stable_id};
+use bamboospur_types::{Offer, OfferId, TargetId, TargetKind, TargetState, mix64, stable_id};
 
 /// One target as the router sees it.
 #[derive(Debug)]
@@ -31,6 +32,17 @@
 }
 
 impl Target {
+    /// Returns the identity of this start of the target.
+    #[must_use]
+    pub fn start_id(&self) -> TargetStartId {
+        mix64(self.view.id ^ mix64(self.view.incarnation))
+    }
+
+    /// Stops new work until membership reports the target again.
+    pub const fn suspend(&mut self) {
+        self.view.state = TargetState::Draining;
+    }
+
     /// Sets whether an operator drains the target; a drained target gets no new work.
     pub const fn set_drained(&mut self, drained: bool) {
         self.drained = drained;
@@ -96,6 +108,12 @@
         self.entries.get_mut(&id)
     }
 
+    /// Returns the target with this start; `None` if it has started again.
+    pub fn find_start(&mut self, start: TargetStartId) -> Option<&mut Target> {
+        let mut entries = self.entries.values_mut();
+        entries.find(|target| target.start_id() == start)
+    }
+
     /// Iterates over the targets of a pool.
     pub fn in_pool<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Target> {
         self.entries.values().filter(move |t| t.pool == pool)
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -24,6 +24,7 @@
 use std::sync::mpsc::SyncSender;
 use std::time::Instant;
 
+use bamboospur_crashes::CrashMessage;
 use bamboospur_limits::LimitsMessage;
 use bamboospur_placement::PlacementMessage;
 use bamboospur_types::{InstanceId, stable_id};
@@ -71,6 +72,13 @@
         /// Budgeted size of the packet in bytes.
         bytes: usize,
     },
+    /// Message about parts of requests that crash targets, sent by UDP.
+    Crashes {
+        /// Receiver.
+        to: InstanceId,
+        /// Content of the message.
+        message: CrashMessage,
+    },
     /// Message of the replicated log, sent by TCP.
     Agreement {
         /// Receiver.
@@ -188,6 +196,9 @@
             PeerMessage::Limits { to, message, .. } => {
                 self.send_to_instance(to, Outgoing::Limits(message));
             }
+            PeerMessage::Crashes { to, message } => {
+                self.send_to_instance(to, Outgoing::Crashes(message));
+            }
             PeerMessage::Agreement { to, message } => {
                 let links = self.inner.links.borrow();
                 if !links.send_agreement(to, message) {
--- a/crates/node/src/peers/traffic.rs
+++ b/crates/node/src/peers/traffic.rs
@@ -22,7 +22,7 @@
 /// Counters of all traffic with other instances, since the start of the process.
 #[derive(Debug, Default)]
 pub struct Traffic {
-    packets: [Counter; 3],
+    packets: [Counter; 4],
     frames: [Counter; 5],
     tcp: Counter,
     refused: AtomicU64,
@@ -92,10 +92,11 @@
     }
 }
 
-const PACKET_KINDS: [PacketKind; 3] = [
+const PACKET_KINDS: [PacketKind; 4] = [
     PacketKind::Membership,
     PacketKind::Placement,
     PacketKind::Limits,
+    PacketKind::Crashes,
 ];
 const FRAME_KINDS: [FrameKind; 5] = [
     FrameKind::Heartbeat,
@@ -111,6 +112,7 @@
             PacketKind::Membership => &self.packets[0],
             PacketKind::Placement => &self.packets[1],
             PacketKind::Limits => &self.packets[2],
+            PacketKind::Crashes => &self.packets[3],
         }
     }
 
--- a/crates/node/src/peers/udp.rs
+++ b/crates/node/src/peers/udp.rs
@@ -140,6 +140,7 @@
         Body::Membership(_) => PacketKind::Membership,
         Body::Placement { .. } => PacketKind::Placement,
         Body::Limits(_) => PacketKind::Limits,
+        Body::Crashes(_) => PacketKind::Crashes,
     }
 }
 
@@ -160,6 +161,7 @@
             sequence,
             messages,
         }),
+        Body::Crashes(message) => MainLoopMessage::Router(RouterMessage::Crashes { from, message }),
         Body::Limits(message) => MainLoopMessage::Router(RouterMessage::Limits { from, message }),
     }
 }
--- a/crates/node/src/request/accept.rs
+++ b/crates/node/src/request/accept.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use bamboospur_crashes::PartHash;
 use bamboospur_types::{ChatId, OfferId, ResultCode, TargetId, WorkTokens, stable_id};
 
 use super::authenticate::Identity;
@@ -56,6 +57,9 @@
     pub work_tokens: WorkTokens,
     /// Estimated part of the prompt that an engine may have cached.
     pub prefix_tokens: WorkTokens,
+    /// Parts of the request that other requests may have as well and that may crash targets:
+    /// the messages of a chat.
+    pub parts: Vec<PartHash>,
     /// Whether the caller asked for a stream of server-sent events.
     pub stream: bool,
     pub method: String,
--- a/crates/node/src/request/chat.rs
+++ b/crates/node/src/request/chat.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use bamboospur_crashes::PartHash;
 use bamboospur_types::{ChatId, Offer, ResultCode, WorkTokens, stable_id};
 use serde::Deserialize;
 use serde_json::Value;
@@ -16,6 +17,8 @@
 /// Average length of a token in the usual vocabularies.
 const BYTES_PER_TOKEN: usize = 4;
 const MAX_CHAT_ID_BYTES: usize = 256;
+/// Most messages of a chat that are remembered as answered or as crashing engines.
+const MAX_PARTS: usize = 256;
 
 #[derive(Debug, Deserialize)]
 struct Body {
@@ -66,6 +69,7 @@
         hint: None,
         work_tokens: work_tokens(&parsed),
         prefix_tokens: prefix_tokens(&parsed.messages),
+        parts: parts(&parsed.messages),
         stream: parsed.stream,
         method: "POST".to_owned(),
         path: PATH.to_owned(),
@@ -129,6 +133,13 @@
     serde_json::to_vec(&value).ok()
 }
 
+/// Returns the hashes of the newest messages.
+fn parts(messages: &[Value]) -> Vec<PartHash> {
+    let newest = &messages[messages.len().saturating_sub(MAX_PARTS)..];
+    let hashes = newest.iter().map(|message| stable_id(&message.to_string()));
+    hashes.collect()
+}
+
 /// Estimates the tokens of the prompt and the output together.
 fn work_tokens(body: &Body) -> WorkTokens {
     let output = body.max_completion_tokens.or(body.max_tokens);
--- a/crates/node/src/request/mod.rs
+++ b/crates/node/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod authenticate;
 mod chat;
 mod claim;
+mod crash_check;
 mod error;
 mod finish;
 mod headers;
--- a/crates/node/src/request/place.rs
+++ b/crates/node/src/request/place.rs
@@ -1,7 +1,9 @@
 //! Step 5: asks the router actor for a target.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
+use bamboospur_crashes::{PartHash, TargetStartId};
 use bamboospur_placement::{Refusal, Ticket};
 use bamboospur_retries::{AttemptOutcome, Permit};
 use bamboospur_types::{ChatId, OfferId, ResultCode, TargetId, TargetKind, TeamId, WorkTokens};
@@ -28,6 +30,8 @@
     pub work_tokens: WorkTokens,
     /// Estimated part of the prompt that an engine may have cached.
     pub prefix_tokens: WorkTokens,
+    /// Parts of the request that may crash targets.
+    pub parts: Vec<PartHash>,
     /// Priority of the caller's team.
     pub priority: u8,
     /// Targets where earlier attempts of this request failed.
@@ -44,6 +48,11 @@
 pub enum Placement {
     /// The request is to be sent to this target.
     Target(ChosenTarget),
+    /// A part of the request crashes targets.
+    Blocked {
+        /// When a request with the part is sent to a target again.
+        until: Instant,
+    },
     /// No target can take the request.
     Refused {
         /// Why no target was chosen.
@@ -58,6 +67,8 @@
 pub struct ChosenTarget {
     /// Id of the target.
     pub target: TargetId,
+    /// Identity of the start of the target.
+    pub start_id: TargetStartId,
     /// Name of the target.
     pub name: String,
     /// Address of the target.
@@ -110,6 +121,7 @@
         offer: request.offer,
         work_tokens: request.work_tokens,
         prefix_tokens: request.prefix_tokens,
+        parts: request.parts.clone(),
         priority: identity.team.priority,
         excluded: excluded.to_vec(),
         hint: request.hint,
@@ -131,10 +143,17 @@
             reason,
             retry_after,
         }) => Err(refusal_error(request, reason, retry_after)),
+        Some(Placement::Blocked { until }) => Err(blocked_error(until)),
         None => Err(RequestError::no_main_loop()),
     }
 }
 
+fn blocked_error(until: Instant) -> RequestError {
+    let message = "a message of the chat has crashed several engines; leave it out";
+    let left = until.saturating_duration_since(Instant::now());
+    RequestError::with_retry_after(ResultCode::CrashesTargets, message, left)
+}
+
 fn refusal_error(
     request: &CheckedRequest,
     reason: Refusal,
--- a/crates/node/src/request/send.rs
+++ b/crates/node/src/request/send.rs
@@ -17,6 +17,7 @@
 
 use super::accept::CheckedRequest;
 use super::authenticate::Identity;
+use super::crash_check::CrashEvidence;
 use super::error::RequestError;
 use super::node::Node;
 use super::place::{self, Reservation};
@@ -109,16 +110,24 @@
     fn attempt(&mut self, mut reservation: Reservation) -> Result<SendResult, FailedAttempt> {
         self.attempts_made += 1;
         self.excluded.push(reservation.chosen.target);
-        let result = self.call(&reservation);
+        let mut evidence = CrashEvidence::new(
+            self.node.mailbox.clone(),
+            self.request.parts.clone(),
+            reservation.chosen.clone(),
+        );
+        let result = self.call(&reservation, &evidence);
         let engine = target::is_engine(&reservation);
         match result {
             CallResult::Whole(mut answer) => {
                 reservation.outcome = AttemptOutcome::Success;
+                if matches!(answer.status, 200..=299) {
+                    evidence.record_answer();
+                }
                 answer.target.clone_from(&reservation.chosen.name);
                 Ok(SendResult::Whole(answer))
             }
             CallResult::Stream(events, first) => {
-                let stream = LiveStream::new(*events, first, reservation);
+                let stream = LiveStream::new(*events, first, reservation, evidence);
                 Ok(self.collect_if_claimed(stream))
             }
             CallResult::NotRun { detail, pause } => {
@@ -139,6 +148,7 @@
                 })
             }
             CallResult::Failed(failure) => {
+                evidence.record_failure(&failure);
                 self.report_failure(&reservation, &failure);
                 if engine && failure.sent {
                     target::cancel(
@@ -163,7 +173,7 @@
             %failure,
             "an attempt to send the request to a target failed"
         );
-        if failure.kind == FailureKind::Connect {
+        if matches!(failure.kind, FailureKind::Connect | FailureKind::Refused) {
             let input = Box::new(MembershipInput::ConnectFailed { target });
             let message = MainLoopMessage::Members(MembersMessage::Notify(input));
             self.node.mailbox.send(message);
@@ -172,7 +182,7 @@
 
     /// Calls the target. If a reused connection failed and the request may run more
     /// than once, calls the target again on a fresh connection.
-    fn call(&self, reservation: &Reservation) -> CallResult {
+    fn call(&self, reservation: &Reservation, evidence: &CrashEvidence) -> CallResult {
         let fresh = !self.request.repeatable;
         let result = target::call(
             self.node,
@@ -184,15 +194,24 @@
         );
         match result {
             CallResult::Failed(failure) if !fresh && failure.is_connection_failure() => {
+                evidence.record_failure(&failure);
                 self.node.metrics.increment("fresh_connections");
-                target::call(
+                let again = target::call(
                     self.node,
                     self.request,
                     self.identity,
                     reservation,
                     self.caller,
                     true,
-                )
+                );
+                // The first call may have run the request, whatever became of the second.
+                match again {
+                    CallResult::Failed(mut again) => {
+                        again.sent = true;
+                        CallResult::Failed(again)
+                    }
+                    again => again,
+                }
             }
             result => result,
         }
@@ -303,9 +322,10 @@
 fn breaker_outcome(failure: &Failure) -> AttemptOutcome {
     match failure.kind {
         FailureKind::Cancelled | FailureKind::BadCall => AttemptOutcome::Abandoned,
-        FailureKind::Connect | FailureKind::CutHead | FailureKind::Silent => {
-            AttemptOutcome::ConnectionFailure
-        }
+        FailureKind::Connect
+        | FailureKind::Refused
+        | FailureKind::CutHead
+        | FailureKind::Silent => AttemptOutcome::ConnectionFailure,
         _ => AttemptOutcome::Failure,
     }
 }
--- a/crates/node/src/request/service.rs
+++ b/crates/node/src/request/service.rs
@@ -69,6 +69,7 @@
         hint: None,
         work_tokens: CALL_WORK_TOKENS,
         prefix_tokens: 0,
+        parts: Vec::new(),
         stream: false,
         method,
         path: path.to_owned(),
--- a/crates/node/src/request/target.rs
+++ b/crates/node/src/request/target.rs
@@ -11,6 +11,7 @@
 
 use super::accept::CheckedRequest;
 use super::authenticate::Identity;
+use super::crash_check::CrashEvidence;
 use super::headers;
 use super::node::Node;
 use super::place::{ChosenTarget, Reservation};
@@ -68,16 +69,23 @@
     first: Option<Event>,
     /// Held until the stream is dropped.
     pub reservation: Reservation,
+    evidence: CrashEvidence,
 }
 
 impl LiveStream {
     /// Creates a stream whose first event has been read already.
     #[must_use]
-    pub fn new(events: EventStream, first: Event, reservation: Reservation) -> Self {
+    pub const fn new(
+        events: EventStream,
+        first: Event,
+        reservation: Reservation,
+        evidence: CrashEvidence,
+    ) -> Self {
         Self {
             events,
             first: Some(first),
             reservation,
+            evidence,
         }
     }
 
@@ -89,9 +97,14 @@
     pub fn next_event(&mut self) -> Result<Event, Failure> {
         let event = match self.first.take() {
             Some(event) => event,
-            None => self.events.next_event()?,
+            None => self
+                .events
+                .next_event()
+                .inspect_err(|failure| self.evidence.record_failure(failure))?,
         };
+        self.evidence.record_event();
         if event.is_done() {
+            self.evidence.record_answer();
             self.reservation.outcome = AttemptOutcome::Success;
         }
         Ok(event)
--- a/crates/node/tests/fleet/fleet.rs
+++ b/crates/node/tests/fleet/fleet.rs
@@ -117,10 +117,26 @@
         found.expect("leader")
     }
 
-    /// Replaces a branch of the settings through the node with index `via` in `all`;
+    /// Sets a new branch of the settings through the node with index `via` in `all`;
     /// returns the new revision.
     pub fn apply(&self, via: usize, id: &str, path: &str, toml: &str) -> u64 {
-        let body = json!({"change_id": id, "path": path, "base_version": 0, "toml": toml});
+        self.replace(via, id, (path, 0), toml)
+    }
+
+    /// Adds a model, its engine pool, and access of the team "demo" to it.
+    pub fn add_model(&self, name: &str) {
+        let pool = format!("[pools.{name}]\nkind = \"engine\"\n");
+        let model = format!("[models.{name}]\npool = \"{name}\"\n");
+        let fleet = format!("{FLEET_SETTINGS}{pool}{model}");
+        self.replace(0, "fleet-with-model", ("fleet", 1), &fleet);
+        let team = format!("{}[models.{name}]\n", team_settings("demo", 4096));
+        let revision = self.replace(0, "team-with-model", ("teams.demo", 2), &team);
+        self.wait_for_revision(revision);
+    }
+
+    /// Replaces the given version of a branch of the settings.
+    fn replace(&self, via: usize, id: &str, (path, version): (&str, u64), toml: &str) -> u64 {
+        let body = json!({"change_id": id, "path": path, "base_version": version, "toml": toml});
         let via = self.all().nth(via).expect("node");
         apply_change(via.operators, &body).expect("change")
     }
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod crashing;
 mod cut_off;
 mod fleet;
 mod formation;
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -8,6 +8,7 @@
 //! Cap'n Proto is not used here: its 8-byte alignment and its segment table would
 //! double the size of packets, and the traffic budget is a few KB a second.
 
+mod crashes;
 mod limits;
 mod membership;
 mod open;
@@ -17,6 +18,7 @@
 mod short;
 mod window;
 
+use bamboospur_crashes::CrashMessage;
 use bamboospur_limits::LimitsMessage;
 use bamboospur_membership::Message;
 use quick_error::quick_error;
@@ -62,6 +64,8 @@
     Placement = 2,
     /// Leases of team limits.
     Limits = 3,
+    /// Parts of requests that crash targets.
+    Crashes = 4,
 }
 
 /// Decoded body of a received packet.
@@ -78,6 +82,8 @@
     },
     /// Leases of team limits.
     Limits(LimitsMessage),
+    /// Parts of requests that crash targets.
+    Crashes(CrashMessage),
 }
 
 quick_error! {
--- a/crates/wire/src/datagram/open.rs
+++ b/crates/wire/src/datagram/open.rs
@@ -7,7 +7,7 @@
 
 use super::window::Window;
 use super::{
-    Body, DatagramError, HEADER_BYTES, MAX_DATAGRAM_BYTES, PacketKind, limits, membership,
+    Body, DatagramError, HEADER_BYTES, MAX_DATAGRAM_BYTES, PacketKind, crashes, limits, membership,
     placement, seal,
 };
 use crate::key::{FleetKey, MAC_BYTES};
@@ -73,6 +73,7 @@
             PacketKind::Membership => Body::Membership(membership::read(rest)?),
             PacketKind::Placement => placement::read(rest)?,
             PacketKind::Limits => Body::Limits(limits::read(rest)?),
+            PacketKind::Crashes => Body::Crashes(crashes::read(rest)?),
         };
         Ok(OpenedPacket {
             sender,
--- a/crates/wire/src/datagram/seal.rs
+++ b/crates/wire/src/datagram/seal.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bamboospur_crashes::CrashMessage;
 use bamboospur_limits::LimitsMessage;
 use bamboospur_membership::Message;
 use bamboospur_placement::PlacementMessage;
@@ -9,7 +10,7 @@
 
 use super::{
     DatagramError, HEADER_BYTES, IP_UDP_HEADER_BYTES, MAX_DATAGRAM_BYTES, POOL_ID_BYTES,
-    PacketKind, ShortId, limits, membership, placement,
+    PacketKind, ShortId, crashes, limits, membership, placement,
 };
 use crate::key::{FleetKey, MAC_BYTES};
 
@@ -34,6 +35,8 @@
     },
     /// Leases of team limits.
     Limits(LimitsMessage),
+    /// Parts of requests that crash targets.
+    Crashes(CrashMessage),
 }
 
 /// Encoded packet.
@@ -111,6 +114,7 @@
             Self::Membership(_) => PacketKind::Membership,
             Self::Placement { .. } => PacketKind::Placement,
             Self::Limits(_) => PacketKind::Limits,
+            Self::Crashes(_) => PacketKind::Crashes,
         }
     }
 
@@ -127,6 +131,7 @@
                 IP_UDP_HEADER_BYTES + HEADER_BYTES + POOL_ID_BYTES + bodies.sum::<usize>()
             }
             Self::Limits(message) => message.packet_bytes(),
+            Self::Crashes(_) => crashes::PACKET_BYTES,
         }
     }
 
@@ -138,6 +143,7 @@
                 placement::write(messages, sequence, bytes)
             }
             Self::Limits(message) => limits::write(message, bytes),
+            Self::Crashes(message) => crashes::write(message, bytes),
         }
     }
 }
--- a/crates/wire/tests/datagrams/main.rs
+++ b/crates/wire/tests/datagrams/main.rs
@@ -3,7 +3,9 @@
 mod messages;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use bamboospur_crashes::{Age, CrashMessage, MAX_PARTS_PER_MESSAGE};
 use bamboospur_placement::PlacementMessage;
 use bamboospur_wire::FleetKey;
 use bamboospur_wire::datagram::{
@@ -92,6 +94,33 @@
     check(12, property as fn(AnyLimits) -> bool);
 }
 
+/// Guards against a message that is lost or changed, and against packets above the budget.
+#[test]
+fn crash_messages_survive_within_their_budget() {
+    let parts: Vec<u64> = (0..MAX_PARTS_PER_MESSAGE as u64)
+        .map(|n| u64::MAX - n)
+        .collect();
+    let spans: Vec<(u64, Age)> = parts
+        .iter()
+        .map(|&part| (part, Duration::MAX.into()))
+        .collect();
+    let crashed = CrashMessage::Crashed {
+        target: u64::MAX,
+        parts: parts.clone(),
+    };
+    for message in [
+        crashed,
+        CrashMessage::Watch(parts.clone()),
+        CrashMessage::Answered(spans.clone()),
+        CrashMessage::Blocked(spans),
+        CrashMessage::Released(parts),
+        CrashMessage::Watch(Vec::new()),
+    ] {
+        let sent = send_and_receive(&Outgoing::Crashes(message.clone()));
+        assert_eq!(sent.map(|(body, _)| body), Some(Body::Crashes(message)));
+    }
+}
+
 /// Guards against a field that is lost or changed, and against packets above the byte
 /// budget that the placement crate accounts for.
 #[test]
