--- a/crates/node/tests/crashing_chats.rs
+++ b/crates/node/tests/crashing_chats.rs
@@ -8,7 +8,9 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_types::ResultCode as Code;
-use support::{CRASHING_MESSAGE, Caller, CrashRecords, CrashingEngine, Node, eventually};
+use support::{
+    CRASHING_MESSAGE, Caller, CrashRecords, CrashingEngine, Node, eventually, stream_body,
+};
 
 const ENGINES: usize = 8;
 const SOUND_CALLERS: usize = 8;
@@ -22,15 +24,6 @@
 const MAX_LATE_CHATS: usize = 3;
 const MIN_SERVED_SHARE: f64 = 0.9;
 
-fn body(messages: &[String]) -> String {
-    let messages: Vec<String> = messages
-        .iter()
-        .map(|content| format!("{{\"role\":\"user\",\"content\":\"{content}\"}}"))
-        .collect();
-    let messages = messages.join(",");
-    format!("{{\"model\":\"demo-chat\",\"stream\":true,\"messages\":[{messages}]}}")
-}
-
 /// Sends sound chats that share their first message until `done`; returns how many of them
 /// were served, and how many there were.
 fn send_sound(caller: &Caller, number: usize, done: &AtomicBool) -> (usize, usize) {
@@ -40,7 +33,7 @@
         let own = format!("question {number} {sent}");
         let answer = caller.post(
             "/v1/chat/completions",
-            &body(&["system".to_owned(), document, own]),
+            &stream_body(&["system", &document, &own]),
         );
         sent += 1;
         served += usize::from(answer.status == 200 && answer.has_end_event());
@@ -58,13 +51,8 @@
         }
         let document = format!("document {}", number % 3);
         let own = format!("other question {number}");
-        let messages = [
-            "system".to_owned(),
-            document,
-            CRASHING_MESSAGE.to_owned(),
-            own,
-        ];
-        last = Some(caller.post("/v1/chat/completions", &body(&messages)));
+        let body = stream_body(&["system", &document, CRASHING_MESSAGE, &own]);
+        last = Some(caller.post("/v1/chat/completions", &body));
         thread::sleep(CRASHING_PAUSE);
     }
     last.expect("an answer")
@@ -81,8 +69,8 @@
     }
     let caller = node.caller().with_deadline_ms(5_000);
     eventually("the engines serve", || {
-        let messages = ["system".to_owned(), "ready?".to_owned()];
-        caller.post("/v1/chat/completions", &body(&messages)).status == 200
+        let body = stream_body(&["system", "ready?"]);
+        caller.post("/v1/chat/completions", &body).has_end_event()
     });
     let done = AtomicBool::new(false);
     let (sound, last) = thread::scope(|scope| {
--- a/crates/node/tests/fleet/crashing.rs
+++ b/crates/node/tests/fleet/crashing.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::Fleet;
-use crate::support::{CRASHING_MESSAGE, Caller, CrashRecords, CrashingEngine, eventually};
+use crate::support::{
+    CRASHING_MESSAGE, Caller, CrashRecords, CrashingEngine, eventually, stream_body,
+};
 
 const ENGINES: usize = 6;
 const CHATS: usize = 40;
@@ -15,15 +17,6 @@
 const SPREAD_TIME: Duration = Duration::from_secs(1);
 const MAX_LATE_CHATS: usize = 3;
 
-fn body(messages: &[&str]) -> String {
-    let messages: Vec<String> = messages
-        .iter()
-        .map(|content| format!("{{\"role\":\"user\",\"content\":\"{content}\"}}"))
-        .collect();
-    let messages = messages.join(",");
-    format!("{{\"model\":\"demo-chat\",\"stream\":true,\"messages\":[{messages}]}}")
-}
-
 /// Each router alone would have had to see several engines end.
 #[test]
 fn routers_tell_each_other_which_chats_crash_engines() {
@@ -38,8 +31,9 @@
         .all()
         .map(|process| Caller::new(process.callers).with_deadline_ms(4_000))
         .collect();
-    let send =
-        |caller: &Caller, messages: &[&str]| caller.post("/v1/chat/completions", &body(messages));
+    let send = |caller: &Caller, messages: &[&str]| {
+        caller.post("/v1/chat/completions", &stream_body(messages))
+    };
     for caller in &callers {
         eventually("the engines serve", || {
             send(caller, &["system", "ready?"]).has_end_event()
--- a/crates/node/tests/support/caller.rs
+++ b/crates/node/tests/support/caller.rs
@@ -141,6 +141,16 @@
     )
 }
 
+/// Returns the body of a request for a stream that continues a chat with these messages.
+pub fn stream_body(messages: &[&str]) -> String {
+    let messages: Vec<String> = messages
+        .iter()
+        .map(|content| format!("{{\"role\":\"user\",\"content\":\"{content}\"}}"))
+        .collect();
+    let messages = messages.join(",");
+    format!("{{\"model\":\"demo-chat\",\"stream\":true,\"messages\":[{messages}]}}")
+}
+
 /// Reads one answer up to the end that its framing gives. Interim answers with
 /// status 100 are skipped; the status is 0 when the connection ends before a status.
 pub fn read_answer(stream: &mut TcpStream) -> Answer {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -13,7 +13,7 @@
 mod node;
 mod target;
 
-pub use caller::{Answer, Caller, chat_body, read_answer};
+pub use caller::{Answer, Caller, read_answer, stream_body};
 pub use crashing::{CRASHING_MESSAGE, CrashRecords, CrashingEngine};
 pub use heartbeat::Heartbeat;
 pub use node::{Node, test_folder};
