Ask routers about parts once a crash, and keep the deadline of the next block

After a storm of crashes each router reported every watched part every 100 ms for two hours, and control instances counted all crashes of all watched parts at each event: at 300 routers more than their share of a processor. Questions are collected for 50 ms, one answer is told for each, and the deadline is kept until something changes. The cost at 300 routers is worked out, not measured.

--- a/crates/crashes/src/hub.rs
+++ b/crates/crashes/src/hub.rs
@@ -16,6 +16,8 @@
     pub crashes_to_block: usize,
     /// As [`Self::crashes_to_block`], for a part that was answered before the crashes.
     pub crashes_to_block_answered: usize,
+    /// Time in which questions about parts are collected, as several members report one crash.
+    pub watch_delay: Duration,
     /// Time for which a part is watched before it is blocked, so that members can say that it
     /// was answered. Several targets can end at the same time for another reason.
     pub min_watch_time: Duration,
@@ -42,6 +44,7 @@
             crashes_to_watch: 2,
             crashes_to_block: 3,
             crashes_to_block_answered: 5,
+            watch_delay: Duration::from_millis(50),
             min_watch_time: Duration::from_millis(400),
             first_block: Duration::from_mins(10),
             first_block_answered: Duration::from_mins(1),
@@ -93,6 +96,11 @@
     settings: HubSettings,
     crashes: BTreeMap<TargetStartId, Crash>,
     parts: BTreeMap<PartHash, Part>,
+    /// Parts about which members are asked next, and when.
+    unasked: BTreeSet<PartHash>,
+    ask_at: Option<Instant>,
+    /// When the next part is due to be blocked, unless it is answered.
+    block_at: Option<Instant>,
 }
 
 impl Hub {
@@ -103,32 +111,51 @@
             settings,
             crashes: BTreeMap::new(),
             parts: BTreeMap::new(),
+            unasked: BTreeSet::new(),
+            ask_at: None,
+            block_at: None,
         }
     }
 
     /// Handles a message of a member. Returns the messages for all members.
     pub fn handle(&mut self, message: CrashMessage, now: Instant) -> Vec<CrashMessage> {
-        match message {
-            CrashMessage::Crashed { target, parts } => self.record_crash(target, parts, now),
+        let messages = match message {
+            CrashMessage::Crashed { target, parts } => {
+                self.record_crash(target, parts, now);
+                Vec::new()
+            }
             CrashMessage::Answered(answered) => self.record_answers(&answered, now),
             CrashMessage::Blocked(blocked) => self.record_blocks(&blocked, now),
-            CrashMessage::Watch(_) | CrashMessage::Released(_) => Vec::new(),
-        }
+            CrashMessage::Watch(_) | CrashMessage::Released(_) => return Vec::new(),
+        };
+        self.update_block_at(now);
+        messages
     }
 
     /// Returns when [`Self::tick`] has something to do.
     #[must_use]
-    pub fn next_deadline(&self, now: Instant) -> Option<Instant> {
-        let candidates = self.parts.iter().filter(|(hash, part)| {
-            !part.is_blocked(now) && self.crash_count(**hash, now) >= self.threshold(part)
-        });
-        let due = candidates.map(|(_, part)| part.watched_at + self.settings.min_watch_time);
-        due.min()
+    pub fn next_deadline(&self) -> Option<Instant> {
+        [self.ask_at, self.block_at].into_iter().flatten().min()
     }
 
-    /// Blocks the parts that have been watched for long enough. Returns the messages for all
-    /// members.
+    /// Asks about parts, and blocks those that have been watched for long enough. Returns the
+    /// messages for all members.
     pub fn tick(&mut self, now: Instant) -> Vec<CrashMessage> {
+        let mut messages = Vec::new();
+        if self.ask_at.is_some_and(|at| now >= at) {
+            self.ask_at = None;
+            let asked: Vec<PartHash> = std::mem::take(&mut self.unasked).into_iter().collect();
+            let batches = asked.chunks(MAX_PARTS_PER_MESSAGE);
+            messages.extend(batches.map(|batch| CrashMessage::Watch(batch.to_vec())));
+        }
+        if self.block_at.is_some_and(|at| now >= at) {
+            messages.extend(self.block_due_parts(now));
+            self.update_block_at(now);
+        }
+        messages
+    }
+
+    fn block_due_parts(&mut self, now: Instant) -> Vec<CrashMessage> {
         let mut blocked = Vec::new();
         // Each block explains crashes, so that the other parts are counted anew.
         while let Some(worst) = self.worst_parts(now) {
@@ -179,12 +206,7 @@
         self.parts.values().filter(|p| p.is_blocked(now)).count()
     }
 
-    fn record_crash(
-        &mut self,
-        target: TargetStartId,
-        parts: Vec<PartHash>,
-        now: Instant,
-    ) -> Vec<CrashMessage> {
+    fn record_crash(&mut self, target: TargetStartId, parts: Vec<PartHash>, now: Instant) {
         let max_parts = self.settings.max_parts_per_crash;
         let crash = self.crashes.entry(target).or_insert_with(|| Crash {
             at: now,
@@ -198,19 +220,42 @@
                 self.crashes.remove(&target);
             }
         }
-        let watch = parts.into_iter().filter(|part| {
-            !self.parts.contains_key(part)
-                && self.crash_count(*part, now) >= self.settings.crashes_to_watch
+        let unexplained = self.unexplained(now);
+        let watched = parts.into_iter().filter(|part| {
+            self.parts.contains_key(part)
+                || self.crash_count(*part, &unexplained) >= self.settings.crashes_to_watch
         });
-        let room = self.settings.max_parts.saturating_sub(self.parts.len());
-        let watch: BTreeSet<PartHash> = watch.take(room).collect();
-        self.parts
-            .extend(watch.iter().map(|&part| (part, Part::new(now))));
-        let mut messages = self.tick(now);
-        if !watch.is_empty() {
-            messages.push(CrashMessage::Watch(watch.into_iter().collect()));
+        let watched: Vec<PartHash> = watched.collect();
+        for part in watched {
+            let has_room = self.parts.len() < self.settings.max_parts;
+            if has_room || self.parts.contains_key(&part) {
+                self.parts.entry(part).or_insert_with(|| Part::new(now));
+                self.unasked.insert(part);
+            }
         }
-        messages
+        if !self.unasked.is_empty() {
+            let ask_at = now + self.settings.watch_delay;
+            self.ask_at.get_or_insert(ask_at);
+        }
+    }
+
+    /// Updates when the next part is due to be blocked.
+    fn update_block_at(&mut self, now: Instant) {
+        let unexplained = self.unexplained(now);
+        let due = self.parts.iter().filter(|(hash, part)| {
+            !part.is_blocked(now) && self.crash_count(**hash, &unexplained) >= self.threshold(part)
+        });
+        let due = due.map(|(_, part)| part.watched_at + self.settings.min_watch_time);
+        self.block_at = due.min();
+    }
+
+    /// Returns the crashes that no blocked part explains.
+    fn unexplained(&self, now: Instant) -> Vec<&Crash> {
+        let blocked = self.parts.iter().filter(|(_, part)| part.is_blocked(now));
+        let blocked: Vec<PartHash> = blocked.map(|(&hash, _)| hash).collect();
+        let is_explained = |crash: &&Crash| blocked.iter().any(|part| crash.parts.contains(part));
+        let crashes = self.crashes.values();
+        crashes.filter(|crash| !is_explained(crash)).collect()
     }
 
     /// Records answers: the crashes before them do not count against the parts.
@@ -267,23 +312,18 @@
         crashes.map(|crash| crash.at).max()
     }
 
-    /// Returns the crashes since the part was last answered that no blocked part explains.
-    fn crash_count(&self, part: PartHash, now: Instant) -> usize {
+    /// Returns how many of these crashes count against the part: those since it was last
+    /// answered.
+    fn crash_count(&self, part: PartHash, unexplained: &[&Crash]) -> usize {
         let known = self.parts.get(&part);
         let answered_at = known.and_then(|known| known.answered_at);
         // After a block, only new crashes count.
         let unblocked_at = known.and_then(|known| known.blocked_until);
         let since = answered_at.max(unblocked_at);
-        let is_blocked = |part: &PartHash| {
-            let known = self.parts.get(part);
-            known.is_some_and(|known| known.is_blocked(now))
-        };
-        let counted = |crash: &&Crash| {
-            crash.parts.contains(&part)
-                && since.is_none_or(|since| crash.at > since)
-                && !crash.parts.iter().any(is_blocked)
+        let counted = |crash: &&&Crash| {
+            crash.parts.contains(&part) && since.is_none_or(|since| crash.at > since)
         };
-        self.crashes.values().filter(counted).count()
+        unexplained.iter().filter(counted).count()
     }
 
     /// Returns the crashes after which the part is blocked. A part whose block is over is
@@ -304,8 +344,9 @@
         let due = self.parts.iter().filter(|(_, part)| {
             !part.is_blocked(now) && now >= part.watched_at + self.settings.min_watch_time
         });
+        let unexplained = self.unexplained(now);
         let due = due.filter_map(|(&hash, part)| {
-            let count = self.crash_count(hash, now);
+            let count = self.crash_count(hash, &unexplained);
             (count >= self.threshold(part)).then_some(((part.answered_at.is_none(), count), hash))
         });
         let due: Vec<_> = due.collect();
--- a/crates/crashes/src/member.rs
+++ b/crates/crashes/src/member.rs
@@ -10,20 +10,12 @@
 const ANSWER_RETENTION: Duration = Duration::from_mins(5);
 /// Answered parts in each half of that time beyond which the older half is forgotten.
 const MAX_ANSWERED_PARTS: usize = 20_000;
-/// Time between two reports that one watched part was answered.
-const ANSWER_REPORT_INTERVAL: Duration = Duration::from_millis(100);
-/// Time for which a part is watched after a hub has named it.
+/// Time for which a part is watched after a hub has asked about it; longer than a block, so
+/// that the first answer after it is told.
 const WATCH_TIME: Duration = Duration::from_hours(2);
 /// Most parts that are watched, and most that are blocked.
 const MAX_WATCHED_PARTS: usize = 4_096;
 
-#[derive(Clone, Copy, Debug)]
-struct Watched {
-    until: Instant,
-    /// Earliest time of the next report that the part was answered.
-    next_report_at: Instant,
-}
-
 /// Knowledge of one router.
 #[derive(Clone, Debug, Default)]
 pub struct Member {
@@ -32,7 +24,8 @@
     older_answers: BTreeMap<PartHash, Instant>,
     /// When the recent answers become the older ones.
     rotate_at: Option<Instant>,
-    watched: BTreeMap<PartHash, Watched>,
+    /// Parts whose next answer is reported, and until when.
+    watched_until: BTreeMap<PartHash, Instant>,
     blocked_until: BTreeMap<PartHash, Instant>,
 }
 
@@ -71,9 +64,12 @@
         let mut report = Vec::new();
         for part in parts {
             self.recent_answers.insert(part, now);
-            let watched = self.watched.get_mut(&part);
-            if let Some(watched) = watched.filter(|w| now < w.until && now >= w.next_report_at) {
-                watched.next_report_at = now + ANSWER_REPORT_INTERVAL;
+            // One answer clears the crashes before it; the hub asks again after the next one.
+            if self
+                .watched_until
+                .remove(&part)
+                .is_some_and(|until| now < until)
+            {
                 report.push((part, Age::default()));
             }
         }
@@ -114,12 +110,8 @@
         self.remove_expired(now);
         let mut answered = Vec::new();
         for &part in parts {
-            if self.watched.len() < MAX_WATCHED_PARTS {
-                let watched = Watched {
-                    until: now + WATCH_TIME,
-                    next_report_at: now,
-                };
-                self.watched.insert(part, watched);
+            if self.watched_until.len() < MAX_WATCHED_PARTS {
+                self.watched_until.insert(part, now + WATCH_TIME);
             }
             if let Some(at) = self.answered_at(part) {
                 answered.push((part, Age::from(now.saturating_duration_since(at))));
@@ -142,7 +134,7 @@
     }
 
     fn remove_expired(&mut self, now: Instant) {
-        self.watched.retain(|_, watched| now < watched.until);
+        self.watched_until.retain(|_, &mut until| now < until);
         self.blocked_until.retain(|_, &mut until| now < until);
     }
 }
--- a/crates/crashes/src/message.rs
+++ b/crates/crashes/src/message.rs
@@ -50,7 +50,7 @@
         parts: Vec<PartHash>,
     },
     /// Hub to members: parts that were at several targets when they ended. Members tell the
-    /// hub when these are answered.
+    /// hub when these were last answered, and when they are answered next.
     Watch(Vec<PartHash>),
     /// Member to hub: watched parts, and how long ago a target answered a request with them.
     Answered(Vec<(PartHash, Age)>),
--- a/crates/crashes/tests/hub.rs
+++ b/crates/crashes/tests/hub.rs
@@ -42,7 +42,8 @@
         }
     }
 
-    /// Another target ends with requests of these parts, a second after the last event.
+    /// Another target ends with requests of these parts, a second after the last event, and the
+    /// hub asks about them.
     fn crash(&mut self, parts: &[PartHash]) {
         self.wait(Duration::from_secs(1));
         self.crashes += 1;
@@ -50,6 +51,7 @@
             let messages = self.hub.handle(report, self.now);
             self.deliver(messages);
         }
+        self.wait(HubSettings::default().watch_delay);
     }
 
     fn answer(&mut self, parts: &[PartHash]) {
@@ -137,6 +139,7 @@
         let messages = scene.hub.handle(report, scene.now);
         scene.deliver(messages);
     }
+    scene.wait(HubSettings::default().watch_delay);
     scene.wait(Duration::from_millis(200));
     assert!(!scene.is_blocked(SYSTEM));
     scene.answer(&[SYSTEM]);
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -178,7 +178,7 @@
         let periodic = self.next_round_at.min(self.next_loads_at);
         let updates = (!self.pending_updates.is_empty()).then_some(self.next_updates_at);
         let deadline = self.group.next_deadline().min(periodic);
-        let blocks = self.crash_hub.next_deadline(Instant::now());
+        let blocks = self.crash_hub.next_deadline();
         let optional = [updates, blocks, self.outbox.next_at()];
         optional.into_iter().flatten().fold(deadline, Instant::min)
     }
--- a/crates/node/src/actors/crashes.rs
+++ b/crates/node/src/actors/crashes.rs
@@ -109,7 +109,7 @@
     /// Blocks what has been watched for long enough, and repeats what is blocked.
     pub(super) fn crashes_tick(&mut self, now: Instant) {
         let hub = &self.crashes.hub;
-        if hub.next_deadline(now).is_some_and(|due| now >= due) {
+        if hub.next_deadline().is_some_and(|due| now >= due) {
             let messages = self.crashes.hub.tick(now);
             self.send_to_members(messages, now);
         }
