Let the stand-in target say that it closes its connections

Trace: the log of router-11 has request 110 answered at 21.426 and 111 at 21.427 as target-failed, its only attempt ended as kept-connection-ended. The stand-in closed each connection after its answer without saying so. Beside load the close came after the next request had been sent, and that one must not run twice, so 502 is its honest answer. Change: the stand-in states "Connection: close".

--- a/crates/node/tests/deployment/target.rs
+++ b/crates/node/tests/deployment/target.rs
@@ -12,6 +12,7 @@
 /// What a stand-in target does with its requests.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Behaviour {
+    /// Answers, and closes the connection as its answer says.
     Answer,
     /// Runs the request and closes the connection without an answer.
     CloseWithoutAnswer,
@@ -162,7 +163,7 @@
             answer(stream, &head, "Keep-Alive: timeout=60\r\n")?;
             return Some(true);
         }
-        Behaviour::Answer => answer(stream, &head, "")?,
+        Behaviour::Answer => answer(stream, &head, "Connection: close\r\n")?,
         Behaviour::Leaving => answer(stream, &head, "Server-Leaving: 1\r\n")?,
         Behaviour::Stream | Behaviour::BreakOff => {
             let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
