Log and count the limits that targets state in their answers

The logs could not tell a router that ignores a stated limit from one that never had an answer with it. Attempts in the log have limit= now, and the counter target_limits_stated_total counts answers that state one. Placement is unchanged.

--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -8,8 +8,10 @@
 use bamboospur_http1::server::Responder;
 use bamboospur_platform::answer::{
     ResponseVerdict, classify_response, is_leaving, parse_load, parse_rejection_time,
+    parse_request_limit,
 };
 use bamboospur_platform::request::{AttemptMetadata, attempt_head};
+use bamboospur_types::RequestRate;
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt_history::Execution;
@@ -257,10 +259,10 @@
         Ok((head, verdict))
     }
 
-    /// Records whether the target says that it leaves, or asks for no requests for a time. An
-    /// answer that another process sent, or that belongs to another request, says nothing
-    /// about the target.
-    fn record_wishes(&self, head: &ResponseHead, verdict: ResponseVerdict) {
+    /// Records whether the target says that it leaves, asks for no requests for a time, or
+    /// states a limit. An answer that another process sent, or that belongs to another request,
+    /// says nothing about the target.
+    fn record_wishes(&mut self, head: &ResponseHead, verdict: ResponseVerdict) {
         let own = match verdict {
             ResponseVerdict::Ran | ResponseVerdict::NotRunFull => true,
             ResponseVerdict::NotRunMisdirected
@@ -270,6 +272,9 @@
         if own && is_leaving(&head.headers) {
             self.job.router.record_leaving(&self.active.choice);
         }
+        if own {
+            self.record_limit(parse_request_limit(&head.headers));
+        }
         if own && let Some(rejected_for) = parse_rejection_time(head) {
             let (service, choice) = (&self.job.service.name, &self.active.choice);
             let mut dispatcher = self.job.router.dispatcher.borrow_mut();
@@ -277,6 +282,14 @@
         }
     }
 
+    /// Records whether the target states a limit on its requests.
+    fn record_limit(&mut self, limit: Option<RequestRate>) {
+        self.job.stated_limit = limit;
+        if limit.is_some() {
+            self.job.router.metrics.borrow_mut().record_stated_limit();
+        }
+    }
+
     /// Records the load that an answer states, and returns it.
     fn record_load(&self, head: &ResponseHead) -> Option<LoadReport> {
         let stated = parse_load(&head.headers)?;
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -9,7 +9,7 @@
 use bamboospur_http1::server::{Request, Responder, build_response_head};
 use bamboospur_platform::names;
 use bamboospur_platform::request::RequestMetadata;
-use bamboospur_types::{ResultCode, stable_id};
+use bamboospur_types::{RequestRate, ResultCode, stable_id};
 use tokio::time::{Instant, timeout};
 use tracing::info;
 
@@ -82,7 +82,13 @@
     }
 
     /// Adds an attempt to the log line.
-    fn record_attempt(&mut self, choice: &ChosenTarget, end: &AttemptEnd, prompt: &[PromptPart]) {
+    fn record_attempt(
+        &mut self,
+        choice: &ChosenTarget,
+        end: &AttemptEnd,
+        limit: Option<RequestRate>,
+        prompt: &[PromptPart],
+    ) {
         let ChosenTarget {
             name,
             software,
@@ -105,7 +111,8 @@
             } => format!(" answering_ms={}", time.as_millis()),
             _ => String::new(),
         };
-        self.attempts.push(text + &answering);
+        let limit = limit.map_or_else(String::new, |limit| format!(" limit={limit}"));
+        self.attempts.push(text + &answering + &limit);
         if matches!(
             end,
             AttemptEnd::BrokenOff { .. } | AttemptEnd::KeptConnectionEnded { sent: true }
@@ -155,6 +162,8 @@
     pub history: AttemptHistory,
     pub rejections: Rejections,
     prompt: Vec<PromptPart>,
+    /// Limit on its requests that the target of the last attempt stated.
+    pub stated_limit: Option<RequestRate>,
     /// Names of the targets of earlier attempts.
     tried: Vec<String>,
     /// Those of them that are not to blame, to be asked again if no other target is left.
@@ -299,6 +308,7 @@
             max_attempts: MAX_ATTEMPTS,
         }),
         rejections: Rejections::default(),
+        stated_limit: None,
         tried: Vec::new(),
         second_choices: Vec::new(),
         failed_answer: None,
@@ -372,8 +382,9 @@
         trace: &mut Trace,
     ) -> AttemptEnd {
         let active = ActiveAttempt::new(self.router, &self.service.name, choice.clone());
+        self.stated_limit = None;
         let end = Attempt::new(self, active).run(responder).await;
-        trace.record_attempt(choice, &end, &self.prompt);
+        trace.record_attempt(choice, &end, self.stated_limit, &self.prompt);
         self.tried.push(choice.name.clone());
         if matches!(end, AttemptEnd::KeptConnectionEnded { .. }) {
             self.second_choices.push(choice.name.clone());
--- a/crates/fleet/src/router/metrics.rs
+++ b/crates/fleet/src/router/metrics.rs
@@ -20,6 +20,7 @@
     reused_connections: u64,
     resumes: u64,
     rejected_resumes: u64,
+    stated_limits: u64,
 }
 
 impl Metrics {
@@ -54,6 +55,11 @@
         }
     }
 
+    /// Counts an answer that states a limit on the requests of its target.
+    pub fn record_stated_limit(&mut self) {
+        self.stated_limits += 1;
+    }
+
     /// Returns the counters and `gauges` in the Prometheus text format.
     pub fn text(&self, gauges: &[(&str, u64)]) -> String {
         let mut text = String::new();
@@ -79,6 +85,7 @@
         line("target_connections_reused_total", self.reused_connections);
         line("stream_resumes_total", self.resumes);
         line("stream_resumes_rejected_total", self.rejected_resumes);
+        line("target_limits_stated_total", self.stated_limits);
         line("log_lines_dropped_total", crate::log::dropped_lines());
         for (name, value) in gauges {
             line(name, *value);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 mod id;
 mod offer;
 mod outcome;
+mod request_rate;
 mod result_code;
 mod rng;
 mod target;
@@ -12,6 +13,7 @@
 pub use id::{ChatId, InstanceId, OfferId, PoolId, TargetId, TeamId, mix64, stable_id};
 pub use offer::{Offer, ParseOfferError};
 pub use outcome::Outcome;
+pub use request_rate::RequestRate;
 pub use result_code::ResultCode;
 pub use rng::Rng;
 pub use target::{Incarnation, TargetKind, TargetRecord, TargetState, WorkTokens};
