--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -6,6 +6,7 @@
 mod crashing_engine;
 mod endless;
 mod harness;
+mod limited;
 mod prompts;
 mod proxy;
 mod rejected;
--- a/crates/node/tests/deployment/target.rs
+++ b/crates/node/tests/deployment/target.rs
@@ -52,6 +52,10 @@
     pub closed_at: Arc<Mutex<Vec<Instant>>>,
     /// Bytes that arrived as bodies of requests that were answered early.
     pub bodies: Arc<Mutex<Vec<Vec<u8>>>>,
+    /// Times at which requests arrived.
+    pub arrived_at: Arc<Mutex<Vec<Instant>>>,
+    /// Requests per second that the answers state as limit, if any.
+    pub limit: Arc<Mutex<Option<String>>>,
 }
 
 /// Records that all connections of a target share; see the fields of `Target`.
@@ -62,12 +66,15 @@
     ids: Arc<Mutex<BTreeMap<String, u32>>>,
     closed_at: Arc<Mutex<Vec<Instant>>>,
     bodies: Arc<Mutex<Vec<Vec<u8>>>>,
+    arrived_at: Arc<Mutex<Vec<Instant>>>,
+    limit: Arc<Mutex<Option<String>>>,
 }
 
 impl Observations {
     /// Records a run; `None` if a thread of a failed test holds the records.
     fn record_run(&self, id: &str, head: &str) -> Option<()> {
         self.heads.lock().ok()?.push(head.to_owned());
+        self.arrived_at.lock().ok()?.push(Instant::now());
         self.runs.fetch_add(1, Ordering::SeqCst);
         *self.ids.lock().ok()?.entry(id.to_owned()).or_default() += 1;
         Some(())
@@ -85,6 +92,8 @@
             ids: Arc::default(),
             closed_at: Arc::default(),
             bodies: Arc::default(),
+            arrived_at: Arc::default(),
+            limit: Arc::default(),
         };
         let records = Observations {
             runs: Arc::clone(&target.runs),
@@ -92,6 +101,8 @@
             ids: Arc::clone(&target.ids),
             closed_at: Arc::clone(&target.closed_at),
             bodies: Arc::clone(&target.bodies),
+            arrived_at: Arc::clone(&target.arrived_at),
+            limit: Arc::clone(&target.limit),
         };
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -102,6 +113,11 @@
         target
     }
 
+    /// Sets the requests per second that the answers state as limit from now on.
+    pub fn state_limit(&self, per_second: Option<&str>) {
+        *self.limit.lock().expect("the limit") = per_second.map(str::to_owned);
+    }
+
     pub fn runs(&self) -> usize {
         self.runs.load(Ordering::SeqCst)
     }
@@ -139,8 +155,10 @@
     let id = field("x-bamboospur-request-id")?;
     assert_eq!(field("x-bamboospur-expect-replica").as_deref(), Some(name));
     records.record_run(&id, &text)?;
+    let limit = records.limit.lock().ok()?.clone();
+    let limit = limit.map_or_else(String::new, |limit| format!("Server-Limit: {limit}\r\n"));
     let head = format!(
-        "HTTP/1.1 200 OK\r\nX-Bamboospur-Request-Id: {id}\r\nX-Bamboospur-Replica-Stamp: {name}\r\n"
+        "HTTP/1.1 200 OK\r\nX-Bamboospur-Request-Id: {id}\r\nX-Bamboospur-Replica-Stamp: {name}\r\n{limit}"
     );
     match behaviour {
         Behaviour::CloseWithoutAnswer => {}
