--- a/crates/crashes/tests/hub.rs
+++ b/crates/crashes/tests/hub.rs
@@ -222,3 +222,28 @@
     assert!(hub.state(start).len() <= 2);
     assert!(hub.blocked_count(start) <= 8);
 }
+
+/// Each router reports each end, and each report made the hub ask all routers again: a control
+/// group with 84 routers was busy with nothing else.
+#[test]
+fn the_reports_of_many_routers_about_one_crash_ask_about_its_parts_once() {
+    let mut hub = Hub::new(HubSettings::default());
+    let mut now = Instant::now();
+    let parts: Vec<PartHash> = (0..40).collect();
+    let mut asked = 0;
+    for target in 0..10 {
+        for _router in 0..84 {
+            for report in CrashMessage::crash_reports(target, &parts) {
+                hub.handle(report, now);
+            }
+            now += Duration::from_millis(10);
+            let messages = hub.tick(now);
+            let watches = messages.iter().map(|message| match message {
+                CrashMessage::Watch(parts) => parts.len(),
+                _ => 0,
+            });
+            asked += watches.sum::<usize>();
+        }
+    }
+    assert!(asked <= 10 * parts.len(), "{asked} questions");
+}
