Use limited targets for prompts that they have cached, and check whether limits still hold

And on the large deployment only 63 of 112 ended limits were noticed within 9 s, so the others held over twice the mean. Change: bounds go by the mean of the targets without a limit; limited ones get prompts that they have cached, and others only when the rest is too busy. Each holder sends a request to a limited target after a time without one, so that all together check it every two seconds.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -28,5 +28,5 @@
 pub use dispatcher::Dispatcher;
 pub use health::Outcome;
 pub use load::LoadReport;
-pub use request::{ChooseError, ChosenTarget, DispatchRequest, PromptPart};
+pub use request::{ChooseError, ChosenTarget, DispatchRequest, PromptPart, target_start_id};
 pub use settings::DispatchSettings;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -101,6 +101,10 @@
     name: &'a TargetName,
     target: &'a Target,
     load: f64,
+    /// Whether the target states a limit. It is used for prompts that it has cached, and for
+    /// others when no other target has room: what it has to copy or to process, the next
+    /// request with the prompt does not find there.
+    is_spared: bool,
 }
 
 impl Pool {
@@ -117,7 +121,8 @@
         let ChoiceContext { settings, now, .. } = context;
         let loads = self.estimate_loads(settings, now);
         let all = self.candidates(request, &loads, context)?;
-        let mean = mean(loads.iter().copied());
+        let mean_of_all = mean(loads.iter().copied());
+        let mean = self.mean_load(&loads, context.limits);
         let all = self.reachable(all, request, settings, now);
         let healthy = self.healthy(all, request, settings, now);
         let max_own = request.max_in_flight_per_target;
@@ -136,7 +141,8 @@
             prefix_hash: prefix_hash(request.prompt),
             caches: caches.iter().copied().collect(),
             expected_same_prefix: self.expected_from_others(same_prefix_arrivals, context),
-            expected_per_target: self.expected_at_all_routers(context) / count_at_least_one(&loads),
+            expected_per_target: self.expected_at_all_routers(context)
+                / count_at_least_one(&self.unlimited(context.limits)),
         };
         // The expected arrivals are those at targets of all versions, and a stream that has
         // begun comes before new ones.
@@ -152,9 +158,43 @@
         if available.is_empty() {
             return Err(full);
         }
+        let to_check = available.iter().find(|c| {
+            let target = c.target.cache_id;
+            context.limits.is_check_due(target, now)
+        });
+        if let Some(to_check) = to_check {
+            let bound = prompt_capacity(to_check.target, settings);
+            return Ok(chosen_target(to_check, bound, 0, now));
+        }
+        // The targets without a limit have become too busy: loads matter more than caches.
+        let are_busy = mean > mean_of_all * settings.max_load_factor + settings.max_load_slack;
+        if are_busy {
+            for candidate in &mut available {
+                candidate.is_spared = false;
+            }
+        }
+        let mean = if are_busy { mean_of_all } else { mean };
         Ok(choose_by_prompt(&available, &prompt, mean, context))
     }
 
+    /// Returns the positions of the targets without a limit, or of all if each has one.
+    fn unlimited(&self, limits: &TargetLimits) -> Vec<usize> {
+        let targets = self.targets.values().enumerate();
+        let unlimited = targets.filter(|(_, target)| !limits.is_limited(target.cache_id));
+        let unlimited: Vec<usize> = unlimited.map(|(index, _)| index).collect();
+        if unlimited.is_empty() {
+            (0..self.targets.len()).collect()
+        } else {
+            unlimited
+        }
+    }
+
+    /// Returns the mean load of the targets without a limit. With the others, whose load is
+    /// kept low, it would let prompts leave targets that have them cached.
+    fn mean_load(&self, loads: &[f64], limits: &TargetLimits) -> f64 {
+        mean(self.unlimited(limits).into_iter().map(|index| loads[index]))
+    }
+
     /// Returns the targets that a request may go to: those of the wanted version that were not
     /// tried before and accept requests.
     fn candidates<'a>(
@@ -178,7 +218,12 @@
         let fitting = self.targets.iter().zip(loads);
         let fitting = fitting.filter(|((name, target), _)| fits(name, target));
         let (rejecting, accepting): (Vec<_>, Vec<_>) = fitting
-            .map(|((name, target), &load)| Candidate { name, target, load })
+            .map(|((name, target), &load)| Candidate {
+                name,
+                target,
+                load,
+                is_spared: limits.is_limited(target.cache_id),
+            })
             .partition(|candidate| accepts_at(candidate.target).is_some());
         if !accepting.is_empty() {
             return Ok(accepting);
@@ -494,6 +539,9 @@
     let bound = mean * settings.load_factor + settings.load_slack;
     let below = ranked().filter(|(_, c)| c.load + 1.0 <= bound);
     let mut below: Vec<_> = below.collect();
+    if below.iter().any(|(_, c)| !c.is_spared) {
+        below.retain(|(_, c)| !c.is_spared);
+    }
     below.truncate(targets_needed(
         &below,
         bound,
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -72,6 +72,7 @@
 }
 
 /// Returns the identity of one start of a target.
+#[must_use]
 pub fn target_start_id(name: &str, start: StartTime) -> u64 {
     mix64(stable_id(name) ^ mix64(start.0))
 }
--- a/crates/target_limits/src/member.rs
+++ b/crates/target_limits/src/member.rs
@@ -16,6 +16,9 @@
     pub share_lifetime: Duration,
     /// Time after which a limit is forgotten that neither a target nor a hub has stated again.
     pub retention: Duration,
+    /// Time between two requests of all routers together that show whether the limit still
+    /// holds, as far as it allows them.
+    pub check_interval: Duration,
     /// Least rate at which all routers together send to a target, so that they notice the end
     /// of its limit.
     pub min_rate: RequestRate,
@@ -29,6 +32,7 @@
             report_interval: Duration::from_secs(5),
             share_lifetime: Duration::from_mins(1),
             retention: Duration::from_mins(5),
+            check_interval: Duration::from_secs(2),
             min_rate: RequestRate::from_milli_per_s(100),
             max_limits: 4_096,
         }
@@ -48,6 +52,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Limit {
     rate: RequestRate,
+    known_since: Instant,
     /// When an answer or a hub last stated the limit.
     stated_at: Instant,
     reported_at: Option<Instant>,
@@ -200,6 +205,19 @@
         self.limits.contains_key(&target)
     }
 
+    /// Whether this router is to send a request to a limited target, if it may, so that the
+    /// routers together notice the end of the limit.
+    #[must_use]
+    pub fn is_check_due(&self, target: TargetStartId, now: Instant) -> bool {
+        self.limits.get(&target).is_some_and(|limit| {
+            let Part::OneOf(parts) = limit.part else {
+                return false;
+            };
+            let since = limit.sent_at.unwrap_or(limit.known_since);
+            now >= since + self.settings.check_interval * parts
+        })
+    }
+
     /// Records that a request is sent to a target.
     pub fn record_request(&mut self, target: TargetStartId, now: Instant) {
         let Some(limit) = self.limits.get(&target).copied() else {
@@ -267,6 +285,7 @@
         };
         let limit = Limit {
             rate,
+            known_since: before.map_or(now, |before| before.known_since),
             stated_at: now,
             reported_at: before.and_then(|before| before.reported_at),
             part,
