Keep messages about crashes within a budget, and count only targets that have ended

Cause: each router's report of each crash made a hub ask all routers again about each of its parts; these messages had no budget, and one that met a full queue closed the link. Routers also took a connection that timed out, as in a cut, and planned ends of targets for crashes. Change: a report asks only about parts that are new for the crash. A target counts as ended if it refuses connections or closes them at once, and has not announced that it leaves; if it reports later, its end is withdrawn and what it blocked is released.

--- a/crates/crashes/src/hub.rs
+++ b/crates/crashes/src/hub.rs
@@ -28,6 +28,8 @@
     pub first_block_answered: Duration,
     /// Longest block.
     pub max_block: Duration,
+    /// Longest time from the sending of a target's report to its arrival, if nothing is lost.
+    pub max_report_delay: Duration,
     /// Time after which a crash is forgotten.
     pub crash_retention: Duration,
     /// Most crashes that are remembered.
@@ -49,6 +51,7 @@
             first_block: Duration::from_mins(10),
             first_block_answered: Duration::from_mins(1),
             max_block: Duration::from_hours(1),
+            max_report_delay: Duration::from_secs(2),
             crash_retention: Duration::from_mins(10),
             max_crashes: 256,
             max_parts_per_crash: 512,
@@ -213,7 +216,11 @@
             parts: BTreeSet::new(),
         });
         let room = max_parts.saturating_sub(crash.parts.len());
-        crash.parts.extend(parts.iter().copied().take(room));
+        // Each member reports each crash; only what it adds says something new.
+        let mut new = parts;
+        new.retain(|part| !crash.parts.contains(part));
+        new.truncate(room);
+        crash.parts.extend(new.iter().copied());
         if self.crashes.len() > self.settings.max_crashes {
             let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at);
             if let Some(target) = oldest.map(|(&target, _)| target) {
@@ -221,7 +228,7 @@
             }
         }
         let unexplained = self.unexplained(now);
-        let watched = parts.into_iter().filter(|part| {
+        let watched = new.into_iter().filter(|part| {
             self.parts.contains_key(part)
                 || self.crash_count(*part, &unexplained) >= self.settings.crashes_to_watch
         });
@@ -239,6 +246,43 @@
         }
     }
 
+    /// Records that a target still runs: what members took for its end was none, for example
+    /// a cut between them. A report of the target that was sent before its end can arrive
+    /// [`HubSettings::max_report_delay`] later. Returns the messages for all members.
+    pub fn record_alive(&mut self, target: TargetStartId, now: Instant) -> Vec<CrashMessage> {
+        let delay = self.settings.max_report_delay;
+        let Some(crash) = self.crashes.get(&target) else {
+            return Vec::new();
+        };
+        if now < crash.at + delay {
+            return Vec::new();
+        }
+        let parts = self.crashes.remove(&target).map(|crash| crash.parts);
+        let mut released = Vec::new();
+        for hash in parts.unwrap_or_default() {
+            let crashes = self.crashes.values();
+            let left = crashes.filter(|crash| crash.parts.contains(&hash)).count();
+            let Some(part) = self.parts.get_mut(&hash) else {
+                continue;
+            };
+            if part.is_blocked(now) && left < self.settings.crashes_to_block {
+                part.blocked_until = None;
+                part.blocks = 0;
+                released.push(hash);
+            }
+        }
+        self.update_block_at(now);
+        let released = released.chunks(MAX_PARTS_PER_MESSAGE);
+        let released = released.map(|batch| CrashMessage::Released(batch.to_vec()));
+        released.collect()
+    }
+
+    /// Whether a target is believed to have ended while it processed requests.
+    #[must_use]
+    pub fn has_crash(&self, target: TargetStartId) -> bool {
+        self.crashes.contains_key(&target)
+    }
+
     /// Updates when the next part is due to be blocked.
     fn update_block_at(&mut self, now: Instant) {
         let unexplained = self.unexplained(now);
--- a/crates/crashes/src/lib.rs
+++ b/crates/crashes/src/lib.rs
@@ -14,15 +14,18 @@
 //!   against no other part.
 //!
 //! Both are state machines: they return the [`CrashMessage`]s to send, and take the time as
-//! an argument. Messages can be lost; later ones make up for them.
+//! an argument. Messages can be lost; later ones make up for them. An [`CrashOutbox`] limits their
+//! bytes on links that carry what keeps a deployment alive.
 
 mod hub;
 mod member;
 mod message;
+mod outbox;
 
 pub use hub::{Hub, HubSettings};
 pub use member::{Member, SuspectedCrashes};
 pub use message::{Age, CrashMessage, MAX_PARTS_PER_MESSAGE};
+pub use outbox::{CrashOutbox, CrashOutboxSettings};
 
 /// Stable hash of a part of a request, such as one message of a prompt.
 pub type PartHash = u64;
--- a/crates/crashes/src/message.rs
+++ b/crates/crashes/src/message.rs
@@ -61,7 +61,22 @@
     Released(Vec<PartHash>),
 }
 
+/// Most bytes of a part with its time, of a target, and of the rest of a message with the
+/// frame around it.
+const MAX_PART_BYTES: usize = 15;
+const MAX_MESSAGE_BYTES: usize = 24;
+
 impl CrashMessage {
+    /// Returns the most bytes that the message takes on a link.
+    #[must_use]
+    pub fn max_encoded_bytes(&self) -> usize {
+        let parts = match self {
+            Self::Crashed { parts, .. } | Self::Watch(parts) | Self::Released(parts) => parts.len(),
+            Self::Answered(parts) | Self::Blocked(parts) => parts.len(),
+        };
+        MAX_MESSAGE_BYTES + parts * MAX_PART_BYTES
+    }
+
     /// Creates the reports of a crash, one for each [`MAX_PARTS_PER_MESSAGE`] parts.
     pub fn crash_reports(
         target: TargetStartId,
--- a/crates/crashes/tests/hub.rs
+++ b/crates/crashes/tests/hub.rs
@@ -247,3 +247,23 @@
     }
     assert!(asked <= 10 * parts.len(), "{asked} questions");
 }
+
+/// Routers that a cut separates from targets took these for ended, and the parts of the requests
+/// there were blocked.
+#[test]
+fn targets_that_go_on_reporting_count_against_no_part() {
+    let mut scene = Scene::new();
+    for _ in 0..3 {
+        scene.crash(&[SYSTEM, DOCUMENT]);
+    }
+    scene.wait(HubSettings::default().min_watch_time);
+    assert!(scene.is_blocked(DOCUMENT));
+    // A report can have been under way when its target ended.
+    let messages = scene.hub.record_alive(3, scene.now);
+    assert!(messages.is_empty() && scene.hub.has_crash(3));
+    scene.now += HubSettings::default().max_report_delay;
+    let messages = scene.hub.record_alive(3, scene.now);
+    scene.deliver(messages);
+    assert!(!scene.hub.has_crash(3));
+    assert!(!scene.is_blocked(SYSTEM) && !scene.is_blocked(DOCUMENT));
+}
--- a/crates/fleet/src/control/counters.rs
+++ b/crates/fleet/src/control/counters.rs
@@ -44,6 +44,8 @@
     pub target_limits: usize,
     /// Number of parts of prompts that are blocked because they crash targets.
     pub blocked_parts: usize,
+    /// Messages about crashes that were dropped because too many waited for bandwidth.
+    pub dropped_crash_messages: u64,
 }
 
 impl Counters {
@@ -69,6 +71,10 @@
             ("streams_known", number(gauges.streams)),
             ("target_limits", number(gauges.target_limits)),
             ("parts_blocked", number(gauges.blocked_parts)),
+            (
+                "crash_messages_dropped_total",
+                gauges.dropped_crash_messages,
+            ),
         ];
         let mut text = String::new();
         for (name, value) in lines {
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bamboospur_crashes::{Hub, HubSettings};
+use bamboospur_crashes::{CrashOutbox, CrashOutboxSettings, Hub, HubSettings};
 use bamboospur_group::{Group, GroupInput, GroupOutput, GroupSettings};
 use bamboospur_platform::settings::ProcessSettings;
 use bamboospur_registry::{Announcement, Registry, RegistrySettings, StartTime, TargetName};
@@ -88,6 +88,8 @@
     stream_origins: OriginTable,
     /// Parts of prompts that crash targets.
     crash_hub: Hub,
+    /// Messages about crashes that wait for bandwidth.
+    crash_outbox: CrashOutbox,
     /// Limits that targets stated.
     limit_hub: LimitHub,
     counters: Counters,
@@ -154,6 +156,7 @@
             cached_prefixes: soft.prefixes.into(),
             stream_origins: OriginTable::default(),
             crash_hub: Hub::new(HubSettings::default()),
+            crash_outbox: CrashOutbox::new(CrashOutboxSettings::HUB, now),
             limit_hub: LimitHub::new(LimitHubSettings::default()),
             counters: Counters::default(),
             sent_controls: Vec::new(),
@@ -184,7 +187,8 @@
         let updates = (!self.pending_updates.is_empty()).then_some(self.next_updates_at);
         let deadline = self.group.next_deadline().min(periodic);
         let blocks = self.crash_hub.next_deadline();
-        let optional = [updates, blocks, self.outbox.next_at()];
+        let crashes = self.crash_outbox.next_at();
+        let optional = [updates, blocks, crashes, self.outbox.next_at()];
         optional.into_iter().flatten().fold(deadline, Instant::min)
     }
 
@@ -197,6 +201,7 @@
             self.send_updates(now);
         }
         self.block_parts(now);
+        self.send_crash_messages(now);
         if now >= self.next_loads_at {
             let entries = self.exchange_loads(now);
             self.next_loads_at = now + loads_interval(entries);
@@ -288,6 +293,7 @@
             streams: self.stream_origins.len(),
             target_limits: self.limit_hub.len(),
             blocked_parts: self.crash_hub.blocked_count(now),
+            dropped_crash_messages: self.crash_outbox.dropped(),
         })
     }
 
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -68,6 +68,7 @@
             if merge == Merge::Stale {
                 continue;
             }
+            self.record_alive(&name, start, now);
             if merge == Merge::Changed {
                 info!(target_name = name, "silent target reports again");
                 returned.extend(self.registry.get(&name).cloned());
@@ -144,6 +145,9 @@
             if merge == Merge::Stale {
                 continue;
             }
+            if announcement.phase != Phase::Gone {
+                self.record_alive(&announcement.name, announcement.start, now);
+            }
             if direct {
                 self.unsent_to_peers
                     .insert(announcement.name.clone(), announcement.clone());
--- a/crates/fleet/src/router/crashes.rs
+++ b/crates/fleet/src/router/crashes.rs
@@ -2,11 +2,17 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bamboospur_crashes::{CrashMessage, Member, PartHash, SuspectedCrashes, TargetStartId};
+use bamboospur_crashes::{
+    CrashMessage, CrashOutbox, CrashOutboxSettings, Member, PartHash, SuspectedCrashes,
+    TargetStartId,
+};
 use bamboospur_dispatch::{ChosenTarget, PromptPart};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -22,19 +28,36 @@
 const CLOSE_TIME: Duration = Duration::from_millis(30);
 /// Time limit of the connection that shows whether a target still runs.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which a target that runs keeps a connection open without a request. A proxy in
+/// front of one that has ended closes it at once.
+const OPEN_TIME: Duration = Duration::from_millis(100);
 
 /// Crash-related state of a router.
-#[derive(Default)]
 pub struct Crashes {
     member: RefCell<Member>,
     suspected: RefCell<SuspectedCrashes>,
     /// Attempts with a connection, by target.
     connected: RefCell<BTreeMap<TargetStartId, u32>>,
-    messages: RefCell<Vec<CrashMessage>>,
+    outbox: RefCell<CrashOutbox>,
     /// Notified when messages for the control instances are pending.
     pub pending: Notify,
 }
 
+impl Default for Crashes {
+    fn default() -> Self {
+        Self {
+            member: RefCell::default(),
+            suspected: RefCell::default(),
+            connected: RefCell::default(),
+            outbox: RefCell::new(CrashOutbox::new(
+                CrashOutboxSettings::ROUTER,
+                Instant::now(),
+            )),
+            pending: Notify::new(),
+        }
+    }
+}
+
 impl Crashes {
     /// Handles a message of a control instance.
     pub fn handle(&self, message: &CrashMessage, now: Instant) {
@@ -54,9 +77,10 @@
         self.send(reply);
     }
 
-    /// Removes and returns the messages for the control instances.
-    pub fn take_pending(&self) -> Vec<CrashMessage> {
-        self.messages.take()
+    /// Removes and returns the next message for this number of control instances, if it may
+    /// be sent now.
+    pub fn next_pending(&self, controls: usize, now: Instant) -> Option<CrashMessage> {
+        self.outbox.borrow_mut().pop(controls, now)
     }
 
     /// Returns the messages for a control instance that may have lost its memory.
@@ -95,9 +119,9 @@
     }
 
     fn send(&self, messages: impl IntoIterator<Item = CrashMessage>) {
-        let mut queue = self.messages.borrow_mut();
-        queue.extend(messages);
-        if !queue.is_empty() {
+        let mut outbox = self.outbox.borrow_mut();
+        outbox.push(messages);
+        if outbox.next_at().is_some() {
             self.pending.notify_one();
         }
     }
@@ -133,14 +157,14 @@
     if !suspected.record(target, shared_parts(prompt)) {
         return;
     }
-    let (router, address, name) = (Rc::clone(router), choice.address, choice.name.clone());
+    let (router, address, start) = (Rc::clone(router), choice.address, choice.start);
+    let name = choice.name.clone();
     spawn_local(async move {
         sleep(CLOSE_TIME).await;
-        let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
+        let has_ended = has_ended(address).await;
         let crashes = &router.crashes;
-        let accepts = connected.is_ok_and(|connected| connected.is_ok());
         let parts = crashes.suspected.borrow_mut().take(target);
-        if accepts || crashes.is_connected(target) {
+        if !has_ended || crashes.is_connected(target) || router.is_leaving(&name, start) {
             return;
         }
         info!(
@@ -152,6 +176,19 @@
     });
 }
 
+/// Whether the process at an address has ended: it refuses connections, or a proxy in front of
+/// it closes them at once. No answer proves nothing, since the network may be cut.
+async fn has_ended(address: SocketAddr) -> bool {
+    match timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(mut connection)) => {
+            let read = timeout(OPEN_TIME, connection.read(&mut [0])).await;
+            read.is_ok_and(|read| !matches!(read, Ok(1..)))
+        }
+        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+        Err(_) => false,
+    }
+}
+
 /// Returns the parts that a prompt shares with others. The last of several is private to the
 /// request or its chat.
 fn shared_parts(prompt: &[PromptPart]) -> impl Iterator<Item = PartHash> + '_ {
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -195,6 +195,7 @@
                     self.report_begun_streams();
                     self.report_leaving_targets();
                     self.report_stated_limits();
+                    self.send_crash_messages();
                 }
                 _ = loads.tick() => self.send_loads(),
                 _ = refreshed.tick() => self.send_refreshed_reports(),
--- a/crates/fleet/src/router/follow/send.rs
+++ b/crates/fleet/src/router/follow/send.rs
@@ -93,10 +93,12 @@
         }
     }
 
-    /// Sends what was noticed of crashes to all control instances: each decides for itself, so
-    /// that the loss of one delays no decision.
+    /// Sends what was noticed of crashes to all control instances, as far as its share of the
+    /// bandwidth allows. Each decides for itself, so that the loss of one delays no decision.
     pub(super) fn send_crash_messages(&self) {
-        for message in self.router.crashes.take_pending() {
+        let now = Instant::now();
+        let controls = self.controls.len();
+        while let Some(message) = self.router.crashes.next_pending(controls, now) {
             for control in self.controls.values() {
                 // What an instance misses, later crashes and the other instances make up for.
                 let _sent = control.link.send(Frame::Crashes(message.clone()));
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -291,6 +291,13 @@
         }
     }
 
+    /// Whether this start of a target has announced that it leaves, or has left.
+    pub fn is_leaving(&self, name: &str, start: StartTime) -> bool {
+        let registry = self.registry.borrow();
+        let known = registry.get(name).filter(|known| known.start == start);
+        known.is_some_and(|known| known.phase != Phase::Ready)
+    }
+
     /// Records that another process answered at the address of a target, which has probably
     /// ended.
     pub fn record_replaced(&self, service: &str, choice: &ChosenTarget) {
