Detect targets that end behind a proxy which keeps their port

Chats that crash engines behind a proxy went on to crash them: on the product's own interface 24 crashes, 17 requests later than 1 s after the fifth, 93 of 333 sound chats served. Cause: a router takes a target that accepts a connection for running. A proxy accepts connections while its target is down, and resets them. Change: the check keeps its connection open for 100 ms. A target that runs does not close it; one reset of a request still blames no part, as the check is a connection of its own.

--- a/crates/node/src/request/crash_check.rs
+++ b/crates/node/src/request/crash_check.rs
@@ -1,6 +1,6 @@
 //! Evidence whether requests crash targets.
 
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,6 +19,9 @@
 /// Time in which all connections of a process that ends are closed.
 const CLOSE_TIME: Duration = Duration::from_millis(30);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which a target that runs keeps a connection open without a request. A proxy in
+/// front of one that has ended closes it at once.
+const OPEN_TIME: Duration = Duration::from_millis(100);
 const STACK_BYTES: usize = 64 * 1024;
 
 /// What one attempt shows about the parts of its request.
@@ -84,7 +87,7 @@
         let builder = thread::Builder::new().stack_size(STACK_BYTES);
         let spawned = builder.spawn(move || {
             thread::sleep(CLOSE_TIME);
-            let has_ended = refuses_connections(address);
+            let has_ended = has_ended(address);
             let message = RouterMessage::TargetChecked { target, has_ended };
             mailbox.send(MainLoopMessage::Router(message));
         });
@@ -97,7 +100,22 @@
     }
 }
 
-fn refuses_connections(address: SocketAddr) -> bool {
-    let connected = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT);
-    connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+/// Whether the process at an address has ended: it refuses connections, or a proxy in front of
+/// it closes them at once. No answer proves nothing, since the network may be cut.
+fn has_ended(address: SocketAddr) -> bool {
+    match TcpStream::connect_timeout(&address, CONNECT_TIMEOUT) {
+        Ok(mut connection) => {
+            let timeout = connection.set_read_timeout(Some(OPEN_TIME));
+            timeout.is_ok() && is_closed(connection.read(&mut [0]))
+        }
+        Err(error) => error.kind() == ErrorKind::ConnectionRefused,
+    }
+}
+
+/// Whether a read from a connection shows that the peer has closed it.
+fn is_closed(read: io::Result<usize>) -> bool {
+    match read {
+        Ok(count) => count == 0,
+        Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+    }
 }
--- a/crates/node/tests/crashing_chats.rs
+++ b/crates/node/tests/crashing_chats.rs
@@ -9,7 +9,8 @@
 
 use bamboospur_types::ResultCode as Code;
 use support::{
-    CRASHING_MESSAGE, Caller, CrashRecords, CrashingEngine, Node, eventually, stream_body,
+    CRASHING_MESSAGE, Caller, CrashRecords, CrashingEngine, Node, WhileDown, eventually,
+    stream_body,
 };
 
 const ENGINES: usize = 8;
@@ -62,10 +63,23 @@
 /// retried, and resumed at the engine that had started again.
 #[test]
 fn chats_with_a_message_that_crashes_engines_are_rejected_and_others_are_served() {
+    check_crashing_chats(WhileDown::Refuse);
+}
+
+/// An engine whose proxy took and reset connections while it was down counted as running, and
+/// the message was never blocked.
+#[test]
+fn chats_that_crash_engines_behind_proxies_are_rejected_and_others_are_served() {
+    check_crashing_chats(WhileDown::Reset);
+}
+
+/// Sends chats that crash engines beside sound ones; checks which are rejected.
+fn check_crashing_chats(while_down: WhileDown) {
     let node = Node::start();
     let records = Arc::<Mutex<CrashRecords>>::default();
     for index in 0..ENGINES {
-        CrashingEngine::start(&format!("engine-{index}"), vec![node.operators], &records);
+        let name = format!("engine-{index}");
+        CrashingEngine::start(&name, vec![node.operators], &records, while_down);
     }
     let caller = node.caller().with_deadline_ms(5_000);
     eventually("the engines serve", || {
--- a/crates/node/tests/deployment/crashing.rs
+++ b/crates/node/tests/deployment/crashing.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::crashing_engine::{CRASHING_PART, CrashingEngine, Records};
+use super::crashing_engine::{CRASHING_PART, CrashingEngine, Records, WhileDown};
 use super::harness::{CALLER_PORT, CONTROL_PORT, Deployment, call, eventually, request_text};
 
 const ROUTERS: [u8; 3] = [9, 10, 11];
@@ -40,6 +40,10 @@
 
 impl Scene {
     fn start(network: u8) -> Self {
+        Self::start_with(network, WhileDown::Refuse)
+    }
+
+    fn start_with(network: u8, while_down: WhileDown) -> Self {
         let mut deployment = Deployment::without_router(network);
         for router in ROUTERS {
             deployment.start_router_at(router, &format!("router-{router}"));
@@ -51,7 +55,8 @@
         let records = Arc::default();
         let engines = (0..ENGINES).map(|index| {
             let address = deployment.address(20 + index, ENGINE_PORT);
-            CrashingEngine::start(address, &format!("e{index}"), controls.clone(), &records)
+            let name = format!("e{index}");
+            CrashingEngine::start(address, &name, controls.clone(), &records, while_down)
         });
         let engines = engines.collect();
         for router in ROUTERS {
@@ -168,7 +173,18 @@
 /// they share, until most engines were down.
 #[test]
 fn requests_with_a_part_that_crashes_engines_are_rejected_and_others_are_served() {
-    let scene = Scene::start(70);
+    check_crashing_requests(&Scene::start(70));
+}
+
+/// An engine whose proxy took and reset connections while it was down counted as running, and
+/// no part was ever blocked.
+#[test]
+fn requests_that_crash_engines_behind_proxies_are_rejected_and_others_are_served() {
+    check_crashing_requests(&Scene::start_with(76, WhileDown::Reset));
+}
+
+/// Sends requests that crash engines beside sound ones; checks which are rejected.
+fn check_crashing_requests(scene: &Scene) {
     let done = AtomicBool::new(false);
     scene.with_callers(|| {
         thread::sleep(Duration::from_secs(1));
--- a/crates/node/tests/deployment/crashing_engine.rs
+++ b/crates/node/tests/deployment/crashing_engine.rs
@@ -29,6 +29,15 @@
     pub sound_arrivals: usize,
 }
 
+/// What becomes of connections while an engine is down.
+#[derive(Clone, Copy, PartialEq)]
+pub enum WhileDown {
+    /// They are refused.
+    Refuse,
+    /// A proxy in front of the engine takes and resets them.
+    Reset,
+}
+
 /// One start of an engine.
 struct Start {
     name: String,
@@ -64,9 +73,11 @@
         name: &str,
         controls: Vec<SocketAddr>,
         records: &Arc<Mutex<Records>>,
+        while_down: WhileDown,
     ) -> Self {
-        let begin = move |name: &str, generation: u32| {
-            let listener = TcpListener::bind(address).expect("the address is free");
+        let begin = move |name: &str, generation: u32, kept: Option<TcpListener>| {
+            let bind = || TcpListener::bind(address).expect("the address is free");
+            let listener = kept.unwrap_or_else(bind);
             listener.set_nonblocking(true).expect("a listener");
             let start = Arc::new(Start {
                 name: format!("{name}-{generation}"),
@@ -76,16 +87,19 @@
             });
             (listener, start)
         };
-        let (listener, first) = begin(name, 0);
+        let (listener, first) = begin(name, 0, None);
         let current = Arc::new(Mutex::new(Arc::clone(&first)));
         let (latest, records, name) = (Arc::clone(&current), Arc::clone(records), name.to_owned());
         thread::spawn(move || {
             let mut started = (listener, first);
             for generation in 1.. {
                 serve(&started.0, &started.1, &controls, &records);
-                drop(started);
-                thread::sleep(RESTART_AFTER);
-                started = begin(&name, generation);
+                let kept = (while_down == WhileDown::Reset).then_some(started.0);
+                match &kept {
+                    Some(listener) => reset_connections(listener, RESTART_AFTER),
+                    None => thread::sleep(RESTART_AFTER),
+                }
+                started = begin(&name, generation, kept);
                 *latest.lock().expect("the current start") = Arc::clone(&started.1);
             }
         });
@@ -98,6 +112,16 @@
     }
 }
 
+/// Takes connections and closes them for a time.
+fn reset_connections(listener: &TcpListener, time: Duration) {
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        if listener.accept().is_err() {
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+}
+
 /// Accepts connections until the engine has ended.
 fn serve(
     listener: &TcpListener,
--- a/crates/node/tests/fleet/crashing.rs
+++ b/crates/node/tests/fleet/crashing.rs
@@ -6,7 +6,7 @@
 
 use crate::fleet::Fleet;
 use crate::support::{
-    CRASHING_MESSAGE, Caller, CrashRecords, CrashingEngine, eventually, stream_body,
+    CRASHING_MESSAGE, Caller, CrashRecords, CrashingEngine, WhileDown, eventually, stream_body,
 };
 
 const ENGINES: usize = 6;
@@ -25,7 +25,8 @@
     let operators: Vec<_> = fleet.all().map(|process| process.operators).collect();
     let records = Arc::<Mutex<CrashRecords>>::default();
     for index in 0..ENGINES {
-        CrashingEngine::start(&format!("engine-{index}"), operators.clone(), &records);
+        let name = format!("engine-{index}");
+        CrashingEngine::start(&name, operators.clone(), &records, WhileDown::Refuse);
     }
     let callers: Vec<Caller> = fleet
         .all()
--- a/crates/node/tests/support/crashing.rs
+++ b/crates/node/tests/support/crashing.rs
@@ -27,6 +27,15 @@
     pub crashing_arrivals: Vec<Instant>,
 }
 
+/// What becomes of connections while an engine is down.
+#[derive(Clone, Copy, PartialEq)]
+pub enum WhileDown {
+    /// They are refused.
+    Refuse,
+    /// A proxy in front of the engine takes and resets them.
+    Reset,
+}
+
 /// An engine that runs until the test ends.
 pub struct CrashingEngine;
 
@@ -37,7 +46,12 @@
 
 impl CrashingEngine {
     /// Starts an engine that announces itself to these nodes.
-    pub fn start(name: &str, operators: Vec<SocketAddr>, records: &Arc<Mutex<CrashRecords>>) {
+    pub fn start(
+        name: &str,
+        operators: Vec<SocketAddr>,
+        records: &Arc<Mutex<CrashRecords>>,
+        while_down: WhileDown,
+    ) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
         let address = listener.local_addr().expect("address");
         let (name, records) = (name.to_owned(), Arc::clone(records));
@@ -55,7 +69,12 @@
                     .map(|&to| Heartbeat::start(to, record.clone()));
                 let beats: Vec<Heartbeat> = beats.collect();
                 serve(&listener, &records);
-                drop((beats, listener));
+                drop(beats);
+                if while_down == WhileDown::Reset {
+                    reset_connections(&listener, RESTART_AFTER);
+                    continue;
+                }
+                drop(listener);
                 thread::sleep(RESTART_AFTER);
                 listener = TcpListener::bind(address).expect("the address is free");
             }
@@ -63,6 +82,16 @@
     }
 }
 
+/// Takes connections and closes them for a time.
+fn reset_connections(listener: &TcpListener, time: Duration) {
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        if listener.accept().is_err() {
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+}
+
 /// Accepts connections until the engine has ended.
 fn serve(listener: &TcpListener, records: &Arc<Mutex<CrashRecords>>) {
     let start = Arc::new(Start {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -14,7 +14,7 @@
 mod target;
 
 pub use caller::{Answer, Caller, read_answer, stream_body};
-pub use crashing::{CRASHING_MESSAGE, CrashRecords, CrashingEngine};
+pub use crashing::{CRASHING_MESSAGE, CrashRecords, CrashingEngine, WhileDown};
 pub use heartbeat::Heartbeat;
 pub use node::{Node, test_folder};
 pub use target::{Target, TargetAction};
