Let targets of the product's own interface state a limit on their requests

With the new header x-request-limit each router sent as many requests as before (137 in 4 s at a limit of 2.5 a second, 20 allowed). Change: instances tell the others of their data centre what targets state, by packets of a kind of its own; all know the same routers, so each has a hub that names the same holders. Placement leaves out targets without room, checks again when an owner has chosen one, and counts a limited target with an eighth of its capacity, since the others would seem above the load bound.

--- a/crates/node/src/actors/mod.rs
+++ b/crates/node/src/actors/mod.rs
@@ -19,6 +19,7 @@
 mod router;
 mod router_messages;
 mod shares;
+mod target_limits;
 mod targets;
 
 pub use control::{Control, ControlStart};
--- a/crates/node/src/actors/placing.rs
+++ b/crates/node/src/actors/placing.rs
@@ -7,6 +7,7 @@
 use bamboospur_types::{TargetId, TargetState, TeamId};
 
 use super::router::Router;
+use super::targets::Target;
 use crate::mailbox::ReplySender;
 use crate::peers::PeerMessage;
 use crate::request::{ChosenTarget, PlaceRequest, Placement};
@@ -37,6 +38,8 @@
         }
         let mut excluded = place.excluded.clone();
         excluded.extend(self.targets.with_open_breaker(&place.pool, now));
+        let (at_limit, available_at) = self.targets_at_limit(&place.pool, now);
+        excluded.extend(at_limit);
         let Some(pool) = self.pools.get_mut(&place.pool) else {
             let refused = refusal(Refusal::NoTarget, Duration::from_secs(1));
             let _ = reply.try_send(refused);
@@ -68,7 +71,11 @@
                 retry_after,
                 reason,
             } => {
-                let _ = reply.try_send(refusal(reason, retry_after));
+                let refused = match available_at {
+                    Some(at) if reason == Refusal::NoTarget => Self::refuse_at_limit(at, now),
+                    _ => refusal(reason, retry_after),
+                };
+                let _ = reply.try_send(refused);
             }
         }
     }
@@ -91,6 +98,7 @@
             kind: entry.kind,
             ticket,
             permit: entry.breaker.allow(now),
+            is_limited: self.limits.is_limited(entry.start_id()),
         });
         let Some(chosen) = chosen else {
             self.record_violation("a placement names an unknown target");
@@ -103,6 +111,7 @@
             self.record_violation("a placement names a target that is leaving");
         }
         let permit = chosen.permit;
+        self.limits.record_request(chosen.start_id, now);
         if reply.try_send(Placement::Target(chosen)).is_err() {
             self.finish_placement(pool, ticket, now);
             self.record_outcome(0, target, permit, AttemptOutcome::Abandoned, now);
@@ -177,8 +186,18 @@
             }
             PlacementOutput::Placed { ticket, target, .. } => {
                 self.placed += 1;
+                let start = self.targets.get(target).map(Target::start_id);
+                let has_room = start.is_none_or(|start| self.limits.has_room(start, now));
                 match self.take_waiting(pool, ticket) {
-                    Some((_, reply)) => self.answer_with_target(pool, target, ticket, &reply, now),
+                    Some((_, reply)) if has_room => {
+                        self.answer_with_target(pool, target, ticket, &reply, now);
+                    }
+                    Some((request, reply)) => {
+                        // The owner of the target does not know how much of the limit is left.
+                        self.finish_placement(pool, ticket, now);
+                        let denial = (Refusal::Overloaded, DENIAL_PAUSE);
+                        self.handle_denial(request, reply, denial, now);
+                    }
                     None => self.finish_placement(pool, ticket, now),
                 }
             }
--- a/crates/node/src/actors/router.rs
+++ b/crates/node/src/actors/router.rs
@@ -18,6 +18,7 @@
 use super::placing::DeniedRequest;
 use super::router_messages::RouterMessage;
 use super::shares::{ShareRequest, Shares};
+use super::target_limits::Limits;
 use super::targets::Targets;
 use crate::mailbox::ReplySender;
 use crate::peers::Peers;
@@ -58,6 +59,7 @@
     pub(super) finished: u64,
     pub(super) violations: u64,
     pub(super) crashes: Crashes,
+    pub(super) limits: Limits,
 }
 
 impl Router {
@@ -90,6 +92,7 @@
             finished: 0,
             violations: 0,
             crashes: Crashes::new(now),
+            limits: Limits::new(seed),
         })
     }
 
@@ -143,6 +146,12 @@
             | RouterMessage::BrokenOff { .. }
             | RouterMessage::TargetChecked { .. }
             | RouterMessage::Crashes { .. } => self.handle_crash_evidence(message, now),
+            RouterMessage::Limited {
+                target,
+                limit,
+                sent_at,
+            } => self.record_limit(target, limit, sent_at, now),
+            RouterMessage::StatedLimits { stated } => self.handle_stated_limits(&stated, now),
             RouterMessage::Limits { from, message } => {
                 self.shares.handle(from, &message, &self.peers, now);
             }
@@ -223,6 +232,7 @@
         }
         self.routers = routers;
         self.update_hub(now);
+        self.update_limit_holders(now);
     }
 
     /// Handles a change of a target's prefix cache.
@@ -265,6 +275,7 @@
     fn limits_tick(&mut self, cx: CX![]) {
         self.shares.tick(&self.peers, cx.now());
         self.crashes_tick(cx.now());
+        self.target_limits_tick(cx.now());
         after!(LIMITS_TICK_PERIOD, [cx], limits_tick());
     }
 
--- a/crates/node/src/actors/router_messages.rs
+++ b/crates/node/src/actors/router_messages.rs
@@ -1,12 +1,13 @@
 //! Messages to the router actor.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bamboospur_crashes::{CrashMessage, PartHash, TargetStartId};
 use bamboospur_limits::{Admission, AdmissionTicket as LimitTicket, LimitsMessage};
 use bamboospur_placement::Ticket;
 use bamboospur_retries::{AttemptOutcome, Permit};
-use bamboospur_types::{InstanceId, TargetId, TeamId, WorkTokens};
+use bamboospur_target_limits::StatedLimit;
+use bamboospur_types::{InstanceId, RequestRate, TargetId, TeamId, WorkTokens};
 use bamboospur_wire::datagram::{ShortId, WirePlacement};
 
 use crate::mailbox::ReplySender;
@@ -96,6 +97,20 @@
         /// Whether its process has ended.
         has_ended: bool,
     },
+    /// A target stated a limit on its requests in an answer, or none any more.
+    Limited {
+        /// The start of the target.
+        target: TargetStartId,
+        /// The limit.
+        limit: Option<RequestRate>,
+        /// When the request was sent.
+        sent_at: Instant,
+    },
+    /// Limits that targets stated to another instance.
+    StatedLimits {
+        /// What the targets stated.
+        stated: Vec<StatedLimit>,
+    },
     /// Message of another instance about parts of requests that crash targets.
     Crashes {
         /// Instance that sent the message.
--- a/crates/node/src/actors/targets.rs
+++ b/crates/node/src/actors/targets.rs
@@ -10,6 +10,10 @@
 use bamboospur_retries::{Breaker, BreakerSettings};
 use bamboospur_types::{Offer, OfferId, TargetId, TargetKind, TargetState, mix64, stable_id};
 
+/// Part of its capacity with which a limited target counts. With all of it the target would
+/// count as idle in the mean load, and the others would seem to be above their bound.
+const LIMITED_CAPACITY_DIVISOR: u64 = 8;
+
 /// One target as the router sees it.
 #[derive(Debug)]
 pub struct Target {
@@ -27,6 +31,8 @@
     pub state: TargetState,
     /// Whether an operator drains the target.
     pub drained: bool,
+    /// Whether the target states a limit on its requests.
+    limited: bool,
     /// Circuit breaker, new for each incarnation of the target.
     pub breaker: Breaker,
 }
@@ -78,15 +84,20 @@
             view: view.clone(),
             state,
             drained,
+            limited: false,
             breaker: Breaker::new(BreakerSettings::default()),
         });
         if entry.view.incarnation != view.incarnation {
             entry.breaker = Breaker::new(BreakerSettings::default());
+            entry.limited = false;
         }
         entry.pool.clone_from(&record.pool);
         entry.kind = record.kind;
         entry.address = record.address;
         entry.view = view;
+        if entry.limited {
+            entry.view.capacity_tokens = limited_capacity(record.capacity_tokens);
+        }
         entry.state = state;
         entry.set_drained(drained);
         entry
@@ -140,12 +151,39 @@
         changed
     }
 
+    /// Sets which targets state a limit, and returns the changed views, each with the name of
+    /// its pool.
+    pub fn set_limited(
+        &mut self,
+        limited: impl Fn(TargetStartId) -> bool,
+    ) -> Vec<(String, TargetView)> {
+        let mut changed = Vec::new();
+        for target in self.entries.values_mut() {
+            let wanted = limited(target.start_id());
+            if target.limited != wanted {
+                target.limited = wanted;
+                let capacity = &mut target.view.capacity_tokens;
+                *capacity = if wanted {
+                    limited_capacity(*capacity)
+                } else {
+                    capacity.saturating_mul(LIMITED_CAPACITY_DIVISOR)
+                };
+                changed.push((target.pool.clone(), target.view.clone()));
+            }
+        }
+        changed
+    }
+
     /// Iterates over all targets.
     pub fn all(&self) -> impl Iterator<Item = &Target> {
         self.entries.values()
     }
 }
 
+const fn limited_capacity(capacity_tokens: u64) -> u64 {
+    capacity_tokens / LIMITED_CAPACITY_DIVISOR
+}
+
 fn placement_view(known: &bamboospur_membership::TargetView, own_data_centre: &str) -> TargetView {
     let record = &known.record;
     let state = match known.state {
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -27,6 +27,7 @@
 use bamboospur_crashes::CrashMessage;
 use bamboospur_limits::LimitsMessage;
 use bamboospur_placement::PlacementMessage;
+use bamboospur_target_limits::StatedLimit;
 use bamboospur_types::{InstanceId, stable_id};
 use bamboospur_wire::FleetKey;
 use bamboospur_wire::datagram::Outgoing;
@@ -79,6 +80,13 @@
         /// Content of the message.
         message: CrashMessage,
     },
+    /// Limits that targets stated, sent by UDP.
+    TargetLimits {
+        /// Receiver.
+        to: InstanceId,
+        /// What the targets stated.
+        stated: Vec<StatedLimit>,
+    },
     /// Message of the replicated log, sent by TCP.
     Agreement {
         /// Receiver.
@@ -199,6 +207,9 @@
             PeerMessage::Crashes { to, message } => {
                 self.send_to_instance(to, Outgoing::Crashes(message));
             }
+            PeerMessage::TargetLimits { to, stated } => {
+                self.send_to_instance(to, Outgoing::TargetLimits(stated));
+            }
             PeerMessage::Agreement { to, message } => {
                 let links = self.inner.links.borrow();
                 if !links.send_agreement(to, message) {
--- a/crates/node/src/peers/traffic.rs
+++ b/crates/node/src/peers/traffic.rs
@@ -22,7 +22,7 @@
 /// Counters of all traffic with other instances, since the start of the process.
 #[derive(Debug, Default)]
 pub struct Traffic {
-    packets: [Counter; 4],
+    packets: [Counter; 5],
     frames: [Counter; 5],
     tcp: Counter,
     refused: AtomicU64,
@@ -92,11 +92,12 @@
     }
 }
 
-const PACKET_KINDS: [PacketKind; 4] = [
+const PACKET_KINDS: [PacketKind; 5] = [
     PacketKind::Membership,
     PacketKind::Placement,
     PacketKind::Limits,
     PacketKind::Crashes,
+    PacketKind::TargetLimits,
 ];
 const FRAME_KINDS: [FrameKind; 5] = [
     FrameKind::Heartbeat,
@@ -113,6 +114,7 @@
             PacketKind::Placement => &self.packets[1],
             PacketKind::Limits => &self.packets[2],
             PacketKind::Crashes => &self.packets[3],
+            PacketKind::TargetLimits => &self.packets[4],
         }
     }
 
--- a/crates/node/src/peers/udp.rs
+++ b/crates/node/src/peers/udp.rs
@@ -141,6 +141,7 @@
         Body::Placement { .. } => PacketKind::Placement,
         Body::Limits(_) => PacketKind::Limits,
         Body::Crashes(_) => PacketKind::Crashes,
+        Body::TargetLimits(_) => PacketKind::TargetLimits,
     }
 }
 
@@ -162,6 +163,9 @@
             messages,
         }),
         Body::Crashes(message) => MainLoopMessage::Router(RouterMessage::Crashes { from, message }),
+        Body::TargetLimits(stated) => {
+            MainLoopMessage::Router(RouterMessage::StatedLimits { stated })
+        }
         Body::Limits(message) => MainLoopMessage::Router(RouterMessage::Limits { from, message }),
     }
 }
--- a/crates/node/src/request/place.rs
+++ b/crates/node/src/request/place.rs
@@ -79,6 +79,8 @@
     pub ticket: Ticket,
     /// Permit of the target's circuit breaker for this attempt.
     pub permit: Permit,
+    /// Whether the target has stated a limit on its requests.
+    pub is_limited: bool,
 }
 
 /// The load that one attempt adds to its target; dropping the reservation
--- a/crates/node/src/request/target.rs
+++ b/crates/node/src/request/target.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_retries::AttemptOutcome;
-use bamboospur_types::TargetKind;
+use bamboospur_types::{RequestRate, TargetKind};
 use bamboospur_upstream::{
     Answer, Call, CancelHandle, Event, EventStream, Failure, FailureKind, ReadTimeouts,
     RequestIdEcho,
@@ -15,7 +15,9 @@
 use super::headers;
 use super::node::Node;
 use super::place::{ChosenTarget, Reservation};
+use crate::actors::RouterMessage;
 use crate::edge::Caller;
+use crate::mailbox::MainLoopMessage;
 
 /// Limit for the call that cancels a request at an engine.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -23,6 +25,10 @@
 const FAILED_STATUSES: [u16; 4] = [429, 502, 503, 504];
 const OK: u16 = 200;
 
+/// Header by which a target in need states how many requests per second it takes from all
+/// routers together.
+const REQUEST_LIMIT_HEADER: &str = "x-request-limit";
+
 /// Result of one call to a target.
 pub enum CallResult {
     /// A complete answer that belongs to the request.
@@ -176,10 +182,12 @@
     fresh: bool,
 ) -> CallResult {
     let call = build_call(node, request, identity, reservation, fresh);
+    let sent_at = Instant::now();
     let answer = match node.client.send(&call, caller.cancel_handle()) {
         Ok(answer) => answer,
         Err(failure) => return CallResult::Failed(failure),
     };
+    report_limit(node, reservation, &answer, sent_at);
     if answer.proves_not_run() {
         return CallResult::NotRun {
             detail: format!(
@@ -195,6 +203,23 @@
     read_answer(node, request, caller, call, answer)
 }
 
+/// Tells the router actor which limit the target states. A rejection without a limit does not
+/// say that it has none.
+fn report_limit(node: &Node, reservation: &Reservation, answer: &Answer, sent_at: Instant) {
+    let stated = answer.headers.get(REQUEST_LIMIT_HEADER);
+    let limit = stated.and_then(|value| RequestRate::parse(value.to_str().ok()?));
+    let is_over = limit.is_none() && reservation.chosen.is_limited && !answer.proves_not_run();
+    if limit.is_some() || is_over {
+        let target = reservation.chosen.start_id;
+        let message = RouterMessage::Limited {
+            target,
+            limit,
+            sent_at,
+        };
+        node.mailbox.send(MainLoopMessage::Router(message));
+    }
+}
+
 /// Reads the answer: a stream up to its first event, any other one to its end.
 fn read_answer(
     node: &Node,
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod formation;
 mod group;
+mod limited;
 mod once;
 mod process;
 mod service;
--- a/crates/node/tests/support/target.rs
+++ b/crates/node/tests/support/target.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
@@ -67,6 +67,7 @@
     /// Request line and headers.
     pub head: String,
     pub body: String,
+    pub received_at: Instant,
 }
 
 impl ReceivedRequest {
@@ -87,6 +88,8 @@
     connections: Mutex<u64>,
     endless_events: Mutex<u64>,
     endless_bytes: Mutex<u64>,
+    /// Requests per second that answers state as limit.
+    limit: Mutex<Option<String>>,
 }
 
 /// A running target that performs a list of actions, one for each request, and then
@@ -192,6 +195,11 @@
             .push_back(action);
     }
 
+    /// Sets the requests per second that whole answers state as limit from now on.
+    pub fn state_limit(&self, per_second: Option<&str>) {
+        *self.shared.limit.lock().expect("the limit") = per_second.map(str::to_owned);
+    }
+
     pub fn drain(&self) {
         self.heartbeat.drain();
     }
@@ -239,7 +247,12 @@
         TargetAction::Answer if request.body.contains("\"stream\":true") => {
             write_events(stream, request, EVENT_COUNT, true);
         }
-        TargetAction::Answer => write_answer(stream, request, 200, &body),
+        TargetAction::Answer => {
+            let limit = shared.limit.lock().expect("the limit").clone();
+            let limit = limit.map_or_else(String::new, |l| format!("x-request-limit: {l}\r\n"));
+            let extra = format!("{limit}content-length: {}", body.len());
+            write(stream, &(head(200, &id, &extra) + &body));
+        }
         TargetAction::AnswerAfterMs(millis) => {
             thread::sleep(Duration::from_millis(millis));
             return perform(stream, request, TargetAction::Answer, shared);
@@ -329,6 +342,7 @@
         line: head.lines().next()?.to_owned(),
         head,
         body: String::new(),
+        received_at: Instant::now(),
     };
     let length = request
         .header("content-length")
--- a/crates/target_limits/src/lib.rs
+++ b/crates/target_limits/src/lib.rs
@@ -17,4 +17,4 @@
 
 pub use hub::{LimitHub, LimitHubSettings};
 pub use member::{TargetLimits, TargetLimitsSettings};
-pub use message::{LimitShare, StatedLimit, TargetStartId};
+pub use message::{LimitShare, MAX_STATED_PER_MESSAGE, StatedLimit, TargetStartId};
--- a/crates/target_limits/src/message.rs
+++ b/crates/target_limits/src/message.rs
@@ -3,6 +3,9 @@
 use bamboospur_types::{InstanceId, RequestRate};
 use serde::{Deserialize, Serialize};
 
+/// Most statements in one message between instances that send packets.
+pub const MAX_STATED_PER_MESSAGE: usize = 48;
+
 /// Identity of one start of a target.
 pub type TargetStartId = u64;
 
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -16,11 +16,13 @@
 mod reservation;
 mod seal;
 mod short;
+mod target_limits;
 mod window;
 
 use bamboospur_crashes::CrashMessage;
 use bamboospur_limits::LimitsMessage;
 use bamboospur_membership::Message;
+use bamboospur_target_limits::StatedLimit;
 use quick_error::quick_error;
 
 use crate::key::MAC_BYTES;
@@ -66,6 +68,8 @@
     Limits = 3,
     /// Parts of requests that crash targets.
     Crashes = 4,
+    /// Limits that targets state.
+    TargetLimits = 5,
 }
 
 /// Decoded body of a received packet.
@@ -84,6 +88,8 @@
     Limits(LimitsMessage),
     /// Parts of requests that crash targets.
     Crashes(CrashMessage),
+    /// Limits that targets state.
+    TargetLimits(Vec<StatedLimit>),
 }
 
 quick_error! {
--- a/crates/wire/src/datagram/open.rs
+++ b/crates/wire/src/datagram/open.rs
@@ -8,7 +8,7 @@
 use super::window::Window;
 use super::{
     Body, DatagramError, HEADER_BYTES, MAX_DATAGRAM_BYTES, PacketKind, crashes, limits, membership,
-    placement, seal,
+    placement, seal, target_limits,
 };
 use crate::key::{FleetKey, MAC_BYTES};
 
@@ -74,6 +74,7 @@
             PacketKind::Placement => placement::read(rest)?,
             PacketKind::Limits => Body::Limits(limits::read(rest)?),
             PacketKind::Crashes => Body::Crashes(crashes::read(rest)?),
+            PacketKind::TargetLimits => Body::TargetLimits(target_limits::read(rest)?),
         };
         Ok(OpenedPacket {
             sender,
--- a/crates/wire/src/datagram/seal.rs
+++ b/crates/wire/src/datagram/seal.rs
@@ -6,11 +6,12 @@
 use bamboospur_limits::LimitsMessage;
 use bamboospur_membership::Message;
 use bamboospur_placement::PlacementMessage;
+use bamboospur_target_limits::StatedLimit;
 use bamboospur_types::InstanceId;
 
 use super::{
     DatagramError, HEADER_BYTES, IP_UDP_HEADER_BYTES, MAX_DATAGRAM_BYTES, POOL_ID_BYTES,
-    PacketKind, ShortId, crashes, limits, membership, placement,
+    PacketKind, ShortId, crashes, limits, membership, placement, target_limits,
 };
 use crate::key::{FleetKey, MAC_BYTES};
 
@@ -37,6 +38,8 @@
     Limits(LimitsMessage),
     /// Parts of requests that crash targets.
     Crashes(CrashMessage),
+    /// Limits that targets state.
+    TargetLimits(Vec<StatedLimit>),
 }
 
 /// Encoded packet.
@@ -115,6 +118,7 @@
             Self::Placement { .. } => PacketKind::Placement,
             Self::Limits(_) => PacketKind::Limits,
             Self::Crashes(_) => PacketKind::Crashes,
+            Self::TargetLimits(_) => PacketKind::TargetLimits,
         }
     }
 
@@ -132,6 +136,7 @@
             }
             Self::Limits(message) => message.packet_bytes(),
             Self::Crashes(_) => crashes::PACKET_BYTES,
+            Self::TargetLimits(_) => target_limits::PACKET_BYTES,
         }
     }
 
@@ -144,6 +149,7 @@
             }
             Self::Limits(message) => limits::write(message, bytes),
             Self::Crashes(message) => crashes::write(message, bytes),
+            Self::TargetLimits(stated) => target_limits::write(stated, bytes),
         }
     }
 }
