--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -9,6 +9,7 @@
     PromptPart,
 };
 use bamboospur_registry::{Announcement, Phase, StartTime};
+use bamboospur_types::RequestRate;
 
 const UNLIMITED_CONNECTIONS: u32 = 1_000;
 
@@ -511,3 +512,89 @@
         assert_eq!(refused, Err(ChooseError::Full { available_in }));
     }
 }
+
+const LIMIT: RequestRate = RequestRate::from_milli_per_s(1_000);
+
+/// Sends a request to each target until all have stated a limit for a fleet of one router.
+fn limit_all(dispatcher: &mut Dispatcher, targets: &[&str], now: Instant) {
+    let mut tried = Vec::new();
+    for _ in 0..9 {
+        let choice = dispatcher
+            .choose(&plain_request(&tried), now)
+            .expect("a target");
+        let limit = targets.contains(&choice.name.as_str()).then_some(LIMIT);
+        dispatcher.record_stated_limit(&choice, limit, now);
+        dispatcher.finish("records", &choice, answered(10), now);
+        tried.push(choice.name);
+    }
+}
+
+/// Requests beyond the limits of all targets would wait at the targets or exceed the limits.
+#[test]
+fn requests_beyond_the_limits_of_all_targets_are_refused_with_the_time_of_the_next() {
+    let start = Instant::now();
+    let mut dispatcher = dispatcher(9, "records");
+    let all: Vec<String> = (0..9).map(|index| format!("t{index}")).collect();
+    let all: Vec<&str> = all.iter().map(String::as_str).collect();
+    limit_all(&mut dispatcher, &all, start);
+    assert_eq!(dispatcher.take_stated_limits().len(), 9);
+    let mut sent = 0;
+    for step in 0..500 {
+        let now = start + Duration::from_millis(20) * step;
+        match dispatcher.choose(&plain_request(&[]), now) {
+            Ok(choice) => {
+                dispatcher.record_stated_limit(&choice, Some(LIMIT), now);
+                dispatcher.finish("records", &choice, answered(10), now);
+                sent += 1;
+            }
+            Err(ChooseError::Full { available_in }) => {
+                assert!(available_in <= Duration::from_secs(1), "{available_in:?}");
+            }
+            Err(error) => panic!("{error:?}"),
+        }
+    }
+    // Nine requests a second for ten seconds, the first after up to a second.
+    assert!((80..=90).contains(&sent), "{sent}");
+}
+
+/// New prompts at a limited target have to be copied elsewhere by the next request with them.
+#[test]
+fn limited_targets_take_prompts_that_they_have_cached_and_now_and_then_one_that_shows_their_state()
+{
+    let start = Instant::now();
+    let mut dispatcher = dispatcher(9, "chat");
+    let mut limited = None;
+    let mut at_limited = 0;
+    for step in 0..1_000_u32 {
+        let now = start + Duration::from_millis(20) * step;
+        let prompt = prompt(u64::from(step) + 100);
+        let choice = dispatcher
+            .choose(&chat_request(&prompt), now)
+            .expect("a target");
+        let name = limited.get_or_insert_with(|| choice.name.clone());
+        let is_limited = *name == choice.name;
+        at_limited += u32::from(is_limited);
+        dispatcher.record_stated_limit(&choice, is_limited.then_some(LIMIT), now);
+        dispatcher.finish("chat", &choice, answered(10), now);
+    }
+    // A request every two seconds for twenty seconds, and the first one.
+    assert!((9..=11).contains(&at_limited), "{at_limited}");
+}
+
+#[test]
+fn an_answer_to_a_request_from_before_a_limit_does_not_end_it() {
+    let start = Instant::now();
+    let mut dispatcher = dispatcher(1, "records");
+    let choose = |dispatcher: &mut Dispatcher, now| dispatcher.choose(&plain_request(&[]), now);
+    let early = choose(&mut dispatcher, start).expect("a target");
+    let later = start + Duration::from_millis(50);
+    let limited = choose(&mut dispatcher, later).expect("a target");
+    let answered_at = start + Duration::from_millis(100);
+    dispatcher.record_stated_limit(&limited, Some(LIMIT), answered_at);
+    dispatcher.record_stated_limit(&early, None, answered_at);
+    assert_eq!(dispatcher.limit_count(), 1);
+    let next = start + Duration::from_secs(2);
+    let choice = choose(&mut dispatcher, next).expect("a target");
+    dispatcher.record_stated_limit(&choice, None, next);
+    assert_eq!(dispatcher.limit_count(), 0);
+}
