--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -11,7 +11,6 @@
 use bamboospur_platform::request::RequestMetadata;
 use bamboospur_types::{RequestRate, ResultCode, stable_id};
 use tokio::time::{Instant, timeout};
-use tracing::info;
 
 use super::admit::{Admitted, admit};
 use super::attempt::{Answer, Attempt, AttemptEnd};
@@ -20,6 +19,7 @@
 use super::event_stream::StreamProgress;
 use super::rejections::Rejections;
 use super::state::{ActiveAttempt, Router};
+use super::trace::Trace;
 use crate::clock::BootTime;
 use crate::stream_origins::{StreamId, StreamOrigin};
 
@@ -43,106 +43,6 @@
 /// Detail of the log line of a request with a part that crashes targets.
 const BLOCKED_PART: &str = "a part of the prompt has crashed several targets";
 
-/// Data of a request for its log line.
-#[derive(Debug)]
-pub struct Trace {
-    id: String,
-    route: String,
-    team: String,
-    version: u64,
-    lease_age_ms: Option<u64>,
-    /// Id of the request whose stream this one resumes; empty without one.
-    resumes: String,
-    last_event_id: Option<u64>,
-    attempts: Vec<String>,
-    /// Parts of the prompt, if an answer broke off; otherwise empty.
-    prompt: String,
-    pub detail: String,
-}
-
-impl Trace {
-    pub fn new(request: &Request) -> Self {
-        let id = request
-            .head
-            .headers
-            .get(names::REQUEST_ID)
-            .unwrap_or_default();
-        Self {
-            id: id.to_owned(),
-            route: String::new(),
-            team: String::new(),
-            version: 0,
-            lease_age_ms: None,
-            resumes: String::new(),
-            last_event_id: None,
-            attempts: Vec::new(),
-            prompt: String::new(),
-            detail: String::new(),
-        }
-    }
-
-    /// Adds an attempt to the log line.
-    fn record_attempt(
-        &mut self,
-        choice: &ChosenTarget,
-        end: &AttemptEnd,
-        limit: Option<RequestRate>,
-        prompt: &[PromptPart],
-    ) {
-        let ChosenTarget {
-            name,
-            software,
-            rank,
-            load,
-            bound,
-            is_cached,
-            copy_from,
-            prefix_hash,
-            ..
-        } = choice;
-        let copied = copy_from.is_some();
-        let text = format!(
-            "{name} software={software} rank={rank} load={load:.1} bound={bound:.1} \
-             cached={is_cached} copied={copied} prefix={prefix_hash:016x} {end}"
-        );
-        let answering = match end {
-            AttemptEnd::BrokenOff {
-                answering_for: Some(time),
-            } => format!(" answering_ms={}", time.as_millis()),
-            _ => String::new(),
-        };
-        let limit = limit.map_or_else(String::new, |limit| format!(" limit={limit}"));
-        self.attempts.push(text + &answering + &limit);
-        if matches!(
-            end,
-            AttemptEnd::BrokenOff { .. } | AttemptEnd::KeptConnectionEnded { sent: true }
-        ) {
-            let parts = prompt.iter().map(|part| format!("{:x}", part.hash));
-            self.prompt = parts.collect::<Vec<_>>().join(",");
-        }
-    }
-
-    /// Logs the end of the request.
-    pub fn log(&self, code: ResultCode, took: Duration) {
-        info!(
-            id = self.id,
-            route = self.route,
-            team = self.team,
-            config_version = self.version,
-            lease_age_ms = self.lease_age_ms,
-            resumes = self.resumes,
-            last_event_id = self.last_event_id,
-            attempts = ?self.attempts,
-            prompt = self.prompt,
-            detail = self.detail,
-            result = %code,
-            number = code.number(),
-            took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
-            "request ended"
-        );
-    }
-}
-
 /// An admitted request and the state of its forwarding.
 pub struct Job<'a> {
     pub router: &'a Rc<Router>,
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -35,6 +35,7 @@
 mod serve;
 mod state;
 mod state_request;
+mod trace;
 
 pub use admit::{Admission, Admitted, Refusal, admit};
 pub use attempt_history::{AttemptHistory, AttemptLimits, Execution};
--- a/crates/fleet/src/router/serve.rs
+++ b/crates/fleet/src/router/serve.rs
@@ -14,8 +14,9 @@
 use tokio::time::{Instant, timeout};
 use tracing::{info, warn};
 
-use super::forward::{Trace, forward, result_answer};
+use super::forward::{forward, result_answer};
 use super::state::Router;
+use super::trace::Trace;
 use crate::process::accept;
 
 /// A connection is closed when the caller acknowledges no data for this time.
--- a/crates/node/tests/deployment/crashing.rs
+++ b/crates/node/tests/deployment/crashing.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use super::crashing_engine::{CRASHING_PART, CrashingEngine, Records, WhileDown};
-use super::harness::{CALLER_PORT, CONTROL_PORT, Deployment, call, eventually, request_text};
+use super::harness::{
+    Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, Target, call, eventually, request_text,
+};
 
 const ROUTERS: [u8; 3] = [9, 10, 11];
 const ENGINES: u8 = 8;
@@ -268,3 +270,32 @@
     let served = scene.served_share(measured_from.expect("it is set"));
     assert!(served >= MIN_SERVED_SHARE, "{served}");
 }
+
+/// A target that resets single requests still runs: their parts are not to blame.
+#[test]
+fn targets_that_reset_requests_and_go_on_block_no_part() {
+    let mut deployment = Deployment::start(77);
+    deployment.configure("k1");
+    let targets = ["r0", "r1", "r2", "r3", "r4", "r5"];
+    let started = targets.iter().zip(20..).map(|(name, host)| {
+        let host = deployment.host(host);
+        (
+            *name,
+            Target::start(host, name, Behaviour::CloseWithoutAnswer),
+        )
+    });
+    let started: Vec<(&str, Target)> = started.collect();
+    for (name, target) in &started {
+        deployment.report(name, target, "engine", "ready", 1);
+    }
+    deployment.wait_ready();
+    for number in 0..12 {
+        let prompt = format!("a1:400,{number:x}:10");
+        let text = prompt_text(&prompt, &format!("id-{number}"));
+        let reply = call(deployment.caller_address(), &text).expect("a reply");
+        assert!(!reply.body.contains("crashes-targets"), "{}", reply.body);
+        thread::sleep(Duration::from_millis(200));
+    }
+    let runs: usize = started.iter().map(|(_, target)| target.runs()).sum();
+    assert!(runs >= 12, "{runs}");
+}
