Report crashes to two control instances, and count ends at one moment once

Cause: each router reported to all control instances, which took most of its budget; and a cut looks like the end of dozens of targets at once, each of which counted. Change: routers report to the two linked control instances with the lowest addresses, with a budget that follows the number of routers, and tell new ones what is blocked. Ends within 250 ms count once for a part. The test of targets that end together expected a block in that case; it now expects none, then two further ends, the block, and the release by a late answer. Measured: the new test of 40 targets that end at one moment failed before (blocked).

--- a/crates/crashes/src/hub.rs
+++ b/crates/crashes/src/hub.rs
@@ -28,6 +28,8 @@
     pub first_block_answered: Duration,
     /// Longest block.
     pub max_block: Duration,
+    /// Targets that end within this time count once: a cut or a power loss ends many at a time.
+    pub one_moment: Duration,
     /// Longest time from the sending of a target's report to its arrival, if nothing is lost.
     pub max_report_delay: Duration,
     /// Time after which a crash is forgotten.
@@ -51,6 +53,7 @@
             first_block: Duration::from_mins(10),
             first_block_answered: Duration::from_mins(1),
             max_block: Duration::from_hours(1),
+            one_moment: Duration::from_millis(250),
             max_report_delay: Duration::from_secs(2),
             crash_retention: Duration::from_mins(10),
             max_crashes: 256,
@@ -357,17 +360,27 @@
     }
 
     /// Returns how many of these crashes count against the part: those since it was last
-    /// answered.
+    /// answered, and of several at one moment the first.
     fn crash_count(&self, part: PartHash, unexplained: &[&Crash]) -> usize {
         let known = self.parts.get(&part);
         let answered_at = known.and_then(|known| known.answered_at);
         // After a block, only new crashes count.
         let unblocked_at = known.and_then(|known| known.blocked_until);
         let since = answered_at.max(unblocked_at);
-        let counted = |crash: &&&Crash| {
+        let counted = unexplained.iter().filter(|crash| {
             crash.parts.contains(&part) && since.is_none_or(|since| crash.at > since)
-        };
-        unexplained.iter().filter(counted).count()
+        });
+        let mut moments: Vec<Instant> = counted.map(|crash| crash.at).collect();
+        moments.sort_unstable();
+        let mut last: Option<Instant> = None;
+        moments.retain(|&at| {
+            let is_new = last.is_none_or(|last| at >= last + self.settings.one_moment);
+            if is_new {
+                last = Some(at);
+            }
+            is_new
+        });
+        moments.len()
     }
 
     /// Returns the crashes after which the part is blocked. A part whose block is over is
--- a/crates/crashes/src/outbox.rs
+++ b/crates/crashes/src/outbox.rs
@@ -20,12 +20,23 @@
 }
 
 impl CrashOutboxSettings {
-    /// Settings of a router.
-    pub const ROUTER: Self = Self {
-        bytes_per_s: 2_000,
-        burst_bytes: 8_000,
-        max_waiting: 64,
-    };
+    /// Bytes per second that one hub receives from all routers together: a tenth of a network
+    /// link of 6 Mbit/s.
+    const RECEIVED_BYTES_PER_S: u32 = 75_000;
+    /// Seconds of its rate that a router can send at once after a pause.
+    const ROUTER_BURST_S: u32 = 4;
+
+    /// Returns the settings of one of `routers` that report to `hubs` hubs each.
+    #[must_use]
+    pub fn router(routers: u32, hubs: u32) -> Self {
+        let bytes_per_s = Self::RECEIVED_BYTES_PER_S / routers.max(1) * hubs.max(1);
+        Self {
+            bytes_per_s,
+            burst_bytes: bytes_per_s * Self::ROUTER_BURST_S,
+            max_waiting: 64,
+        }
+    }
+
     /// Settings of a control instance: a twentieth of a network link of 6 Mbit/s.
     pub const HUB: Self = Self {
         bytes_per_s: 37_500,
@@ -66,6 +77,11 @@
         }
     }
 
+    /// Changes the limit.
+    pub const fn set_settings(&mut self, settings: CrashOutboxSettings) {
+        self.settings = settings;
+    }
+
     /// Adds messages. Decisions go before evidence, and evidence before questions.
     pub fn push(&mut self, messages: impl IntoIterator<Item = CrashMessage>) {
         for message in messages {
--- a/crates/crashes/tests/hub.rs
+++ b/crates/crashes/tests/hub.rs
@@ -144,6 +144,11 @@
     assert!(!scene.is_blocked(SYSTEM));
     scene.answer(&[SYSTEM]);
     scene.wait(Duration::from_millis(300));
+    assert!(!scene.is_blocked(SYSTEM) && !scene.is_blocked(DOCUMENT));
+    scene.crashes = 6;
+    for _ in 0..2 {
+        scene.crash(&[SYSTEM, DOCUMENT]);
+    }
     assert!(!scene.is_blocked(SYSTEM));
     assert!(scene.is_blocked(DOCUMENT));
     // An answer that was under way all the time.
@@ -267,3 +272,25 @@
     assert!(!scene.hub.has_crash(3));
     assert!(!scene.is_blocked(SYSTEM) && !scene.is_blocked(DOCUMENT));
 }
+
+/// A cut or a power loss ends many targets at one moment, and nothing answers a rare part in
+/// between: the part was blocked for what no request had done.
+#[test]
+fn targets_that_end_at_one_moment_count_once() {
+    let mut scene = Scene::new();
+    for target in 0..40 {
+        for report in CrashMessage::crash_reports(target, &[SYSTEM, DOCUMENT]) {
+            scene.hub.handle(report, scene.now);
+        }
+        scene.wait(Duration::from_millis(5));
+    }
+    scene.wait(Duration::from_secs(2));
+    assert!(!scene.is_blocked(SYSTEM) && !scene.is_blocked(DOCUMENT));
+    scene.crashes = 40;
+    for _ in 0..2 {
+        scene.crash(&[CRASHING, DOCUMENT]);
+        scene.answer(&[SYSTEM]);
+    }
+    scene.wait(HubSettings::default().min_watch_time);
+    assert!(scene.is_blocked(DOCUMENT) && !scene.is_blocked(SYSTEM));
+}
--- a/crates/fleet/src/router/crashes.rs
+++ b/crates/fleet/src/router/crashes.rs
@@ -50,7 +50,7 @@
             suspected: RefCell::default(),
             connected: RefCell::default(),
             outbox: RefCell::new(CrashOutbox::new(
-                CrashOutboxSettings::ROUTER,
+                CrashOutboxSettings::router(1, 1),
                 Instant::now(),
             )),
             pending: Notify::new(),
@@ -78,9 +78,17 @@
     }
 
     /// Removes and returns the next message for this number of control instances, if it may
-    /// be sent now.
-    pub fn next_pending(&self, controls: usize, now: Instant) -> Option<CrashMessage> {
-        self.outbox.borrow_mut().pop(controls, now)
+    /// be sent now by one of `routers`.
+    pub fn next_pending(&self, hubs: usize, routers: u32, now: Instant) -> Option<CrashMessage> {
+        let mut outbox = self.outbox.borrow_mut();
+        let count = u32::try_from(hubs).unwrap_or(u32::MAX);
+        outbox.set_settings(CrashOutboxSettings::router(routers, count));
+        outbox.pop(hubs, now)
+    }
+
+    /// Queues what control instances that become hubs may not know.
+    pub fn queue_state(&self, now: Instant) {
+        self.send(self.state(now));
     }
 
     /// Returns the messages for a control instance that may have lost its memory.
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -100,6 +100,7 @@
         location,
         events: events.clone(),
         controls: BTreeMap::new(),
+        crash_hubs: Vec::new(),
         named_relays: BTreeMap::new(),
         relays: BTreeMap::new(),
         is_relay: false,
@@ -134,6 +135,8 @@
     location: RouterLocation,
     events: Sender<Event>,
     controls: BTreeMap<SocketAddr, FollowedLink>,
+    /// Control instances to which crashes were last reported.
+    crash_hubs: Vec<SocketAddr>,
     /// Data centres and addresses of the relays that each control instance names.
     named_relays: BTreeMap<SocketAddr, Vec<(String, SocketAddr)>>,
     relays: BTreeMap<SocketAddr, FollowedLink>,
--- a/crates/fleet/src/router/follow/send.rs
+++ b/crates/fleet/src/router/follow/send.rs
@@ -12,6 +12,9 @@
 use crate::calls::TargetCall;
 use crate::link::Frame;
 
+/// Control instances to which a router reports crashes.
+const CRASH_HUBS: usize = 2;
+
 impl Follower {
     /// Sends the prompts cached since the last call, with the targets that hold
     /// them, to the other routers.
@@ -93,14 +96,28 @@
         }
     }
 
-    /// Sends what was noticed of crashes to all control instances, as far as its share of the
-    /// bandwidth allows. Each decides for itself, so that the loss of one delays no decision.
-    pub(super) fn send_crash_messages(&self) {
+    /// Sends what was noticed of crashes to the first control instances in the order of their
+    /// addresses, as far as its share of the bandwidth allows. Two decide, each for itself, so
+    /// that the loss of one delays no decision.
+    pub(super) fn send_crash_messages(&mut self) {
         let now = Instant::now();
-        let controls = self.controls.len();
-        while let Some(message) = self.router.crashes.next_pending(controls, now) {
-            for control in self.controls.values() {
-                // What an instance misses, later crashes and the other instances make up for.
+        let linked = self.controls.iter().filter(|(_, control)| control.up);
+        let hubs: Vec<SocketAddr> = linked
+            .map(|(&address, _)| address)
+            .take(CRASH_HUBS)
+            .collect();
+        if hubs.is_empty() {
+            return;
+        }
+        if hubs != self.crash_hubs {
+            self.crash_hubs.clone_from(&hubs);
+            self.router.crashes.queue_state(now);
+        }
+        let routers = self.router.router_count();
+        let crashes = &self.router.crashes;
+        while let Some(message) = crashes.next_pending(hubs.len(), routers, now) {
+            for control in hubs.iter().filter_map(|hub| self.controls.get(hub)) {
+                // What an instance misses, later crashes and the other one make up for.
                 let _sent = control.link.send(Frame::Crashes(message.clone()));
             }
         }
