--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -166,14 +166,12 @@
             let bound = prompt_capacity(to_check.target, settings);
             return Ok(chosen_target(to_check, bound, 0, now));
         }
-        // The targets without a limit have become too busy: loads matter more than caches.
-        let are_busy = mean > mean_of_all * settings.max_load_factor + settings.max_load_slack;
-        if are_busy {
+        // The targets without a limit have become the busy ones.
+        if mean > mean_of_all * settings.max_load_factor + settings.max_load_slack {
             for candidate in &mut available {
                 candidate.is_spared = false;
             }
         }
-        let mean = if are_busy { mean_of_all } else { mean };
         Ok(choose_by_prompt(&available, &prompt, mean, context))
     }
 
