Find the targets without a limit once per choice, and log the end of a limit as such

The choice of a target for a prompt collected the targets without a limit twice; both uses share one list now. A control instance logged the end of a limit with the words for a stated one. Behaviour is unchanged otherwise.

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -122,7 +122,10 @@
         let loads = self.estimate_loads(settings, now);
         let all = self.candidates(request, &loads, context)?;
         let mean_of_all = mean(loads.iter().copied());
-        let mean = self.mean_load(&loads, context.limits);
+        // The load of the others is kept low; with it, prompts would leave targets that have
+        // them cached.
+        let unlimited = self.unlimited(context.limits);
+        let mean = mean(unlimited.iter().map(|&index| loads[index]));
         let all = self.reachable(all, request, settings, now);
         let healthy = self.healthy(all, request, settings, now);
         let max_own = request.max_in_flight_per_target;
@@ -142,7 +145,7 @@
             caches: caches.iter().copied().collect(),
             expected_same_prefix: self.expected_from_others(same_prefix_arrivals, context),
             expected_per_target: self.expected_at_all_routers(context)
-                / count_at_least_one(&self.unlimited(context.limits)),
+                / count_at_least_one(&unlimited),
         };
         // The expected arrivals are those at targets of all versions, and a stream that has
         // begun comes before new ones.
@@ -187,12 +190,6 @@
         }
     }
 
-    /// Returns the mean load of the targets without a limit. With the others, whose load is
-    /// kept low, it would let prompts leave targets that have them cached.
-    fn mean_load(&self, loads: &[f64], limits: &TargetLimits) -> f64 {
-        mean(self.unlimited(limits).into_iter().map(|index| loads[index]))
-    }
-
     /// Returns the targets that a request may go to: those of the wanted version that were not
     /// tried before and accept requests.
     fn candidates<'a>(
--- a/crates/fleet/src/control/host/limits.rs
+++ b/crates/fleet/src/control/host/limits.rs
@@ -25,12 +25,20 @@
         }
         let shares = self.limit_hub.handle(&stated, &routers, now);
         for share in &shares {
-            info!(
-                target = share.target,
-                limit = share.limit.map(|limit| limit.to_string()),
-                holders = share.holders.len(),
-                "limit stated by a target; telling the routers which of them divide it"
-            );
+            let target = share.target;
+            if let Some(limit) = share.limit {
+                info!(
+                    target,
+                    %limit,
+                    holders = share.holders.len(),
+                    "limit stated by a target; telling the routers which of them divide it"
+                );
+            } else {
+                info!(
+                    target,
+                    "target states no limit any more; telling the routers"
+                );
+            }
         }
         self.send_limit_shares(shares);
         self.peers.send_to_all(&Frame::StatedLimits(stated));
