Request pre-votes at once after a start

Pre-votes do not disturb a leader, so a replica that has just started need not wait: for the length of one election timeout it asks every 40 to 160 ms, until it hears from a leader or votes.

--- a/crates/agreement/src/replica/election.rs
+++ b/crates/agreement/src/replica/election.rs
@@ -10,10 +10,23 @@
 use crate::message::MessageBody;
 
 impl Replica {
+    /// Waits for a whole election time-out from now on.
     pub(super) fn reset_election_deadline(&mut self, now: Instant) {
+        self.starts_until = None;
         self.election_deadline = now + self.election_timeout();
     }
 
+    /// Returns the time until the next round of pre-votes.
+    pub(super) fn pre_vote_pause(&mut self, now: Instant) -> Duration {
+        let settings = &self.settings;
+        let (min, max) = if self.starts_until.is_some_and(|until| now < until) {
+            (settings.startup_retry_min, settings.startup_retry_max)
+        } else {
+            (settings.election_retry_min, settings.election_retry_max)
+        };
+        self.random.duration_between(min, max)
+    }
+
     fn election_timeout(&mut self) -> Duration {
         let (min, max) = (
             self.settings.election_timeout_min,
@@ -24,11 +37,7 @@
 
     pub(super) fn on_election_timeout(&mut self, now: Instant) {
         self.set_leader(None, now);
-        let (min, max) = (
-            self.settings.election_retry_min,
-            self.settings.election_retry_max,
-        );
-        self.election_deadline = now + self.random.duration_between(min, max);
+        self.election_deadline = now + self.pre_vote_pause(now);
         if !self.can_be_elected() {
             return;
         }
--- a/crates/agreement/src/settings.rs
+++ b/crates/agreement/src/settings.rs
@@ -19,6 +19,10 @@
     pub election_timeout_min: Duration,
     /// Longest time without a leader before a replica starts an election.
     pub election_timeout_max: Duration,
+    /// Shortest time between two rounds of pre-votes of a replica that has just started.
+    pub startup_retry_min: Duration,
+    /// Longest time between two rounds of pre-votes of a replica that has just started.
+    pub startup_retry_max: Duration,
     /// Shortest time between two rounds of pre-votes.
     pub election_retry_min: Duration,
     /// Longest time between two rounds of pre-votes.
@@ -58,6 +62,8 @@
             heartbeat_interval: Duration::from_millis(100),
             election_timeout_min: Duration::from_millis(400),
             election_timeout_max: Duration::from_millis(800),
+            startup_retry_min: Duration::from_millis(40),
+            startup_retry_max: Duration::from_millis(160),
             election_retry_min: Duration::from_millis(200),
             election_retry_max: Duration::from_millis(400),
             quorum_timeout: Duration::from_millis(400),
--- a/crates/agreement/tests/group/scenarios.rs
+++ b/crates/agreement/tests/group/scenarios.rs
@@ -1,6 +1,8 @@
 //! Single faults with a known expected result.
 
-use bamboospur_agreement::{IdentityError, Input, MemberChange, Persist, Role, Status, Ticket};
+use bamboospur_agreement::{
+    IdentityError, Input, MemberChange, Persist, ReplicaSettings, Role, Status, Ticket,
+};
 use bamboospur_types::InstanceId;
 
 use crate::oracle::FIRST_CHANGE_TICKET;
@@ -72,6 +74,51 @@
     assert!(worst < MAX_LEADERLESS_US);
 }
 
+/// Restarts all replicas of groups of three and five within some 40 ms, after `stopped_us`
+/// without any, and returns the longest time until a commit.
+fn worst_restart_us(stopped_us: u64) -> u64 {
+    let mut worst = 0;
+    for seed in 0..60 {
+        let (mut sim, _) = sim_with_leader([3, 5][usize::try_from(seed % 2).unwrap()], seed);
+        let all: Vec<_> = sim.nodes.keys().copied().collect();
+        all.iter().for_each(|&id| sim.crash(id));
+        sim.run(stopped_us);
+        for &id in &all {
+            sim.start_node(id);
+            let pause_us = sim.random(10_000);
+            sim.run(pause_us);
+        }
+        worst = worst.max(sim.run_until_commit(10_000_000, &all));
+    }
+    println!("worst restart: {worst} us");
+    worst
+}
+
+#[test]
+fn group_that_restarts_as_a_whole_does_not_wait_for_an_election_timeout() {
+    let worst = worst_restart_us(1_000_000);
+    let timeout = ReplicaSettings::default().election_timeout_min;
+    assert!(u128::from(worst) < timeout.as_micros());
+}
+
+#[test]
+fn replica_that_restarts_does_not_disrupt_the_leader() {
+    for seed in 0..60 {
+        let (mut sim, leader) = sim_with_leader(3, seed);
+        let term = status(&sim, leader).term;
+        let restarted = others(&sim, leader)[0];
+        for _ in 0..5 {
+            sim.crash(restarted);
+            sim.run(20_000);
+            sim.start_node(restarted);
+            let pause_us = sim.random(1_000_000);
+            sim.run(pause_us);
+        }
+        assert_eq!(sim.leader(), Some(leader));
+        assert_eq!(status(&sim, leader).term, term);
+    }
+}
+
 #[test]
 fn isolated_leader_is_replaced_in_time() {
     let worst = worst_outage_us(Sim::isolate);
