Keep requests until a router that expects its lease has it

Cause: a router without a lease rejected every request with a pause of 0.7 to 1.4 s. When all processes restart together, callers spent their only retry on such a rejection, while the lease was some 0.1 to 0.8 s away; a router cut off by itself named the same pause, although another router could serve the retry at once.

Change: a module without I/O decides. A router that has just started, or that has links to control instances, keeps up to 512 requests for a limited time (2 s after its start, else 1 s in one outage, and half of the time that the caller waits). One that no control instance reaches rejects at once and names 60 to 120 ms.

--- a/crates/fleet/src/router/admit.rs
+++ b/crates/fleet/src/router/admit.rs
@@ -36,6 +36,12 @@
             Self::NoTeam => ResultCode::Unauthenticated,
         }
     }
+
+    /// Whether the request may be served once the router knows the configuration in force.
+    #[must_use]
+    pub const fn may_pass(self) -> bool {
+        matches!(self, Self::NoConfig | Self::Stale)
+    }
 }
 
 /// Result of [`admit`].
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -29,7 +29,6 @@
 use super::state::{OriginQuery, Router};
 use super::state_request::StateRequest;
 use crate::calls::TargetCall;
-use crate::clock::BootTime;
 use crate::link::{self, AcceptEvent, DialEvent, DialedLink, Hello, Role, RouterLocation};
 use crate::outbox::Outbox;
 
@@ -185,7 +184,7 @@
                 _ = query.tick() => {
                     self.config_requests.forget_lacking();
                     self.request_config_if_behind();
-                    let valid = self.router.lease.borrow().is_valid(BootTime::now());
+                    let valid = self.router.has_lease();
                     if !valid || queried_at.elapsed() >= query_interval(self.router.router_count()) {
                         queried_at = Instant::now();
                         self.query_controls();
--- a/crates/fleet/src/router/follow/links.rs
+++ b/crates/fleet/src/router/follow/links.rs
@@ -103,6 +103,7 @@
         if self.controls.len() > 1 {
             self.controls
                 .retain(|_, followed| now < followed.expires_at);
+            self.update_linked_controls();
         }
         let asked_at = BootTime::now();
         for followed in self.controls.values() {
@@ -148,12 +149,14 @@
                     self.state_request.record_missing(ask_at);
                 }
                 self.query_control(address);
+                self.update_linked_controls();
             }
             DialEvent::Down(address, error) => {
                 info!(%address, %error, "link to a control instance failed; dialling again");
                 if let Some(followed) = self.controls.get_mut(&address) {
                     followed.up = false;
                 }
+                self.update_linked_controls();
                 // The last remaining list is kept: with no control instance linked,
                 // target updates come only from relays.
                 if self.named_relays.len() > 1 {
@@ -199,10 +202,7 @@
                 routers,
             } => {
                 self.router.set_router_count(routers);
-                self.router
-                    .lease
-                    .borrow_mut()
-                    .confirm(version, BootTime(asked));
+                self.router.confirm_config(version, BootTime(asked));
                 self.record_known_version(version, Some(address));
             }
             frame => self.handle_frame(frame),
@@ -242,6 +242,11 @@
         }
     }
 
+    fn update_linked_controls(&self) {
+        let mut readiness = self.router.readiness.borrow_mut();
+        readiness.set_linked_controls(count_up(&self.controls));
+    }
+
     fn set_relay_up(&mut self, address: SocketAddr, up: bool) {
         if let Some(followed) = self.relays.get_mut(&address) {
             followed.up = up;
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -12,7 +12,7 @@
 use bamboospur_types::{RequestRate, ResultCode, stable_id};
 use tokio::time::{Instant, timeout};
 
-use super::admit::{Admitted, admit};
+use super::admit::{Admitted, Refusal, admit};
 use super::attempt::{Answer, Attempt, AttemptEnd};
 use super::attempt_history::{AttemptHistory, AttemptLimits};
 use super::crashes::{SOUND_AFTER, check_target};
@@ -20,7 +20,6 @@
 use super::rejections::Rejections;
 use super::state::{ActiveAttempt, Router};
 use super::trace::Trace;
-use crate::clock::BootTime;
 use crate::stream_origins::{StreamId, StreamOrigin};
 
 /// Most attempts of a request, including those that did not run the request.
@@ -30,9 +29,12 @@
 /// Longest `Retry-After`, as a fraction of the time until the deadline. Callers
 /// honour up to a third of that time.
 const MAX_RETRY_AFTER_FRACTION: f64 = 0.3;
-/// `Retry-After` when the router is not ready or has no target. Setting up links and
-/// an election of the control group take about this long.
-const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(700);
+/// Longest wait for the lease, as a fraction of the time that the caller waits. The rest
+/// is left for the request itself or another router.
+const MAX_READY_WAIT_FRACTION: f64 = 0.5;
+/// `Retry-After` when the router has no target. Setting up links and an election of the
+/// control group take about this long.
+const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(700);
 /// Shortest `Retry-After`; shorter ones would not spread out the retries of callers.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(40);
 
@@ -124,37 +126,63 @@
     trace: &mut Trace,
 ) -> ResultCode {
     let metadata = RequestMetadata::from(&request.head);
-    let catalog = router.catalog.borrow().clone();
-    let now = BootTime::now();
-    let (is_current, age) = {
-        let lease = router.lease.borrow();
-        (lease.is_valid(now), lease.age(now))
-    };
     trace.resumes = metadata.resumed_id.clone().unwrap_or_default();
     trace.last_event_id = metadata.last_event_id;
-    trace.version = catalog.as_ref().map_or(0, |c| c.version());
-    trace.lease_age_ms = age.and_then(|age| u64::try_from(age.as_millis()).ok());
     let path = &request.head.target;
     let fail_closed = router.bounds.fail_closed;
-    let admitted = match admit(catalog.as_deref(), &metadata, path, is_current, fail_closed) {
-        Ok(admitted) => admitted,
-        Err(refusal) => {
-            trace.detail = format!("{refusal:?}");
-            let pause = retry_after(router, NOT_READY_RETRY_AFTER, wait(&metadata));
+    let wait_deadline = request.arrived + wait(&metadata).mul_f64(MAX_READY_WAIT_FRACTION);
+    loop {
+        let catalog = router.catalog.borrow().clone();
+        let is_current = router.has_lease();
+        trace.version = catalog.as_ref().map_or(0, |c| c.version());
+        trace.lease_age_ms = router
+            .lease_age()
+            .and_then(|age| u64::try_from(age.as_millis()).ok());
+        let admission = admit(catalog.as_deref(), &metadata, path, is_current, fail_closed);
+        let refusal = match (admission, catalog.as_deref()) {
+            (Ok(admitted), Some(catalog)) => {
+                return forward_admitted(
+                    router, request, catalog, admitted, metadata, responder, trace,
+                )
+                .await;
+            }
+            (Ok(_), None) => Refusal::NoConfig,
+            (Err(refusal), _) => refusal,
+        };
+        trace.detail = format!("{refusal:?}");
+        if !refusal.may_pass() {
+            return refuse(responder, refusal.code(), None).await;
+        }
+        if !router.wait_until_ready(wait_deadline).await {
+            let available_in = router
+                .readiness
+                .borrow()
+                .retry_after(std::time::Instant::now());
+            let pause = retry_after(router, available_in, wait(&metadata));
             return refuse(responder, refusal.code(), Some(pause)).await;
         }
-    };
+        trace.detail.clear();
+    }
+}
+
+/// Forwards an admitted request to targets and answers the caller.
+async fn forward_admitted(
+    router: &Rc<Router>,
+    request: &Request,
+    catalog: &Catalog,
+    admitted: Admitted<'_>,
+    metadata: RequestMetadata,
+    responder: &mut Responder<'_>,
+    trace: &mut Trace,
+) -> ResultCode {
     trace.route.clone_from(&admitted.route.name);
     trace.team = admitted.team.map_or_else(String::new, |t| t.name.clone());
-    let Some(catalog) = catalog.as_deref() else {
-        return ResultCode::NotReady;
-    };
     let mut origin = None;
     if resumes_stream(admitted.route, &metadata) {
         origin = find_origin(router, admitted.route, &metadata).await;
         if origin.is_none() {
             UNKNOWN_ORIGIN.clone_into(&mut trace.detail);
-            let pause = retry_after(router, NOT_READY_RETRY_AFTER, wait(&metadata));
+            let pause = retry_after(router, NO_TARGET_RETRY_AFTER, wait(&metadata));
             return refuse(responder, ResultCode::NoTarget, Some(pause)).await;
         }
     }
@@ -362,7 +390,7 @@
         responder: &mut Responder<'_>,
     ) -> ResultCode {
         let (code, available_in) = match error {
-            ChooseError::NoTarget => (ResultCode::NoTarget, NOT_READY_RETRY_AFTER),
+            ChooseError::NoTarget => (ResultCode::NoTarget, NO_TARGET_RETRY_AFTER),
             ChooseError::Full { available_in } => (ResultCode::Overloaded, available_in),
         };
         if !self.history.proves_not_run() || self.progress.has_begun() {
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -15,7 +15,8 @@
 //! [`follow`] keeps links to control instances and receives the configuration and
 //! the targets from them, asking the peers that [`config_requests`] and [`state_request`]
 //! choose; [`lease`] decides how long the configuration is trusted after the last
-//! confirmation by the control group.
+//! confirmation by the control group, and [`mod@readiness`] what happens to requests
+//! meanwhile.
 
 mod admit;
 mod attempt;
@@ -30,6 +31,7 @@
 mod metrics;
 mod origin_queries;
 mod pool;
+mod readiness;
 mod rejections;
 mod reports;
 mod serve;
@@ -42,6 +44,7 @@
 pub use config_requests::{ConfigRequests, Peer, Peers};
 pub use lease::Lease;
 pub use origin_queries::{OriginQueries, QueryStep};
+pub use readiness::{Readiness, ReadinessSettings};
 pub use rejections::{RejectionCause, Rejections};
 pub use state_request::StateRequest;
 
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -5,7 +5,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bamboospur_catalog::{Catalog, CatalogVersion, Route, Service, ServiceName};
 use bamboospur_dispatch::{ChosenTarget, DispatchSettings, Dispatcher, Outcome};
@@ -14,13 +14,14 @@
 use bamboospur_retries::{FleetBudget, FleetBudgetSettings};
 use bamboospur_types::{Rng, stable_id};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 use tracing::info;
 
 use super::crashes::{Connected, Crashes};
 use super::lease::Lease;
 use super::metrics::Metrics;
 use super::pool::Pool;
+use super::readiness::{Readiness, ReadinessSettings};
 use crate::clock::BootTime;
 use crate::stream_origins::{
     BegunStreams, COMPLETE_AFTER_REPORTS, MAX_STREAM_AGE, OwnStreams, PossibleOrigins, StreamId,
@@ -29,23 +30,23 @@
 
 /// The router's own detection of silent targets is disabled by a timeout of a year:
 /// the control instances report silent targets to the router.
-const TARGET_SILENCE_TIMEOUT: std::time::Duration = std::time::Duration::from_hours(24 * 365);
+const TARGET_SILENCE_TIMEOUT: Duration = Duration::from_hours(24 * 365);
 /// Time for which a router remembers departed targets; longer than a report can be
 /// delayed.
-const DEPARTURE_RETENTION: std::time::Duration = std::time::Duration::from_mins(10);
+const DEPARTURE_RETENTION: Duration = Duration::from_mins(10);
 /// Fraction of a target's connections that all routers use together; the rest is
 /// reserved for closed connections whose close the target has not noticed yet.
 const ROUTER_CONNECTION_FRACTION: f64 = 0.9;
 
 /// Time for which a target gets no requests after another process answered at its address.
 /// Meanwhile that process reports, or the target counts as silent.
-const REPLACED_PAUSE: std::time::Duration = std::time::Duration::from_secs(3);
+const REPLACED_PAUSE: Duration = Duration::from_secs(3);
 
 /// With more known targets than this, newly ready targets are applied in batches.
 const MAX_IMMEDIATE_UPDATE_TARGETS: usize = 200;
 
 /// Longest wait for the answers of control instances about the origin of a stream.
-const MAX_ORIGIN_WAIT: std::time::Duration = std::time::Duration::from_millis(500);
+const MAX_ORIGIN_WAIT: Duration = Duration::from_millis(500);
 /// Queries for origins that can wait to be sent; more callers than this resume streams at
 /// once only if something is wrong, and are refused.
 const MAX_QUEUED_ORIGIN_QUERIES: usize = 1_024;
@@ -65,7 +66,10 @@
 pub struct Router {
     pub bounds: Bounds,
     pub catalog: RefCell<Option<Rc<Catalog>>>,
-    pub lease: RefCell<Lease>,
+    lease: RefCell<Lease>,
+    pub readiness: RefCell<Readiness>,
+    /// Notified when the lease has become valid.
+    became_ready: Notify,
     pub registry: RefCell<Registry>,
     pub dispatcher: RefCell<Dispatcher>,
     pub pool: RefCell<Pool>,
@@ -107,6 +111,8 @@
             bounds,
             catalog: RefCell::new(None),
             lease: RefCell::new(Lease::new(bounds.key_removal_limit)),
+            readiness: RefCell::new(Readiness::new(ReadinessSettings::default(), Instant::now())),
+            became_ready: Notify::new(),
             registry: RefCell::new(Registry::new(registry)),
             dispatcher: RefCell::new(Dispatcher::new(dispatch, &settings.data_centre, seed)),
             pool: RefCell::default(),
@@ -136,9 +142,43 @@
 
     /// Whether the balancer should send new connections.
     pub fn is_ready(&self) -> bool {
-        let current = self.lease.borrow().is_valid(BootTime::now());
-        let open = !self.draining.get();
-        open && current && self.catalog.borrow().is_some()
+        !self.draining.get() && self.has_lease()
+    }
+
+    /// Whether the router has a configuration that is known to be in force.
+    pub fn has_lease(&self) -> bool {
+        self.lease.borrow().is_valid(BootTime::now()) && self.catalog.borrow().is_some()
+    }
+
+    /// Returns the age of the last confirmation of the configuration.
+    pub fn lease_age(&self) -> Option<Duration> {
+        self.lease.borrow().age(BootTime::now())
+    }
+
+    /// Records the answer of the control group to a query sent at `asked_at`.
+    pub fn confirm_config(&self, version: CatalogVersion, asked_at: BootTime) {
+        self.lease.borrow_mut().confirm(version, asked_at);
+        self.handle_lease_change();
+    }
+
+    fn handle_lease_change(&self) {
+        if self.has_lease() {
+            self.readiness.borrow_mut().record_ready();
+            self.became_ready.notify_waiters();
+        }
+    }
+
+    /// Waits until the router has a valid lease. Returns `false` at once if none is
+    /// expected, and at the latest at `deadline` or when the router has waited too long.
+    pub async fn wait_until_ready(&self, deadline: tokio::time::Instant) -> bool {
+        let expected = self.readiness.borrow_mut().wait_deadline(Instant::now());
+        let Some(expected) = expected else {
+            return false;
+        };
+        let _waiting = WaitingRequest::new(&self.readiness);
+        let became_ready = self.became_ready.notified();
+        let deadline = deadline.min(expected.into());
+        timeout_at(deadline, became_ready).await.is_ok()
     }
 
     pub fn is_draining(&self) -> bool {
@@ -197,6 +237,7 @@
             *current = Some(Rc::new(catalog));
         }
         self.lease.borrow_mut().record_version(version.max(current));
+        self.handle_lease_change();
     }
 
     /// Merges announcements of targets and returns those that changed the registry.
@@ -508,6 +549,22 @@
     }
 }
 
+/// Guard that counts a request as waiting for the lease until it is dropped.
+struct WaitingRequest<'a>(&'a RefCell<Readiness>);
+
+impl<'a> WaitingRequest<'a> {
+    fn new(readiness: &'a RefCell<Readiness>) -> Self {
+        readiness.borrow_mut().begin_wait();
+        Self(readiness)
+    }
+}
+
+impl Drop for WaitingRequest<'_> {
+    fn drop(&mut self) {
+        self.0.borrow_mut().end_wait();
+    }
+}
+
 /// An attempt in progress, which counts towards the load of its target until it is
 /// dropped.
 pub struct ActiveAttempt {
