Check the path to a target that is silent

Cause: when a data centre is cut off without resets, routers went on sending over kept connections to its targets until TCP gave up after 2 s; only failed connects showed that a target is unreachable, and none were made. Non-repeatable requests sent meanwhile were lost.

Change: after 250 ms without a byte of an expected answer a router opens a connection to the target; if that takes over 150 ms, the target counts as unreachable and its kept connections are closed. Rate: one check a second and target, and 20 a second from all routers together.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -288,9 +288,24 @@
 
     /// Records a failure of an attempt for which [`Self::finish`] was already called.
     pub fn record_failure(&mut self, service: &str, choice: &ChosenTarget, now: Instant) {
+        self.record_outcome(service, choice, Outcome::Failed, now);
+    }
+
+    /// Records that no connection to a target could be made, other than by an attempt.
+    pub fn record_unreachable(&mut self, service: &str, choice: &ChosenTarget, now: Instant) {
+        self.record_outcome(service, choice, Outcome::Unreachable, now);
+    }
+
+    fn record_outcome(
+        &mut self,
+        service: &str,
+        choice: &ChosenTarget,
+        outcome: Outcome,
+        now: Instant,
+    ) {
         let settings = self.settings;
         if let Some(target) = self.target_mut(service, &choice.name, choice.start) {
-            target.health.record(Outcome::Failed, &settings, now);
+            target.health.record(outcome, &settings, now);
         }
     }
 
--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -17,6 +17,7 @@
 use super::attempt_history::Execution;
 use super::event_stream::{EventSource, StreamEnd, forward_stream};
 use super::forward::{Job, is_event_stream};
+use super::path_checks::await_answer;
 use super::rejections::RejectionCause;
 use super::state::ActiveAttempt;
 
@@ -171,6 +172,8 @@
             let head = connection.exchange(&bytes, &method, &mut written).await?;
             self.skip_late_answers(&mut connection, head, &method).await
         };
+        let (router, service) = (self.job.router, &self.job.service.name);
+        let exchange = await_answer(router, service, &self.active.choice, exchange);
         let (head, verdict) = match wait_or_abandon(self.job, first_result_by, exchange).await {
             WaitResult::Done(Ok(matched)) => matched,
             WaitResult::Done(Err(error)) => return self.connection_failed(&error, written, reused),
@@ -403,7 +406,7 @@
         let forwarded = forward_stream(
             self.job,
             EventSource {
-                software: &self.active.choice.software,
+                choice: &self.active.choice,
                 connection: &mut connection,
                 head,
             },
--- a/crates/fleet/src/router/event_stream.rs
+++ b/crates/fleet/src/router/event_stream.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use bamboospur_dispatch::ChosenTarget;
 use bamboospur_http1::client::ClientConnection;
 use bamboospur_http1::server::Responder;
 use bamboospur_http1::{EventSplitter, Framing, ResponseHead};
@@ -13,6 +14,7 @@
 
 use super::crashes::SOUND_AFTER;
 use super::forward::Job;
+use super::path_checks::await_answer;
 
 /// Most bytes of comments and of events that the caller has already between two new events.
 const MAX_BYTES_WITHOUT_EVENT: usize = 1024 * 1024;
@@ -79,8 +81,7 @@
 
 /// The answer of a target that is an event stream.
 pub struct EventSource<'a> {
-    /// Version of the target's software.
-    pub software: &'a str,
+    pub choice: &'a ChosenTarget,
     pub connection: &'a mut ClientConnection,
     pub head: &'a ResponseHead,
 }
@@ -155,13 +156,14 @@
     /// deadline.
     async fn next_chunk(&mut self, event_by: Instant) -> Result<Option<bytes::Bytes>, StreamEnd> {
         let deadline = self.job.deadline;
+        let (router, service) = (self.job.router, &self.job.service.name);
         let next = self.source.connection.next_chunk();
+        let next = await_answer(router, service, self.source.choice, next);
         tokio::pin!(next);
         let wait_until = event_by.min(deadline);
         let mut chunk = timeout_at(wait_until, &mut next).await;
         if chunk.is_err() && Instant::now() < deadline {
-            let service = &self.job.service.name;
-            if self.job.history.may_abandon_attempt() && self.job.router.try_retry(service) {
+            if self.job.history.may_abandon_attempt() && router.try_retry(service) {
                 return Err(StreamEnd::Abandoned);
             }
             chunk = timeout_at(deadline, &mut next).await;
@@ -202,7 +204,7 @@
             }
         }
         if !out.is_empty() {
-            self.job.begin_stream(self.source.software);
+            self.job.begin_stream(&self.source.choice.software);
             self.send_head().await?;
             let deadline = self.job.deadline;
             let written = timeout_at(deadline, self.responder.write_chunk(&out)).await;
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -4,7 +4,8 @@
 //! caller's connection, [`mod@admit`] decides whether the request is served,
 //! [`forward`] chooses targets and retries, [`attempt`] sends the request to one
 //! target over a connection from [`pool`], and [`event_stream`] forwards a stream
-//! of events. [`attempt_history`] limits the attempts of a request, [`rejections`] tells full
+//! of events. [`mod@path_checks`] finds out whether a silent target can be reached,
+//! [`attempt_history`] limits the attempts of a request, [`rejections`] tells full
 //! targets from a request that no target accepts, and [`origin_queries`] finds out where a
 //! stream began that a caller resumes.
 //!
@@ -30,6 +31,7 @@
 mod lease;
 mod metrics;
 mod origin_queries;
+mod path_checks;
 mod pool;
 mod readiness;
 mod rejections;
@@ -44,6 +46,7 @@
 pub use config_requests::{ConfigRequests, Peer, Peers};
 pub use lease::Lease;
 pub use origin_queries::{OriginQueries, QueryStep};
+pub use path_checks::PathChecks;
 pub use readiness::{Readiness, ReadinessSettings};
 pub use rejections::{RejectionCause, Rejections};
 pub use state_request::StateRequest;
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -20,6 +20,7 @@
 use super::crashes::{Connected, Crashes};
 use super::lease::Lease;
 use super::metrics::Metrics;
+use super::path_checks::PathChecks;
 use super::pool::Pool;
 use super::readiness::{Readiness, ReadinessSettings};
 use crate::clock::BootTime;
@@ -73,6 +74,7 @@
     pub registry: RefCell<Registry>,
     pub dispatcher: RefCell<Dispatcher>,
     pub pool: RefCell<Pool>,
+    pub path_checks: RefCell<PathChecks>,
     pub metrics: RefCell<Metrics>,
     pub rng: RefCell<Rng>,
     retry_budgets: RefCell<BTreeMap<String, FleetBudget>>,
@@ -116,6 +118,7 @@
             registry: RefCell::new(Registry::new(registry)),
             dispatcher: RefCell::new(Dispatcher::new(dispatch, &settings.data_centre, seed)),
             pool: RefCell::default(),
+            path_checks: RefCell::default(),
             metrics: RefCell::default(),
             rng: RefCell::new(Rng::new(seed)),
             retry_budgets: RefCell::default(),
