Keep prompts until the places of cached ones are known after a start

Cause: a router served prompts as soon as it had a lease, but asked for the places of cached prompts only 200 ms after its first link. After a restart of all, 78 to 117 prompts in two seconds were processed again although their targets had them cached. A copy was also requested from targets behind a cut, where the target waits in vain and then processes the prompt after all.

Change: the places are requested 50 ms after the first link, and prompts wait for them for up to 300 ms after the first lease. Prefixes are copied only from targets that can be reached.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -135,7 +135,16 @@
                 let cache = target.cache_id;
                 choice.prefix_hash = hash;
                 choice.is_cached = caches.contains(&cache);
-                choice.copy_from = nearest_copy_source(caches, cache, &self.copy_sources);
+                if !choice.is_cached {
+                    let reachable = caches.iter().copied().filter(|cache| {
+                        let source = self.copy_sources.get(cache);
+                        source.is_some_and(|source| {
+                            pool.is_copy_source(*cache, &source.data_centre, &self.settings, now)
+                        })
+                    });
+                    let reachable: Vec<CacheId> = reachable.collect();
+                    choice.copy_from = nearest_copy_source(&reachable, cache, &self.copy_sources);
+                }
                 self.cache_map.record_use(
                     CachedPrefix {
                         prefix_hash: hash,
@@ -332,17 +341,13 @@
     data_centre: String,
 }
 
-/// Returns a target to copy the prefix from, unless the chosen one has the prefix cached.
-/// Targets in the data centre of the chosen one are preferred, as a copy within a data
-/// centre takes half the time of a copy between two.
+/// Returns the one of `caches` to copy a prefix from. Targets in the data centre of the chosen
+/// one are preferred, as a copy within a data centre takes half the time of a copy between two.
 fn nearest_copy_source(
     caches: &[CacheId],
     chosen: CacheId,
     sources: &BTreeMap<CacheId, CopySource>,
 ) -> Option<SocketAddr> {
-    if caches.contains(&chosen) {
-        return None;
-    }
     let data_centre = sources.get(&chosen).map(|source| &source.data_centre);
     let known = caches.iter().filter_map(|cache| sources.get(cache));
     let nearest = known.max_by_key(|source| Some(&source.data_centre) == data_centre);
--- a/crates/fleet/src/router/follow/links.rs
+++ b/crates/fleet/src/router/follow/links.rs
@@ -12,7 +12,7 @@
 
 /// Time between the first link and the request of the state. Without it, all routers of a
 /// fleet that starts would ask the instance that started first.
-const STATE_REQUEST_DELAY: Duration = Duration::from_millis(200);
+const STATE_REQUEST_DELAY: Duration = Duration::from_millis(50);
 /// Time after which the link to a control instance is dropped if no control
 /// instance names its address and no frame arrives on the link.
 const CONTROL_ADDRESS_TTL: Duration = Duration::from_secs(30);
--- a/crates/fleet/src/router/follow/receive.rs
+++ b/crates/fleet/src/router/follow/receive.rs
@@ -20,7 +20,13 @@
             Frame::Silent(silent) if self.router.mark_silent(&silent) => {
                 self.followers.send_to_all(&Frame::Silent(silent));
             }
-            Frame::CachedPrefixes(prefixes) => self.add_cached_prefixes(None, prefixes),
+            Frame::CachedPrefixes(prefixes) => {
+                self.add_cached_prefixes(None, prefixes);
+                // Those of the asked peer follow its list of targets.
+                if !self.state_request.lacks_prefixes() {
+                    self.router.record_prefixes();
+                }
+            }
             Frame::Totals(totals) => {
                 self.followers
                     .send_to_load_reporters(None, &Frame::Totals(totals.clone()));
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -175,6 +175,9 @@
     responder: &mut Responder<'_>,
     trace: &mut Trace,
 ) -> ResultCode {
+    if admitted.route.has_prompt {
+        router.wait_for_prefixes().await;
+    }
     trace.route.clone_from(&admitted.route.name);
     trace.team = admitted.team.map_or_else(String::new, |t| t.name.clone());
     let mut origin = None;
--- a/crates/fleet/src/router/readiness.rs
+++ b/crates/fleet/src/router/readiness.rs
@@ -7,6 +7,9 @@
 //! time than the wait, and often the only retry. A router that no control instance
 //! reaches is probably cut off by itself, so a retry that goes to another router can be
 //! served at once.
+//!
+//! After its start a router also lacks the places of cached prompts, which arrive at about
+//! the time of the first lease. Requests with a prompt wait for them, too.
 
 use std::time::{Duration, Instant};
 
@@ -17,6 +20,8 @@
     pub startup_time: Duration,
     /// Time that an election and the query for the configuration take.
     pub recovery_time: Duration,
+    /// Time after the first lease in which the places of cached prompts arrive.
+    pub prefixes_time: Duration,
     /// Most requests that wait at a time; they keep their bodies in memory.
     pub max_waiting: usize,
     /// `Retry-After` of a router that waited in vain. A caller that returns sooner finds
@@ -31,6 +36,7 @@
         Self {
             startup_time: Duration::from_secs(2),
             recovery_time: Duration::from_secs(1),
+            prefixes_time: Duration::from_millis(300),
             max_waiting: 512,
             fleet_retry_after: Duration::from_millis(700),
             other_router_retry_after: Duration::from_millis(60),
@@ -46,6 +52,10 @@
     /// When waiting requests are rejected; set when a request first finds the router without
     /// a lease.
     wait_deadline: Option<Instant>,
+    /// When prompts no longer wait for the places of cached prompts; `None` before the first
+    /// lease.
+    prefixes_deadline: Option<Instant>,
+    has_prefixes: bool,
     linked_controls: usize,
     waiting: usize,
 }
@@ -58,6 +68,8 @@
             settings,
             startup_deadline: now + settings.startup_time,
             wait_deadline: None,
+            prefixes_deadline: None,
+            has_prefixes: false,
             linked_controls: 0,
             waiting: 0,
         }
@@ -73,8 +85,24 @@
     }
 
     /// Records that the router has a valid lease.
-    pub fn record_ready(&mut self) {
+    pub fn record_ready(&mut self, now: Instant) {
         self.wait_deadline = None;
+        self.prefixes_deadline
+            .get_or_insert(now + self.settings.prefixes_time);
+    }
+
+    /// Records that the places of prompts arrived that were cached before the start.
+    pub fn record_prefixes(&mut self) {
+        self.has_prefixes = true;
+    }
+
+    /// Returns until when a prompt waits for the places of cached prompts, or `None` if it
+    /// does not. Without them its target would process again what others have cached.
+    #[must_use]
+    pub fn prompt_wait_deadline(&self, now: Instant) -> Option<Instant> {
+        let deadline = self.prefixes_deadline.filter(|_| !self.has_prefixes)?;
+        let has_room = self.waiting < self.settings.max_waiting;
+        (has_room && now < deadline).then_some(deadline)
     }
 
     /// Returns until when a request that finds the router without a lease waits, or `None`
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -69,8 +69,8 @@
     pub catalog: RefCell<Option<Rc<Catalog>>>,
     lease: RefCell<Lease>,
     pub readiness: RefCell<Readiness>,
-    /// Notified when the lease has become valid.
-    became_ready: Notify,
+    /// Notified when the lease has become valid, and when the places of cached prompts arrived.
+    readiness_changed: Notify,
     pub registry: RefCell<Registry>,
     pub dispatcher: RefCell<Dispatcher>,
     pub pool: RefCell<Pool>,
@@ -114,7 +114,7 @@
             catalog: RefCell::new(None),
             lease: RefCell::new(Lease::new(bounds.key_removal_limit)),
             readiness: RefCell::new(Readiness::new(ReadinessSettings::default(), Instant::now())),
-            became_ready: Notify::new(),
+            readiness_changed: Notify::new(),
             registry: RefCell::new(Registry::new(registry)),
             dispatcher: RefCell::new(Dispatcher::new(dispatch, &settings.data_centre, seed)),
             pool: RefCell::default(),
@@ -166,22 +166,42 @@
 
     fn handle_lease_change(&self) {
         if self.has_lease() {
-            self.readiness.borrow_mut().record_ready();
-            self.became_ready.notify_waiters();
+            self.readiness.borrow_mut().record_ready(Instant::now());
+            self.readiness_changed.notify_waiters();
         }
     }
 
-    /// Waits until the router has a valid lease. Returns `false` at once if none is
-    /// expected, and at the latest at `deadline` or when the router has waited too long.
+    /// Records that the places of prompts arrived that were cached before the start.
+    pub fn record_prefixes(&self) {
+        self.readiness.borrow_mut().record_prefixes();
+        self.readiness_changed.notify_waiters();
+    }
+
+    /// Waits until more is known that this router needs for its requests. Returns `false` at
+    /// once if it is not expected to get a valid lease soon, and at `deadline`.
     pub async fn wait_until_ready(&self, deadline: tokio::time::Instant) -> bool {
         let expected = self.readiness.borrow_mut().wait_deadline(Instant::now());
-        let Some(expected) = expected else {
-            return false;
-        };
+        match expected {
+            Some(expected) => self.wait_until(deadline.min(expected.into())).await,
+            None => false,
+        }
+    }
+
+    /// Waits until the places of cached prompts are known, if they are expected soon.
+    pub async fn wait_for_prefixes(&self) {
+        loop {
+            let expected = self.readiness.borrow().prompt_wait_deadline(Instant::now());
+            let Some(expected) = expected else { return };
+            self.wait_until(expected.into()).await;
+        }
+    }
+
+    /// Waits for a change of the readiness; returns whether there was one until `deadline`.
+    async fn wait_until(&self, deadline: tokio::time::Instant) -> bool {
         let _waiting = WaitingRequest::new(&self.readiness);
-        let became_ready = self.became_ready.notified();
-        let deadline = deadline.min(expected.into());
-        timeout_at(deadline, became_ready).await.is_ok()
+        timeout_at(deadline, self.readiness_changed.notified())
+            .await
+            .is_ok()
     }
 
     pub fn is_draining(&self) -> bool {
--- a/crates/fleet/tests/readiness.rs
+++ b/crates/fleet/tests/readiness.rs
@@ -8,6 +8,7 @@
 const SETTINGS: ReadinessSettings = ReadinessSettings {
     startup_time: Duration::from_secs(2),
     recovery_time: Duration::from_secs(1),
+    prefixes_time: Duration::from_millis(300),
     max_waiting: 3,
     fleet_retry_after: Duration::from_millis(700),
     other_router_retry_after: Duration::from_millis(60),
@@ -26,7 +27,7 @@
 fn without_lease(linked_controls: usize) -> (Readiness, Instant) {
     let (mut readiness, start) = started();
     readiness.set_linked_controls(linked_controls);
-    readiness.record_ready();
+    readiness.record_ready(start);
     (readiness, start + Duration::from_mins(1))
 }
 
@@ -89,7 +90,7 @@
 fn second_outage_has_a_wait_of_its_own() {
     let (mut readiness, now) = without_lease(3);
     assert!(readiness.wait_deadline(now).is_some());
-    readiness.record_ready();
+    readiness.record_ready(now);
     let again = now + ms(5_000);
     assert_eq!(readiness.wait_deadline(again), Some(again + ms(1_000)));
 }
@@ -105,3 +106,24 @@
     readiness.end_wait();
     assert!(readiness.wait_deadline(start).is_some());
 }
+
+#[test]
+fn all_start_at_once_and_prompts_wait_for_the_places_of_cached_ones() {
+    let (mut readiness, start) = started();
+    assert_eq!(readiness.prompt_wait_deadline(start), None);
+    let leased = start + ms(800);
+    readiness.record_ready(leased);
+    let deadline = Some(leased + ms(300));
+    assert_eq!(readiness.prompt_wait_deadline(leased), deadline);
+    readiness.record_ready(leased + ms(100));
+    assert_eq!(readiness.prompt_wait_deadline(leased + ms(200)), deadline);
+    assert_eq!(readiness.prompt_wait_deadline(leased + ms(300)), None);
+}
+
+#[test]
+fn prompts_do_not_wait_once_the_places_are_known() {
+    let (mut readiness, start) = started();
+    readiness.record_prefixes();
+    readiness.record_ready(start);
+    assert_eq!(readiness.prompt_wait_deadline(start), None);
+}
