--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -175,34 +175,7 @@
                 candidate.is_spared = false;
             }
         }
-        let copy = self.choose_for_copy(&available, &prompt, mean, context);
-        Ok(copy.unwrap_or_else(|| choose_by_prompt(&available, &prompt, mean, context)))
-    }
-
-    /// Chooses a target in a data centre without the prompt's prefix if too few data centres
-    /// have it. Requests of all routers choose the same one, the first in the rendezvous order.
-    fn choose_for_copy(
-        &self,
-        available: &[Candidate<'_>],
-        prompt: &PromptDemand,
-        mean: f64,
-        context: ChoiceContext<'_>,
-    ) -> Option<ChosenTarget> {
-        let settings = context.settings;
-        let holders = self.targets.values();
-        let holders = holders.filter(|target| prompt.caches.contains(&target.cache_id));
-        let data_centres: BTreeSet<&str> = holders.map(|t| t.data_centre.as_str()).collect();
-        if data_centres.is_empty() || data_centres.len() >= settings.min_cache_data_centres {
-            return None;
-        }
-        let bound = mean * settings.load_factor + settings.load_slack;
-        let score = |c: &Candidate<'_>| rendezvous_score(prompt.prefix_hash, c.target.hash, 1.0);
-        let candidates = available.iter().filter(|c| {
-            let is_new = !data_centres.contains(c.target.data_centre.as_str());
-            is_new && !c.is_spared && c.load + 1.0 <= bound
-        });
-        let first = candidates.max_by(|a, b| score(a).total_cmp(&score(b)))?;
-        Some(chosen_target(first, bound, 0, context.now))
+        Ok(choose_by_prompt(&available, &prompt, mean, context))
     }
 
     /// Whether prefixes can be copied from a target of this data centre.
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -30,10 +30,6 @@
     /// Requests added to the multiple of the mean in [`Self::load_factor`], so that a nearly
     /// idle pool keeps its prompts in place.
     pub load_slack: f64,
-    /// A prefix that is used again is copied until targets in this many data centres have it
-    /// cached. Reading a prefix costs many times what copying it costs, so that the targets
-    /// that remain when a data centre is cut off or a target ends should not have to.
-    pub min_cache_data_centres: usize,
     /// Largest usual age of the loads of other routers: two reporting periods.
     pub max_report_age: Duration,
     /// Age at which the weight of a load report, 1 when new, has fallen to 0.
@@ -81,7 +77,6 @@
             slots_factor: 0.95,
             load_factor: 1.25,
             load_slack: 1.5,
-            min_cache_data_centres: 1,
             max_report_age: Duration::from_millis(500),
             report_decay: Duration::from_secs(3),
             failure_weight: 0.25,
