--- a/crates/agreement/tests/group/scenarios.rs
+++ b/crates/agreement/tests/group/scenarios.rs
@@ -81,7 +81,9 @@
     for seed in 0..60 {
         let (mut sim, _) = sim_with_leader([3, 5][usize::try_from(seed % 2).unwrap()], seed);
         let all: Vec<_> = sim.nodes.keys().copied().collect();
-        all.iter().for_each(|&id| sim.crash(id));
+        for &id in &all {
+            sim.crash(id);
+        }
         sim.run(stopped_us);
         for &id in &all {
             sim.start_node(id);
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -11,7 +11,7 @@
 use crate::cache_map::{CacheId, CacheMap, CachedPrefix};
 use crate::health::Outcome;
 use crate::load::LoadReport;
-use crate::pool::{ChoiceContext, Pool, Target, cache_id, prefix_hash};
+use crate::pool::{ChoiceContext, CopySource, Pool, Target, cache_id, prefix_hash};
 use crate::request::{ChooseError, ChosenTarget, DispatchRequest};
 use crate::settings::DispatchSettings;
 
@@ -127,6 +127,7 @@
             self.cache_map.record_request(hash, now);
         }
         let caches = self.cache_map.caches(hash);
+        let sources = &self.copy_sources;
         let mut choice = pool.choose(request, caches, same_prefix_arrivals, context)?;
         if let Some(target) = pool.targets.get_mut(&choice.name) {
             target.load.own += 1;
@@ -136,14 +137,9 @@
                 choice.prefix_hash = hash;
                 choice.is_cached = caches.contains(&cache);
                 if !choice.is_cached {
-                    let reachable = caches.iter().copied().filter(|cache| {
-                        let source = self.copy_sources.get(cache);
-                        source.is_some_and(|source| {
-                            pool.is_copy_source(*cache, &source.data_centre, &self.settings, now)
-                        })
-                    });
-                    let reachable: Vec<CacheId> = reachable.collect();
-                    choice.copy_from = nearest_copy_source(&reachable, cache, &self.copy_sources);
+                    let caches = caches.iter().copied();
+                    let reachable = pool.reachable_sources(caches, sources, &self.settings, now);
+                    choice.copy_from = nearest_copy_source(&reachable, sources.get(&cache));
                 }
                 self.cache_map.record_use(
                     CachedPrefix {
@@ -334,22 +330,13 @@
     mix64(stable_id(service))
 }
 
-/// A target from which cached prefixes can be copied.
-#[derive(Clone, Debug)]
-struct CopySource {
-    address: SocketAddr,
-    data_centre: String,
-}
-
-/// Returns the one of `caches` to copy a prefix from. Targets in the data centre of the chosen
-/// one are preferred, as a copy within a data centre takes half the time of a copy between two.
-fn nearest_copy_source(
-    caches: &[CacheId],
-    chosen: CacheId,
-    sources: &BTreeMap<CacheId, CopySource>,
-) -> Option<SocketAddr> {
-    let data_centre = sources.get(&chosen).map(|source| &source.data_centre);
-    let known = caches.iter().filter_map(|cache| sources.get(cache));
-    let nearest = known.max_by_key(|source| Some(&source.data_centre) == data_centre);
+/// Returns the address of the one of `sources` to copy a prefix from to `chosen`. Targets in
+/// the data centre of the chosen one are preferred, as a copy within a data centre takes half
+/// the time of a copy between two.
+fn nearest_copy_source(sources: &[&CopySource], chosen: Option<&CopySource>) -> Option<SocketAddr> {
+    let data_centre = chosen.map(|chosen| &chosen.data_centre);
+    let nearest = sources
+        .iter()
+        .max_by_key(|source| Some(&source.data_centre) == data_centre);
     nearest.map(|source| source.address)
 }
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -64,6 +64,13 @@
     target_start_id(&announcement.name, announcement.start)
 }
 
+/// A target from which cached prefixes can be copied.
+#[derive(Clone, Debug)]
+pub struct CopySource {
+    pub address: SocketAddr,
+    pub data_centre: String,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     pub targets: BTreeMap<TargetName, Target>,
@@ -178,21 +185,24 @@
         Ok(choose_by_prompt(&available, &prompt, mean, context))
     }
 
-    /// Whether prefixes can be copied from a target of this data centre.
-    pub fn is_copy_source(
+    /// Returns those of `caches` from which prefixes can be copied. A target that cannot reach
+    /// its source waits in vain, and processes the prefix after all.
+    pub fn reachable_sources<'a>(
         &self,
-        cache: CacheId,
-        data_centre: &str,
+        caches: impl Iterator<Item = CacheId>,
+        sources: &'a BTreeMap<CacheId, CopySource>,
         settings: &DispatchSettings,
         now: Instant,
-    ) -> bool {
-        let mut targets = self.targets.values();
-        let target = targets.find(|target| target.cache_id == cache);
-        let is_unreachable = target.is_some_and(|target| target.health.is_unreachable(now));
-        !is_unreachable
-            && !self
-                .cut_off_data_centres(settings, now)
-                .contains(data_centre)
+    ) -> Vec<&'a CopySource> {
+        let cut_off = self.cut_off_data_centres(settings, now);
+        let targets = self.targets.values();
+        let unreachable = targets.filter(|target| target.health.is_unreachable(now));
+        let unreachable: BTreeSet<CacheId> = unreachable.map(|target| target.cache_id).collect();
+        let reachable = caches.filter(|cache| !unreachable.contains(cache));
+        reachable
+            .filter_map(|cache| sources.get(&cache))
+            .filter(|source| !cut_off.contains(source.data_centre.as_str()))
+            .collect()
     }
 
     /// Returns the positions of the targets without a limit, or of all if each has one.
