--- a/crates/measure/examples/measure/main.rs
+++ b/crates/measure/examples/measure/main.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod limits;
+mod losses;
 mod membership;
 mod path;
 mod placement;
@@ -14,13 +15,14 @@
     match command {
         "control" => control::run(rest),
         "limits" => limits::run(),
+        "losses" => losses::run(rest),
         "membership" => membership::run(),
         "path" => path::run(rest),
         "placement" => placement::run(rest),
         "soak" => soak::run(rest),
         _ => {
             eprintln!(
-                "bamboospur-measure: name one of: path, placement, limits, membership, control, soak"
+                "bamboospur-measure: name one of: path, placement, limits, losses, membership, control, soak"
             );
             std::process::exit(2);
         }
