Elect without a time-out at a start only where no leader acts alone

A replica that restarts forgets that it heard a leader, so an election right after its start shortens the time for which a former leader, cut off from the others, has acted alone; the group of the product's own interface sends orders to engines.

Change: elects_at_start, off by default and on for the control group of a deployment with a platform of its own, where every read asks a quorum. The random runs of the agreement play both settings.

--- a/crates/agreement/src/replica.rs
+++ b/crates/agreement/src/replica.rs
@@ -51,9 +51,9 @@
     /// Whether the former leader requested the current election.
     is_leadership_transfer: bool,
     election_deadline: Instant,
-    /// Until then, or until it hears from a leader or grants a vote, a replica that has
-    /// just started requests pre-votes without waiting for an election time-out. Pre-votes
-    /// do not disturb a leader, and without one the group is back as soon as a quorum is.
+    /// Until then, or until it hears from a leader or grants a vote, a replica that elects at
+    /// its start requests pre-votes without waiting for an election time-out. Pre-votes do
+    /// not disturb a leader, and without one the group is back as soon as a quorum is.
     starts_until: Option<Instant>,
     /// End of the minimum election time-out after the leader's last message. Until
     /// then vote requests are ignored, except in a leadership transfer, and
@@ -106,7 +106,9 @@
             vote_sequence: 0,
             is_leadership_transfer: false,
             election_deadline: now,
-            starts_until: Some(now + settings.election_timeout_max),
+            starts_until: settings
+                .elects_at_start
+                .then_some(now + settings.election_timeout_max),
             leader_heard_until: None,
             incoming_snapshot: None,
             pending_proposals: BTreeMap::new(),
@@ -121,7 +123,7 @@
         };
         replica.restore(restored.entries);
         if !replica.is_only_voter() {
-            replica.election_deadline = now + replica.pre_vote_pause(now);
+            replica.start_election_timer(now);
         }
         replica
     }
--- a/crates/agreement/src/replica/election.rs
+++ b/crates/agreement/src/replica/election.rs
@@ -10,6 +10,15 @@
 use crate::message::MessageBody;
 
 impl Replica {
+    /// Sets the first election deadline after a start.
+    pub(super) fn start_election_timer(&mut self, now: Instant) {
+        if self.starts_until.is_some() {
+            self.election_deadline = now + self.pre_vote_pause(now);
+        } else {
+            self.reset_election_deadline(now);
+        }
+    }
+
     /// Waits for a whole election time-out from now on.
     pub(super) fn reset_election_deadline(&mut self, now: Instant) {
         self.starts_until = None;
--- a/crates/agreement/src/settings.rs
+++ b/crates/agreement/src/settings.rs
@@ -19,6 +19,10 @@
     pub election_timeout_min: Duration,
     /// Longest time without a leader before a replica starts an election.
     pub election_timeout_max: Duration,
+    /// Whether a replica that has just started requests pre-votes without waiting for an
+    /// election time-out. A replica that restarts forgets that it heard a leader, so with this
+    /// the former leader may act for up to [`Self::quorum_timeout`] beside the next one.
+    pub elects_at_start: bool,
     /// Shortest time between two rounds of pre-votes of a replica that has just started.
     pub startup_retry_min: Duration,
     /// Longest time between two rounds of pre-votes of a replica that has just started.
@@ -62,6 +66,7 @@
             heartbeat_interval: Duration::from_millis(100),
             election_timeout_min: Duration::from_millis(400),
             election_timeout_max: Duration::from_millis(800),
+            elects_at_start: false,
             startup_retry_min: Duration::from_millis(40),
             startup_retry_max: Duration::from_millis(160),
             election_retry_min: Duration::from_millis(200),
--- a/crates/agreement/tests/group/scenarios.rs
+++ b/crates/agreement/tests/group/scenarios.rs
@@ -83,6 +83,7 @@
         let all: Vec<_> = sim.nodes.keys().copied().collect();
         for &id in &all {
             sim.crash(id);
+            sim.nodes.get_mut(&id).unwrap().settings.elects_at_start = true;
         }
         sim.run(stopped_us);
         for &id in &all {
@@ -109,6 +110,8 @@
         let (mut sim, leader) = sim_with_leader(3, seed);
         let term = status(&sim, leader).term;
         let restarted = others(&sim, leader)[0];
+        let node = sim.nodes.get_mut(&restarted).unwrap();
+        node.settings.elects_at_start = true;
         for _ in 0..5 {
             sim.crash(restarted);
             sim.run(20_000);
--- a/crates/agreement/tests/group/sim.rs
+++ b/crates/agreement/tests/group/sim.rs
@@ -46,6 +46,7 @@
     pub sync_delay_us: u64,
     pub results: BTreeMap<Ticket, bool>,
     start: Instant,
+    first_seed: u64,
     seed: u64,
     queue: BTreeMap<(u64, u64), Event>,
     events: u64,
@@ -63,6 +64,7 @@
             sync_delay_us: 1000,
             results: BTreeMap::new(),
             start: Instant::now(),
+            first_seed: seed,
             seed,
             queue: BTreeMap::new(),
             events: 0,
@@ -85,6 +87,8 @@
         let settings = ReplicaSettings {
             id,
             disk,
+            // Runs with even seeds elect without a time-out after starts.
+            elects_at_start: self.first_seed.is_multiple_of(2),
             snapshot_chunk_bytes: 100,
             trailing_log_bytes: 200,
             max_append_bytes: 150,
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -377,6 +377,8 @@
     settings.replica.election_timeout_min = Duration::from_millis(600);
     settings.replica.election_timeout_max = Duration::from_secs(1);
     settings.replica.quorum_timeout = Duration::from_millis(600);
+    // Nothing here depends on a single leader: reads ask a quorum.
+    settings.replica.elects_at_start = true;
     settings.replica.id = id;
     settings.replica.disk = id;
     settings
