Show that resumed streams can be joined from two software versions

What callers see: a stream taken up again is answered 200, and its rest comes from another software version than its beginning. Three ways, each a test that fails: a target upgraded under its own name, whose earlier version is forgotten at once; control instances without soft state, which take an empty memory for knowledge after three report periods; a version that started after the last write of the soft state and was lost with the power.

--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -10,6 +10,7 @@
 mod prompts;
 mod proxy;
 mod rejected;
+mod rejoined;
 mod relays;
 mod soak;
 mod stream_soak;
--- a/crates/node/tests/deployment/versions.rs
+++ b/crates/node/tests/deployment/versions.rs
@@ -12,14 +12,14 @@
 use super::target::EVENTS;
 
 /// Time after which another router knows where a stream began.
-const SPREAD_TIME: Duration = Duration::from_millis(600);
+pub const SPREAD_TIME: Duration = Duration::from_millis(600);
 /// Time after its start in which a process has heard of all targets, which report every 1.2 s.
 const KNOWS_TARGETS_AFTER: Duration = Duration::from_secs(4);
 /// Longest time for a rejection that needs no target.
 const MAX_REJECTION_TIME: Duration = Duration::from_secs(1);
 
 /// Starts a deployment with two routers.
-fn start(network: u8) -> Deployment {
+pub fn start(network: u8) -> Deployment {
     let mut deployment = Deployment::without_router(network);
     deployment.start_router_at(9, "router-9");
     deployment.start_router_at(10, "router-10");
@@ -27,13 +27,13 @@
     deployment
 }
 
-fn wait_ready(deployment: &Deployment) {
+pub fn wait_ready(deployment: &Deployment) {
     deployment.wait_ready_at(9);
     deployment.wait_ready_at(10);
     thread::sleep(SPREAD_TIME);
 }
 
-fn engine(
+pub fn engine(
     deployment: &Deployment,
     index: u8,
     name: &'static str,
@@ -51,13 +51,13 @@
     request_text("POST", "/talk/1", id, "k1").replacen("Content-Length", &fields, 1)
 }
 
-fn resume(deployment: &Deployment, id: &str, resumed: &str, last_event: u64) -> Reply {
+pub fn resume(deployment: &Deployment, id: &str, resumed: &str, last_event: u64) -> Reply {
     let router = deployment.address(10, CALLER_PORT);
     call(router, &resume_text(id, resumed, last_event)).expect("a reply")
 }
 
 /// Sends a request to the first router and reads its stream up to an event.
-fn begin(deployment: &Deployment, id: &str, last_event: u64) -> (TcpStream, String) {
+pub fn begin(deployment: &Deployment, id: &str, last_event: u64) -> (TcpStream, String) {
     let mut caller = TcpStream::connect(deployment.address(9, CALLER_PORT)).expect("a connection");
     let text = request_text("POST", "/talk/1", id, "k1");
     caller.write_all(text.as_bytes()).expect("it is sent");
@@ -73,7 +73,7 @@
 }
 
 /// Returns the targets that wrote the events of an answer.
-fn writers(body: &str) -> Vec<&str> {
+pub fn writers(body: &str) -> Vec<&str> {
     let lines = body
         .lines()
         .filter_map(|line| line.strip_prefix("data: "))
