Send cold targets no more than they bear

Cause: targets say in their reports that they are cold, and nobody used it. An empty target looks like the least loaded one to every router at once.

Change: the registry keeps until when a target is cold; one that becomes cold again is passed on at once. Each router sends to a cold target at most its equal part of half of the rate in the configuration, from a random moment on, and no router needs to hear of another for it.

Holders named by a control instance, as for stated limits, allow r + 2 r + 3 in a second by design, and are not known before the first request; not built.

--- a/crates/catalog/src/model.rs
+++ b/crates/catalog/src/model.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use bamboospur_types::RequestRate;
+
 use crate::kind::RequestKind;
 use crate::{CatalogVersion, ServiceName, TeamKey};
 
@@ -94,6 +96,9 @@
     /// Maximum number of connections that one target accepts from all routers
     /// together.
     pub max_connections: u32,
+    /// Requests per second that a cold target bears from all routers together; `None` if as
+    /// many as any other.
+    pub cold_rate: Option<RequestRate>,
     /// Capacity of each target; `None` if the targets are not model engines.
     pub engine: Option<EngineCapacity>,
 }
--- a/crates/catalog/tests/catalog.rs
+++ b/crates/catalog/tests/catalog.rs
@@ -36,6 +36,7 @@
     Service {
         name: name.to_owned(),
         max_connections: 10,
+        cold_rate: None,
         engine: None,
     }
 }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -9,9 +9,10 @@
 use bamboospur_types::{InstanceId, RequestRate, Rng, mix64, stable_id};
 
 use crate::cache_map::{CacheId, CacheMap, CachedPrefix};
+use crate::cold::Cold;
 use crate::health::Outcome;
 use crate::load::LoadReport;
-use crate::pool::{ChoiceContext, CopySource, Pool, Target, cache_id, prefix_hash};
+use crate::pool::{ChoiceContext, CopySource, Pool, Target, cache_id, prefix_hash, unit_interval};
 use crate::request::{ChooseError, ChosenTarget, DispatchRequest};
 use crate::settings::DispatchSettings;
 
@@ -55,6 +56,18 @@
         self.evacuated = data_centres;
     }
 
+    /// Records that a target stays cold until then.
+    pub fn record_cold(&mut self, announcement: &Announcement, until: Instant, now: Instant) {
+        let phase = unit_interval(self.rng.next_u64());
+        let (service, name) = (&announcement.service, &announcement.name);
+        if let Some(target) = self.target_mut(service, name, announcement.start) {
+            match &mut target.cold {
+                Some(cold) if cold.is_cold(now) => cold.set_until(until),
+                cold => *cold = Some(Cold::new(phase, now, until)),
+            }
+        }
+    }
+
     /// Sets the number of routers that send to the same targets, this one included.
     pub fn set_router_count(&mut self, router_count: u32) {
         self.router_count = router_count.max(1);
@@ -140,6 +153,9 @@
         let mut choice = pool.choose(request, caches, same_prefix_arrivals, context)?;
         if let Some(target) = pool.targets.get_mut(&choice.name) {
             target.load.own += 1;
+            if let Some(cold) = &mut target.cold {
+                cold.record_request(now);
+            }
             self.limits.record_request(target.cache_id, now);
             if !request.prompt.is_empty() {
                 let cache = target.cache_id;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,11 +12,13 @@
 //!   and the first targets below the bound take the requests.
 //! - Other requests go to the target with the shortest expected wait: requests in
 //!   flight times the smoothed latency.
+//! - A target that is cold gets requests at a pace that it bears.
 //! - A target that fails is ejected for a while (passive outlier ejection) and
 //!   readmitted through single repeatable requests.
 
 mod arrivals;
 mod cache_map;
+mod cold;
 mod dispatcher;
 mod health;
 mod load;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -11,6 +11,7 @@
 
 use crate::arrivals::{FleetRate, PrefixArrivals, choose_by_water_filling, choose_by_weight};
 use crate::cache_map::{CacheId, PrefixHash};
+use crate::cold::{Cold, ColdPace};
 use crate::health::Health;
 use crate::load::Load;
 use crate::request::{ChooseError, ChosenTarget, DispatchRequest, PromptPart, target_start_id};
@@ -39,6 +40,8 @@
     /// Load of this router in the last report to other routers.
     pub last_reported: u32,
     pub health: Health,
+    /// State of a target that is or was cold.
+    pub cold: Option<Cold>,
 }
 
 impl Target {
@@ -55,6 +58,7 @@
             load: Load::new(),
             last_reported: 0,
             health: Health::new(settings),
+            cold: None,
         }
     }
 }
@@ -96,15 +100,20 @@
 
 impl ChoiceContext<'_> {
     /// Returns a random number in [0, 1), the same for the same salt.
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "the shift leaves 53 bits, which an f64 holds exactly"
-    )]
     fn random_unit(&self, salt: u64) -> f64 {
-        (mix64(self.random ^ salt) >> 11) as f64 / (1_u64 << 53) as f64
+        unit_interval(mix64(self.random ^ salt))
     }
 }
 
+/// Maps random bits to [0, 1).
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "the shift leaves 53 bits, which an f64 holds exactly"
+)]
+pub fn unit_interval(random: u64) -> f64 {
+    (random >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 /// A target that the request may be sent to, with its estimated load.
 struct Candidate<'a> {
     name: &'a TargetName,
@@ -231,13 +240,20 @@
         let ChoiceContext {
             limits,
             evacuated,
+            router_count,
             now,
             ..
         } = context;
+        let pace = ColdPace {
+            rate: request.cold_rate,
+            router_count,
+        };
         // When a target that takes no request now takes the next one.
         let accepts_at = |target: &Target| {
             let rejects_until = target.health.rejects_until(now);
-            rejects_until.max(limits.available_at(target.cache_id, now))
+            let cold_until = target.cold.and_then(|cold| cold.available_at(pace, now));
+            let limited_until = limits.available_at(target.cache_id, now);
+            rejects_until.max(cold_until).max(limited_until)
         };
         let fits = |name: &TargetName, target: &Target| {
             let has_version = request
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_registry::{SoftwareVersion, StartTime, TargetName};
-use bamboospur_types::{mix64, stable_id};
+use bamboospur_types::{RequestRate, mix64, stable_id};
 
 /// Part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +31,9 @@
     pub tried: &'a [TargetName],
     /// Largest number of requests that this router may have in flight at one target.
     pub max_in_flight_per_target: u32,
+    /// Requests per second that a cold target bears from all routers together; `None` if as
+    /// many as any other.
+    pub cold_rate: Option<RequestRate>,
 }
 
 /// The target chosen for one attempt.
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -43,6 +43,7 @@
         software: None,
         tried,
         max_in_flight_per_target: UNLIMITED_CONNECTIONS,
+        cold_rate: None,
     }
 }
 
@@ -375,6 +376,7 @@
     );
     let limited = DispatchRequest {
         max_in_flight_per_target: 1,
+        cold_rate: None,
         ..plain_request(&[])
     };
     assert!(dispatcher.choose(&limited, now).is_ok());
--- a/crates/dispatch/tests/evacuated.rs
+++ b/crates/dispatch/tests/evacuated.rs
@@ -39,6 +39,7 @@
         software: None,
         tried: &[],
         max_in_flight_per_target: 1_000,
+        cold_rate: None,
     };
     let answered = Outcome::Answered {
         latency: Duration::from_millis(10),
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -44,6 +44,7 @@
         software: None,
         tried: &[],
         max_in_flight_per_target: 1_000,
+        cold_rate: None,
     };
     dispatcher.choose(&request, now).expect("a target")
 }
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -284,6 +284,7 @@
                 repeatable: true,
                 tried: &tried,
                 max_in_flight_per_target: 1_000,
+                cold_rate: None,
             };
             let now = self.at(now_ms);
             let Ok(choice) = self.routers[router].choose(&request, now) else {
--- a/crates/fleet/src/control/host/fleet.rs
+++ b/crates/fleet/src/control/host/fleet.rs
@@ -62,7 +62,7 @@
         now: Instant,
     ) {
         let has_targets = |host: &Self| {
-            let mut targets = host.registry.all();
+            let mut targets = host.registry.all(now);
             targets.any(|target| target.data_centre == data_centre)
         };
         if !self.fleet.data_centres.contains(&data_centre) && !has_targets(self) {
@@ -128,7 +128,7 @@
     /// Proposes the software versions that the group lacks.
     pub(super) fn propose_software(&mut self, now: Instant) {
         let mut software = self.fleet.held_targets.software();
-        software.extend(self.registry.all().map(software_of));
+        software.extend(self.registry.all(now).map(|target| software_of(&target)));
         let known = self.group.fleet().software();
         let added: BTreeSet<ServiceSoftware> = software.difference(known).cloned().collect();
         if !added.is_empty() && added != self.fleet.proposed_software {
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -325,7 +325,7 @@
             DialEvent::Up(address) => {
                 info!(%address, "link to a control instance established");
                 let now = Instant::now();
-                let announcements = self.registry.all().cloned().collect();
+                let announcements = self.registry.all(Instant::now()).collect();
                 let recent = self.peers.recent_addresses(now);
                 self.peers.send_to_all(&Frame::Controls(recent));
                 self.peers.send_to_all(&Frame::Targets(announcements));
--- a/crates/fleet/src/control/host/outbox.rs
+++ b/crates/fleet/src/control/host/outbox.rs
@@ -23,7 +23,9 @@
         match content {
             Content::Config(change) => vec![Frame::Config(change)],
             Content::Targets => {
-                vec![Frame::AllTargets(self.registry.all().cloned().collect())]
+                vec![Frame::AllTargets(
+                    self.registry.all(Instant::now()).collect(),
+                )]
             }
             Content::CachedPrefixes => prefix_frames(self.cached_prefixes.iter().copied()),
         }
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -152,7 +152,7 @@
             return;
         }
         let state = SoftState {
-            targets: self.registry.all().cloned().collect(),
+            targets: self.registry.all(Instant::now()).collect(),
             prefixes: self.cached_prefixes.iter().copied().collect(),
         };
         if let Some(blob) = state.encode()
--- a/crates/fleet/src/router/follow/config.rs
+++ b/crates/fleet/src/router/follow/config.rs
@@ -126,7 +126,7 @@
             Content::Config(change) => vec![Frame::Config(change)],
             Content::Targets => {
                 let registry = self.router.registry.borrow();
-                vec![Frame::AllTargets(registry.all().cloned().collect())]
+                vec![Frame::AllTargets(registry.all(Instant::now()).collect())]
             }
             Content::CachedPrefixes => {
                 let dispatcher = self.router.dispatcher.borrow();
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -373,6 +373,7 @@
             software: self.origin.as_ref().map(|origin| origin.software.as_str()),
             tried: &self.tried,
             max_in_flight_per_target: self.router.connection_share(self.service),
+            cold_rate: self.service.cold_rate,
         };
         self.router
             .dispatcher
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -448,6 +448,9 @@
         let draining: Vec<&Announcement> = registry.draining(now).collect();
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.update(&registry.usable(now), &draining, now);
+        for (target, until) in registry.cold(now) {
+            dispatcher.record_cold(target, until, now);
+        }
     }
 
     pub fn router_count(&self) -> u32 {
--- a/crates/fleet/tests/router.rs
+++ b/crates/fleet/tests/router.rs
@@ -170,6 +170,7 @@
     let service = Service {
         name: "s".to_owned(),
         max_connections: 10,
+        cold_rate: None,
         engine: None,
     };
     let team = Team {
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -7,6 +7,10 @@
 use crate::announcement::{Announcement, Phase};
 use crate::{SoftwareVersion, TargetName};
 
+/// A target that still warms up states shorter times; how late its reports arrive varies by
+/// less than this.
+const MAX_COLD_JITTER: Duration = Duration::from_millis(1_500);
+
 /// Time limits of a registry.
 #[derive(Clone, Copy, Debug)]
 pub struct RegistrySettings {
@@ -44,6 +48,8 @@
     newest: Announcement,
     /// Number of the last merge that said that the target is ready; 0 without one.
     ready_order: u64,
+    /// When the target has warmed up.
+    cold_until: Instant,
     silent_at: Instant,
     forget_at: Instant,
 }
@@ -81,6 +87,7 @@
             } else {
                 0
             },
+            cold_until: now + announcement.warm_up,
             silent_at: now + self.settings.silence_timeout,
             forget_at: now + self.settings.retention,
             newest: announcement,
@@ -94,7 +101,9 @@
         }
         let was_silent = known.newest.phase == Phase::Ready && now >= known.silent_at;
         entry.ready_order = entry.ready_order.max(known.ready_order);
-        let changed = was_silent || entry.newest.differs_for_routers(&known.newest);
+        let is_cold_again = entry.cold_until > known.cold_until + MAX_COLD_JITTER;
+        let changed =
+            was_silent || is_cold_again || entry.newest.differs_for_routers(&known.newest);
         let (old, new) = (&known.newest, &entry.newest);
         if (&old.service, &old.software) != (&new.service, &new.software) {
             let replaced = (old.service.clone(), old.software.clone());
@@ -126,6 +135,7 @@
         }
         let announcement = Announcement {
             sequence,
+            warm_up: known.cold_until.saturating_duration_since(now),
             ..newest.clone()
         };
         self.merge(announcement, now)
@@ -268,13 +278,22 @@
             .filter(|a| a.phase == Phase::Ready)
     }
 
+    /// Returns the targets that warm up, and until when.
+    pub fn cold(&self, now: Instant) -> impl Iterator<Item = (&Announcement, Instant)> {
+        let cold = self.entries.values().filter(move |e| now < e.cold_until);
+        cold.map(|entry| (&entry.newest, entry.cold_until))
+    }
+
     /// Returns the newest announcement of every known target, departed ones included,
     /// for an instance that starts with an empty registry. Merged in this order, they have
     /// the same owners of addresses there.
-    pub fn all(&self) -> impl Iterator<Item = &Announcement> {
+    pub fn all(&self, now: Instant) -> impl Iterator<Item = Announcement> {
         let mut entries: Vec<&Entry> = self.entries.values().collect();
         entries.sort_by_key(|entry| entry.ready_order);
-        entries.into_iter().map(|entry| &entry.newest)
+        entries.into_iter().map(move |entry| Announcement {
+            warm_up: entry.cold_until.saturating_duration_since(now),
+            ..entry.newest.clone()
+        })
     }
 
     /// Returns the number of known targets, departed ones included.
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -63,8 +63,8 @@
         registry.leave(ended, None, now);
         assert_eq!(usable(&registry, now), [successor]);
         let mut started = Registry::default();
-        for known in registry.all() {
-            started.merge(known.clone(), now);
+        for known in registry.all(now) {
+            started.merge(known, now);
         }
         assert_eq!(usable(&started, now), [successor]);
     }
@@ -184,10 +184,10 @@
     let later = now + settings.retention;
     assert!(registry.mark_silent(&announcement("c", 1, 1, Phase::Ready), later));
     registry.remove_expired(later);
-    let known: Vec<&str> = registry.all().map(|a| a.name.as_str()).collect();
+    let known: Vec<String> = registry.all(now).map(|a| a.name).collect();
     assert_eq!(known, ["a", "c"]);
     registry.remove_expired(later + settings.retention);
-    assert_eq!(registry.all().count(), 1);
+    assert_eq!(registry.all(now).count(), 1);
 }
 
 quickcheck! {
--- a/crates/types/src/request_rate.rs
+++ b/crates/types/src/request_rate.rs
@@ -22,7 +22,13 @@
     /// as the largest one; `None` if the text is no number of zero or more.
     #[must_use]
     pub fn parse(text: &str) -> Option<Self> {
-        let per_s: f64 = text.trim().parse().ok()?;
+        Self::from_per_s(text.trim().parse().ok()?)
+    }
+
+    /// Returns the rate of this many requests per second. Larger rates than can be stored
+    /// count as the largest one; `None` if the number is negative or none.
+    #[must_use]
+    pub fn from_per_s(per_s: f64) -> Option<Self> {
         if per_s.is_nan() || per_s < 0.0 {
             return None;
         }
@@ -41,6 +47,12 @@
         self.milli_per_s
     }
 
+    /// Whether the rate allows no request.
+    #[must_use]
+    pub const fn is_zero(self) -> bool {
+        self.milli_per_s == 0
+    }
+
     /// Returns the time between two requests of one of `senders` that divide the rate equally;
     /// `None` if the rate is zero.
     #[must_use]
