--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -101,7 +101,8 @@
         }
         let was_silent = known.newest.phase == Phase::Ready && now >= known.silent_at;
         entry.ready_order = entry.ready_order.max(known.ready_order);
-        let is_cold_again = entry.cold_until > known.cold_until + MAX_COLD_JITTER;
+        let is_cold_again =
+            now < entry.cold_until && entry.cold_until > known.cold_until + MAX_COLD_JITTER;
         let changed =
             was_silent || is_cold_again || entry.newest.differs_for_routers(&known.newest);
         let (old, new) = (&known.newest, &entry.newest);
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -190,6 +190,43 @@
     assert_eq!(registry.all(now).count(), 1);
 }
 
+#[test]
+fn a_target_that_becomes_cold_again_has_changed() {
+    let second = Duration::from_secs(1);
+    let start = Instant::now();
+    let mut registry = Registry::default();
+    let report = |sequence, warm_up| Announcement {
+        warm_up,
+        ..announcement("a", 1, sequence, Phase::Ready)
+    };
+    let cold_until = |registry: &Registry, now| {
+        let mut cold = registry.cold(now);
+        cold.next().map(|(_, until)| until)
+    };
+    assert_eq!(registry.merge(report(1, 3 * second), start), Merge::Changed);
+    assert_eq!(cold_until(&registry, start), Some(start + 3 * second));
+    // The rest of the same time, and reports that do not state it.
+    let later = start + second;
+    assert_eq!(
+        registry.merge(report(2, 2 * second), later),
+        Merge::Refreshed
+    );
+    registry.refresh("a", StartTime(1), 3, later);
+    assert_eq!(cold_until(&registry, later), Some(start + 3 * second));
+    let warm = start + 3 * second;
+    assert_eq!(cold_until(&registry, warm), None);
+    assert_eq!(
+        registry.merge(report(4, Duration::ZERO), warm),
+        Merge::Refreshed
+    );
+    let later = warm + 4 * second;
+    assert_eq!(registry.merge(report(5, 4 * second), later), Merge::Changed);
+    // Whoever asks for all targets hears what is left of the time.
+    let asked = later + second;
+    let all: Vec<Announcement> = registry.all(asked).collect();
+    assert_eq!(all[0].warm_up, 3 * second);
+}
+
 quickcheck! {
     fn the_order_of_arrival_does_not_matter(reports: Vec<(u8, u8, u8)>) -> bool {
         let now = Instant::now();
