Choose among open targets by their own mean load

What callers saw: with a data centre evacuated, the others were told to hold no more than bounds of the mean over all targets, so most were above the bound of new prompts, and all routers sent these to the few below it. Targets held up to 17 requests where 13 are allowed (LIMIT), at estimates of 6 to 8.

Change: bounds refer to the mean of the targets that take requests, and stay halfway between it and the bound required of deployments; the load of a target whose report has aged is estimated from targets in the same state.

--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -137,13 +137,17 @@
         context: ChoiceContext<'_>,
     ) -> Result<ChosenTarget, ChooseError> {
         let ChoiceContext { settings, now, .. } = context;
-        let loads = self.estimate_loads(settings, now);
+        let loads = self.estimate_loads(context);
         let all = self.candidates(request, &loads, context)?;
         let mean_of_all = mean(loads.iter().copied());
         // The load of the others is kept low; with it, prompts would leave targets that have
         // them cached.
         let unlimited = self.unlimited(context.limits);
-        let mean = mean(unlimited.iter().map(|&index| loads[index]));
+        let open = self.not_evacuated(&unlimited, context.evacuated);
+        let means = MeanLoads {
+            all: mean(unlimited.iter().map(|&index| loads[index])),
+            open: mean(open.iter().map(|&index| loads[index])),
+        };
         let all = self.reachable(all, request, settings, now);
         let healthy = self.healthy(all, request, settings, now);
         let max_own = request.max_in_flight_per_target;
@@ -162,8 +166,7 @@
             prefix_hash: prefix_hash(request.prompt),
             caches: caches.iter().copied().collect(),
             expected_same_prefix: self.expected_from_others(same_prefix_arrivals, context),
-            expected_per_target: self.expected_at_all_routers(context)
-                / count_at_least_one(&unlimited),
+            expected_per_target: self.expected_at_all_routers(context) / count_at_least_one(&open),
         };
         // The expected arrivals are those at targets of all versions, and a stream that has
         // begun comes before new ones.
@@ -188,12 +191,12 @@
             return Ok(chosen_target(to_check, bound, 0, now));
         }
         // The targets without a limit have become the busy ones.
-        if mean > mean_of_all * settings.max_load_factor + settings.max_load_slack {
+        if means.all > mean_of_all * settings.max_load_factor + settings.max_load_slack {
             for candidate in &mut available {
                 candidate.is_spared = false;
             }
         }
-        Ok(choose_by_prompt(&available, &prompt, mean, context))
+        Ok(choose_by_prompt(&available, &prompt, means, context))
     }
 
     /// Returns those of `caches` from which prefixes can be copied. A target that cannot reach
@@ -229,6 +232,15 @@
         }
     }
 
+    /// Returns those of the targets at these positions whose data centre is not evacuated.
+    fn not_evacuated(&self, indexes: &[usize], evacuated: &BTreeSet<String>) -> Vec<usize> {
+        let targets: Vec<&Target> = self.targets.values().collect();
+        let indexes = indexes.iter().copied();
+        indexes
+            .filter(|&index| !evacuated.contains(&targets[index].data_centre))
+            .collect()
+    }
+
     /// Returns the targets that a request may go to: those of the wanted version that were not
     /// tried before and accept requests.
     fn candidates<'a>(
@@ -442,26 +454,32 @@
     }
 
     /// Estimates the load of each target, in the order of `targets`. As a report ages, the
-    /// mean over all targets of the weighted reported loads replaces it.
-    fn estimate_loads(&self, settings: &DispatchSettings, now: Instant) -> Vec<f64> {
-        let decay = settings.report_decay;
+    /// mean of the weighted reported loads replaces it: over the targets that are evacuated
+    /// for one of them, and over the others for another one.
+    fn estimate_loads(&self, context: ChoiceContext<'_>) -> Vec<f64> {
+        let decay = context.settings.report_decay;
+        let is_evacuated = |target: &Target| context.evacuated.contains(&target.data_centre);
         let reports = self
             .targets
             .values()
-            .map(|target| (target, target.load.others(now, decay)));
+            .map(|target| (target, target.load.others(context.now, decay)));
         let reports: Vec<_> = reports.collect();
-        let sum: f64 = reports
-            .iter()
-            .map(|(_, (others, weight))| others * weight)
-            .sum();
-        #[expect(clippy::cast_precision_loss, reason = "a pool has few targets")]
-        let mean_others = sum / (reports.len().max(1) as f64);
+        let mean_others = |evacuated: bool| {
+            let alike = reports.iter().filter(|(t, _)| is_evacuated(t) == evacuated);
+            mean(alike.map(|(_, (others, weight))| others * weight))
+        };
+        let (mean_open, mean_evacuated) = (mean_others(false), mean_others(true));
         let estimate = |target: &Target, others: f64, weight: f64| {
+            let mean_others = if is_evacuated(target) {
+                mean_evacuated
+            } else {
+                mean_open
+            };
             f64::from(target.load.own) + others * weight + mean_others * (1.0 - weight)
         };
-        let loads = reports.into_iter();
+        let loads = reports.iter();
         loads
-            .map(|(target, (others, weight))| estimate(target, others, weight))
+            .map(|(target, (others, weight))| estimate(target, *others, *weight))
             .collect()
     }
 
@@ -537,12 +555,21 @@
     expected_per_target: f64,
 }
 
+/// Mean loads of the targets without a limit.
+#[derive(Clone, Copy, Debug)]
+struct MeanLoads {
+    /// Of all, to which the bound required of deployments refers.
+    all: f64,
+    /// Of those that are not evacuated.
+    open: f64,
+}
+
 /// Chooses a target that has the prompt's prefix cached. Prompts beyond the load bound of
 /// these targets go to the next ones in the rendezvous order of the prefix.
 fn choose_by_prompt(
     available: &[Candidate<'_>],
     prompt: &PromptDemand,
-    mean: f64,
+    means: MeanLoads,
     context: ChoiceContext<'_>,
 ) -> ChosenTarget {
     let settings = context.settings;
@@ -565,12 +592,14 @@
         let (rank, candidate) = among[picked];
         Some(chosen_target(candidate, bound, rank, context.now))
     };
-    let reuse_bound = mean * settings.reuse_factor + settings.reuse_slack;
+    let max_load = means.all * settings.max_load_factor + settings.max_load_slack;
+    // While a data centre is evacuated, the others are closer to that bound.
+    let safe_load = f64::midpoint(means.open, max_load);
+    let reuse_bound = (means.open * settings.reuse_factor + settings.reuse_slack).min(safe_load);
     let cached = ranked().filter(|(_, c)| prompt.caches.contains(&c.target.cache_id));
     let cached: Vec<_> = cached
         .filter(|(_, c)| c.load + 1.0 <= reuse_bound)
         .collect();
-    let max_load = mean * settings.max_load_factor + settings.max_load_slack;
     let cached_capacity: f64 = cached.iter().map(|(_, c)| max_load - c.load).sum();
     let expected = expected_arrivals(cached.len()).max(1.0);
     let can_reuse = context.random_unit(2) * expected < cached_capacity;
@@ -582,7 +611,7 @@
     if let Some(choice) = reuse {
         return choice;
     }
-    let bound = mean * settings.load_factor + settings.load_slack;
+    let bound = (means.open * settings.load_factor + settings.load_slack).min(safe_load);
     let below = ranked().filter(|(_, c)| c.load + 1.0 <= bound);
     let mut below: Vec<_> = below.collect();
     if below.iter().any(|(_, c)| !c.is_spared) {
