Bound what cached prefixes take of a control instance's link

Cause: under overload prompts go to targets that have not cached them. Each such choice was told to all routers at once, in the same queue as leases, loads and configurations. After a restart of everything, 72 routers get all 3,000 cached prefixes at 19 bytes each, which took 300 KB of 525 KB/s for three seconds.

Change: new prefixes wait in a queue that takes a fifth of the link and keeps the newest; prefixes are sent grouped by target, 8 bytes each; a control instance whose link to a peer comes up sends all targets to that one only.

--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -30,6 +30,7 @@
 use super::fanout::{Fanout, FanoutSettings};
 use super::operators::{PendingRequest, PendingRequests};
 use super::peers::Peers;
+use super::prefix_queue::PrefixQueue;
 use super::soft::{SoftState, SoftStateSchedule};
 use crate::link::{AcceptedLinks, Frame, LinkId};
 use crate::loads::Loads;
@@ -85,6 +86,8 @@
     /// Newest cached prefixes, oldest first, as pairs of hashes: of the prefix and of the
     /// target.
     cached_prefixes: VecDeque<(u64, u64)>,
+    /// Cached prefixes that wait to be sent to routers.
+    prefix_queue: PrefixQueue,
     /// Origins of the streams that routers reported.
     stream_origins: OriginTable,
     /// Parts of prompts that crash targets.
@@ -155,6 +158,7 @@
             next_updates_at: now,
             reported_silent: BTreeSet::new(),
             cached_prefixes: soft.prefixes.into(),
+            prefix_queue: PrefixQueue::new(settings.link_bytes_per_s, now),
             stream_origins: OriginTable::default(),
             crash_hub: Hub::new(HubSettings::default()),
             crash_outbox: CrashOutbox::new(CrashOutboxSettings::HUB, now),
@@ -221,6 +225,7 @@
         self.crash_hub.remove_expired(now);
         self.update_limit_holders(now);
         self.update_software(now);
+        self.send_prefixes(now);
         let announcements: Vec<Announcement> = std::mem::take(&mut self.unsent_to_peers)
             .into_values()
             .collect();
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -52,13 +52,15 @@
         self.links.send(&self.update_links(), frame);
     }
 
-    /// Sends cached prefixes to the relays, or to all routers when there are no relays.
-    /// `except` is left out. They are hints, so a router may miss them.
-    pub(super) fn send_prefixes(&self, except: LinkId, prefixes: Vec<(u64, u64)>) {
-        let mut links = self.update_links();
-        links.retain(|&link| link != except);
-        self.links
-            .try_send(&links, &Frame::CachedPrefixes(prefixes));
+    /// Sends the cached prefixes that there is room for to the relays, or to all routers when
+    /// there are no relays. They are hints, so a router may miss them.
+    pub(super) fn send_prefixes(&mut self, now: Instant) {
+        let links = self.update_links();
+        let prefixes = self.prefix_queue.take(links.len(), now);
+        if !prefixes.is_empty() {
+            self.links
+                .try_send(&links, &Frame::CachedPrefixes(prefixes));
+        }
     }
 
     /// Selects the relays, or adopts the selection of the leader, and sends changed ones to
@@ -181,7 +183,7 @@
             Frame::CachedPrefixes(prefixes) if hello.control_address().is_some() => {
                 self.store_prefixes(&prefixes);
             }
-            Frame::CachedPrefixes(prefixes) => self.forward_prefixes(link, prefixes),
+            Frame::CachedPrefixes(prefixes) => self.forward_prefixes(prefixes, now),
             Frame::Loads(counts) => self.record_loads(&hello, counts, now),
             Frame::RequestConfig(held) => self.handle_config_request(link, held),
             Frame::RequestTargets {
@@ -325,10 +327,12 @@
             DialEvent::Up(address) => {
                 info!(%address, "link to a control instance established");
                 let now = Instant::now();
-                let announcements = self.registry.all(Instant::now()).collect();
+                let announcements = self.registry.all(now).collect();
                 let recent = self.peers.recent_addresses(now);
                 self.peers.send_to_all(&Frame::Controls(recent));
-                self.peers.send_to_all(&Frame::Targets(announcements));
+                // The others got them with their own links.
+                self.peers
+                    .send_to_address(address, Frame::Targets(announcements));
             }
             DialEvent::Down(address, error) => {
                 info!(%address, %error, "link to a control instance failed; dialling again");
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -282,11 +282,11 @@
 
     /// Forwards cached prefixes to the other routers, and to peers, which store them as
     /// well: a router that starts asks one instance for all of them.
-    pub(super) fn forward_prefixes(&mut self, from: LinkId, prefixes: Vec<(u64, u64)>) {
+    pub(super) fn forward_prefixes(&mut self, prefixes: Vec<(u64, u64)>, now: Instant) {
         self.store_prefixes(&prefixes);
-        self.peers
-            .send_to_all(&Frame::CachedPrefixes(prefixes.clone()));
-        self.send_prefixes(from, prefixes);
+        self.prefix_queue.push(&prefixes);
+        self.peers.send_to_all(&Frame::CachedPrefixes(prefixes));
+        self.send_prefixes(now);
     }
 
     /// Stores cached prefixes for routers that start.
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod host;
 mod operators;
 mod peers;
+mod prefix_queue;
 mod soft;
 
 use std::time::Duration;
@@ -34,6 +35,7 @@
 use event::Event;
 pub use fanout::{Fanout, FanoutSettings, Selection};
 pub use held_targets::HeldTargets;
+pub use prefix_queue::PrefixQueue;
 pub use soft::{SoftState, SoftStateSchedule};
 
 /// Events that can wait for the host. When the queue is full, senders wait.
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -116,6 +116,14 @@
         link.is_some_and(|link| link.send(frame))
     }
 
+    /// Queues a frame to the instance at an address.
+    pub fn send_to_address(&self, address: SocketAddr, frame: Frame) {
+        if let Some(link) = self.links.get(&address) {
+            // A link that has just come up has room.
+            let _sent = link.send(frame);
+        }
+    }
+
     pub fn send_to_all(&self, frame: &Frame) {
         for link in self.links.values() {
             // A link that is down or whose queue is full misses the frame and receives
--- a/crates/fleet/src/link/bulk.rs
+++ b/crates/fleet/src/link/bulk.rs
@@ -32,10 +32,11 @@
 /// Cached prompts in one frame; a frame takes 16 KB.
 const PREFIXES_PER_FRAME: usize = 1_024;
 
-/// Returns cached prompts in frames of limited size.
+/// Returns cached prompts in frames of limited size, those of one target together.
 #[must_use]
 pub fn prefix_frames(prefixes: impl Iterator<Item = (u64, u64)>) -> Vec<Frame> {
-    let prefixes: Vec<(u64, u64)> = prefixes.collect();
+    let mut prefixes: Vec<(u64, u64)> = prefixes.collect();
+    prefixes.sort_unstable_by_key(|&(_, target)| target);
     let parts = prefixes.chunks(PREFIXES_PER_FRAME);
     parts
         .map(|part| Frame::CachedPrefixes(part.to_vec()))
--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -127,7 +127,7 @@
     },
     /// Targets that have cached the shared parts of prompts, as pairs of hashes: of the
     /// parts and of the target.
-    CachedPrefixes(Vec<(u64, u64)>),
+    CachedPrefixes(#[serde(with = "super::prefixes")] Vec<(u64, u64)>),
     /// Streams that began at the sender, for callers that resume them through other routers.
     StreamsBegun(Vec<BegunStreams>),
     /// Query for the origin of a stream.
--- a/crates/fleet/src/link/mod.rs
+++ b/crates/fleet/src/link/mod.rs
@@ -12,6 +12,7 @@
 mod codec;
 mod dial;
 mod frame;
+mod prefixes;
 
 pub use accept::{AcceptEvent, FrameQueue, LinkId, serve};
 pub use accepted::AcceptedLinks;
--- a/crates/fleet/tests/bulk.rs
+++ b/crates/fleet/tests/bulk.rs
@@ -8,7 +8,10 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_emulator::network::NetworkLink;
-use bamboospur_fleet::link::{BulkItem, BulkKind, BulkQueue};
+use bamboospur_fleet::link::{
+    BulkItem, BulkKind, BulkQueue, Frame, FrameReader, encode, prefix_frames,
+};
+use bamboospur_types::mix64;
 
 /// Rate of the network link of a control instance: 6 Mbit/s.
 const LINK_BYTES_PER_S: f64 = 750_000.0;
@@ -222,3 +225,33 @@
     assert_eq!(queue.take(start), Some(newer));
     assert_eq!(queue.len(), 1);
 }
+
+/// All routers get the prefixes of all targets after a start of the fleet.
+#[test]
+fn prefixes_of_many_targets_take_less_than_twelve_bytes_each() {
+    let prefixes: Vec<(u64, u64)> = (0..3_000_u64)
+        .map(|index| (mix64(index), mix64(1_000_000 + index % 90)))
+        .collect();
+    let frames = prefix_frames(prefixes.iter().copied());
+    let bytes: usize = frames
+        .iter()
+        .map(|frame| encode(frame).expect("a frame").len())
+        .sum();
+    assert!(bytes < 12 * prefixes.len(), "{bytes} bytes");
+    let mut reader = FrameReader::default();
+    let mut received = Vec::new();
+    for frame in &frames {
+        reader.push(&encode(frame).expect("a frame"));
+        while let Some(frame) = reader.take().expect("a valid frame") {
+            let Frame::CachedPrefixes(part) = frame else {
+                panic!("another frame: {frame:?}");
+            };
+            received.extend(part);
+        }
+    }
+    let sorted = |mut pairs: Vec<(u64, u64)>| {
+        pairs.sort_unstable();
+        pairs
+    };
+    assert_eq!(sorted(received), sorted(prefixes));
+}
