--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -33,17 +33,15 @@
 use super::prefix_queue::PrefixQueue;
 use super::soft::{SoftState, SoftStateSchedule};
 use crate::link::{AcceptedLinks, Frame, LinkId};
-use crate::loads::Loads;
+use crate::loads::{Loads, MIN_LOADS_INTERVAL, loads_interval};
 use crate::outbox::Outbox;
 use crate::stream_origins::OriginTable;
 
 /// Time between two rounds of periodic work, such as keep-alives and batches of reports
 /// to peers, and the removal of expired state.
 const ROUND_INTERVAL: Duration = Duration::from_millis(500);
-/// Least time between two exchanges of load sums.
-const LOADS_INTERVAL: Duration = Duration::from_millis(250);
-/// Number of entries in the totals (10 KB) that adds one [`LOADS_INTERVAL`] to the time
-/// until the next exchange.
+/// Number of entries in the totals (10 KB) that adds one interval to the time until the next
+/// exchange.
 const LOADS_ENTRIES_PER_INTERVAL: usize = 1_000;
 /// Least time between two batches of updates to routers, so that many targets that start
 /// at once cause few frames.
@@ -166,7 +164,7 @@
             counters: Counters::default(),
             sent_controls: Vec::new(),
             loads: Loads::default(),
-            next_loads_at: now + LOADS_INTERVAL,
+            next_loads_at: now + MIN_LOADS_INTERVAL,
             next_round_at: now + ROUND_INTERVAL,
         })
     }
@@ -209,7 +207,8 @@
         self.send_crash_messages(now);
         if now >= self.next_loads_at {
             let entries = self.exchange_loads(now);
-            self.next_loads_at = now + loads_interval(entries);
+            let routers = self.links.routers().count();
+            self.next_loads_at = now + totals_interval(routers, entries);
         }
         if now >= self.next_round_at {
             self.next_round_at = now + ROUND_INTERVAL;
@@ -403,9 +402,10 @@
 
 /// Returns the time until the next exchange of loads. Totals with many entries are sent
 /// less often, so that they use a small part of the bandwidth of a link.
-fn loads_interval(entries: usize) -> Duration {
+fn totals_interval(routers: usize, entries: usize) -> Duration {
     let intervals = 1 + entries / LOADS_ENTRIES_PER_INTERVAL;
-    LOADS_INTERVAL * u32::try_from(intervals).unwrap_or(u32::MAX)
+    let routers = u32::try_from(routers).unwrap_or(u32::MAX);
+    loads_interval(routers) * u32::try_from(intervals).unwrap_or(u32::MAX)
 }
 
 /// Returns the seed of the election timeouts, which differs between instances and between
--- a/crates/fleet/src/loads.rs
+++ b/crates/fleet/src/loads.rs
@@ -18,6 +18,21 @@
 /// Counts that are not renewed within this time are dropped.
 const COUNTS_LIFETIME: Duration = Duration::from_millis(1_500);
 
+/// Shortest time between two reports of loads, and between two totals.
+pub const MIN_LOADS_INTERVAL: Duration = Duration::from_millis(125);
+/// Longest time between two reports of loads, and usually between two totals.
+const MAX_LOADS_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two reports per router of the fleet, so that the reports of a large one take
+/// no more of a control instance than those of a small one.
+const LOADS_INTERVAL_PER_ROUTER: Duration = Duration::from_micros(1_700);
+
+/// Returns the time between two reports of loads. The older the loads are, the more requests
+/// all routers send to targets that are no longer the least loaded ones.
+#[must_use]
+pub fn loads_interval(routers: u32) -> Duration {
+    (LOADS_INTERVAL_PER_ROUTER * routers).clamp(MIN_LOADS_INTERVAL, MAX_LOADS_INTERVAL)
+}
+
 #[derive(Clone, Debug)]
 struct ReceivedCounts {
     counts: RequestCounts,
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -30,6 +30,7 @@
 use super::state_request::StateRequest;
 use crate::calls::TargetCall;
 use crate::link::{self, AcceptEvent, DialEvent, DialedLink, Hello, Role, RouterLocation};
+use crate::loads::{MIN_LOADS_INTERVAL, loads_interval};
 use crate::outbox::Outbox;
 
 /// Capacity of the event queue; links wait while the queue is full.
@@ -48,8 +49,6 @@
 const QUERY_INTERVAL_WITHOUT_LEASE: Duration = Duration::from_millis(400);
 /// Time between two batches of target updates and of newly cached prompts.
 const UPDATE_BATCH_INTERVAL: Duration = Duration::from_millis(100);
-/// Time between two reports of the number of requests at targets.
-const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two batches of unchanged target reports. A target that reports every
 /// second or two stays well below five missed reports.
 const REFRESHED_REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -165,7 +164,8 @@
         let mut query = interval(QUERY_INTERVAL_WITHOUT_LEASE);
         let mut queried_at = Instant::now();
         let mut updates = interval(UPDATE_BATCH_INTERVAL);
-        let mut loads = interval(LOAD_REPORT_INTERVAL);
+        let mut loads = interval(MIN_LOADS_INTERVAL);
+        let mut next_loads_at = Instant::now();
         let mut refreshed = interval(REFRESHED_REPORT_INTERVAL);
         loop {
             self.send_outbox(Instant::now());
@@ -202,7 +202,13 @@
                     self.report_stated_limits();
                     self.send_crash_messages();
                 }
-                _ = loads.tick() => self.send_loads(),
+                _ = loads.tick() => {
+                    let now = Instant::now();
+                    if now >= next_loads_at {
+                        next_loads_at = now + loads_interval(router.router_count());
+                        self.send_loads();
+                    }
+                }
                 _ = refreshed.tick() => self.send_refreshed_reports(),
             }
         }
