--- a/crates/measure/tests/soak.rs
+++ b/crates/measure/tests/soak.rs
@@ -1,5 +1,5 @@
 //! Runs all components together under injected failures, in virtual time with fixed
-//! seeds, and checks the requirements in section 2.1 of docs/design.md.
+//! seeds, and checks the requirements in section 2.1 of docs/design/node.md.
 
 #[path = "../examples/measure/soak/sim/mod.rs"]
 mod sim;
--- a/crates/node/tests/deployment/evacuations.rs
+++ b/crates/node/tests/deployment/evacuations.rs
@@ -1,6 +1,7 @@
 //! Evacuation of a data centre: an accepted order holds on all routers, over restarts, until
 //! it is taken back.
 
+use std::cell::Cell;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -16,6 +17,8 @@
     deployment: Deployment,
     north: Target,
     south: Target,
+    /// Sequence number of the last reports.
+    sequence: Cell<u64>,
 }
 
 impl Scene {
@@ -30,15 +33,20 @@
             deployment,
             north,
             south,
+            sequence: Cell::new(0),
         };
         scene.report();
         scene.wait_ready();
         scene
     }
 
+    /// Reports both targets; a target that reports nothing new for six seconds is silent.
     fn report(&self) {
-        self.deployment.report("t1", &self.north, "s", "ready", 1);
-        let body = report_body(self.south.address, "s", "ready", "1");
+        let sequence = self.sequence.get() + 1;
+        self.sequence.set(sequence);
+        self.deployment
+            .report("t1", &self.north, "s", "ready", sequence);
+        let body = report_body(self.south.address, "s", "ready", &sequence.to_string());
         self.deployment
             .send_report("t2", &body.replace("north", "south"));
     }
