--- a/crates/fleet/src/control/host/fleet.rs
+++ b/crates/fleet/src/control/host/fleet.rs
@@ -15,7 +15,7 @@
 use super::Host;
 use super::targets::ReportReply;
 use crate::control::event::PutResult;
-use crate::control::held_targets::{HeldTargets, software_of};
+use crate::control::held_targets::HeldTargets;
 use crate::control::operators::PendingRequest;
 use crate::link::{Frame, LinkId, Ticket};
 use crate::stream_origins::MAX_STREAM_AGE;
@@ -61,11 +61,9 @@
         result: oneshot::Sender<PutResult>,
         now: Instant,
     ) {
-        let has_targets = |host: &Self| {
-            let mut targets = host.registry.all(now);
-            targets.any(|target| target.data_centre == data_centre)
-        };
-        if !self.fleet.data_centres.contains(&data_centre) && !has_targets(self) {
+        let is_known = self.fleet.data_centres.contains(&data_centre)
+            || self.registry.has_data_centre(&data_centre);
+        if !is_known {
             // The operator may have given up waiting.
             let _sent = result.send(PutResult::NotFound);
             return;
@@ -125,13 +123,29 @@
         self.retire_software(now);
     }
 
+    /// Proposes the software of a target that is held, unless it was proposed since the last
+    /// round.
+    pub(super) fn propose_software_of(&mut self, held: ServiceSoftware, now: Instant) {
+        if self.fleet.proposed_software.insert(held.clone()) {
+            self.propose_fleet_change(FleetChange::AddSoftware([held].into()), now);
+        }
+    }
+
     /// Proposes the software versions that the group lacks.
-    pub(super) fn propose_software(&mut self, now: Instant) {
+    fn propose_software(&mut self, now: Instant) {
         let mut software = self.fleet.held_targets.software();
-        software.extend(self.registry.all(now).map(|target| software_of(&target)));
+        let known = self.registry.services_with_software();
+        software.extend(
+            known
+                .into_iter()
+                .map(|(service, software)| ServiceSoftware {
+                    service: service.to_owned(),
+                    software: software.clone(),
+                }),
+        );
         let known = self.group.fleet().software();
         let added: BTreeSet<ServiceSoftware> = software.difference(known).cloned().collect();
-        if !added.is_empty() && added != self.fleet.proposed_software {
+        if !added.is_empty() {
             self.propose_fleet_change(FleetChange::AddSoftware(added.clone()), now);
             self.fleet.proposed_software = added;
         }
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -11,6 +11,7 @@
 use super::{Host, MAX_CACHED_PREFIXES, UPDATE_BATCH_INTERVAL};
 use crate::calls::{TargetCall, TargetUpdate};
 use crate::control::disk::Write;
+use crate::control::held_targets::software_of;
 use crate::control::soft::SoftState;
 use crate::link::{Frame, LinkId, Ticket};
 
@@ -193,9 +194,7 @@
         for announcement in announcements {
             // Peers send on only what they have admitted.
             let admitted = if direct {
-                self.fleet
-                    .held_targets
-                    .admit(announcement, self.group.fleet())
+                self.admit(announcement, now)
             } else {
                 Some(announcement)
             };
@@ -229,9 +228,17 @@
             }
         }
         self.queue_updates(updates, now);
-        if direct {
-            self.propose_software(now);
+    }
+
+    /// Returns an announcement that can be merged now; proposes the software of another one.
+    fn admit(&mut self, announcement: Announcement, now: Instant) -> Option<Announcement> {
+        let software = software_of(&announcement);
+        let held_targets = &mut self.fleet.held_targets;
+        let admitted = held_targets.admit(announcement, self.group.fleet());
+        if admitted.is_none() {
+            self.propose_software_of(software, now);
         }
+        admitted
     }
 
     /// Sends updates of targets to routers, now or with the next batch.
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -213,6 +213,22 @@
         usable
     }
 
+    /// Returns the services of all known targets with the software versions that they have.
+    #[must_use]
+    pub fn services_with_software(&self) -> BTreeSet<(&str, &SoftwareVersion)> {
+        let newest = self.entries.values().map(|entry| &entry.newest);
+        newest
+            .map(|target| (target.service.as_str(), &target.software))
+            .collect()
+    }
+
+    /// Whether a known target is in this data centre.
+    #[must_use]
+    pub fn has_data_centre(&self, data_centre: &str) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|entry| entry.newest.data_centre == data_centre)
+    }
+
     /// Returns the software versions of the targets of a service that are usable, or were
     /// within the last `max_age`. The age of one that drains or has left counts from its last
     /// announcement, since it may end without another one. A version that a target replaced
