Use one type for the origin of a stream, and one piece for each report and query

Replies to reports of held targets that began to drain were kept for good; they are dropped with the target now. A stale size in a comment, and a log line that promised more than the next round does.

--- a/crates/fleet/src/control/held_targets.rs
+++ b/crates/fleet/src/control/held_targets.rs
@@ -9,14 +9,7 @@
 use bamboospur_group::{FleetState, ServiceSoftware};
 use bamboospur_registry::{Announcement, Phase, TargetName};
 
-/// Returns the software of a target.
-#[must_use]
-pub fn software_of(announcement: &Announcement) -> ServiceSoftware {
-    ServiceSoftware {
-        service: announcement.service.clone(),
-        software: announcement.software.clone(),
-    }
-}
+use crate::stream_origins::origin_at;
 
 /// Newest announcements of targets whose software is not accepted yet. `R` is what answers the
 /// report of a target; the report is answered once the target can get requests.
@@ -43,12 +36,12 @@
         announcement: Announcement,
         fleet: &FleetState,
     ) -> Option<Announcement> {
-        let is_accepted = fleet.software().contains(&software_of(&announcement));
+        let is_accepted = fleet.software().contains(&origin_at(&announcement));
         let known = self.held.get(&announcement.name);
         let is_newest = known.is_none_or(|known| announcement.is_newer_than(known));
         if announcement.phase != Phase::Ready || is_accepted {
             if is_newest {
-                self.held.remove(&announcement.name);
+                self.remove(&announcement.name);
             }
             return Some(announcement);
         }
@@ -70,7 +63,7 @@
         }
     }
 
-    /// Drops a target that leaves.
+    /// Drops a target that is not held any more, and what answers its report.
     pub fn remove(&mut self, name: &str) {
         self.held.remove(name);
         self.replies.remove(name);
@@ -79,7 +72,7 @@
     /// Removes and returns the targets whose software has been accepted, and what answers
     /// their reports.
     pub fn release(&mut self, fleet: &FleetState) -> (Vec<Announcement>, Vec<R>) {
-        let is_accepted = |held: &Announcement| fleet.software().contains(&software_of(held));
+        let is_accepted = |held: &Announcement| fleet.software().contains(&origin_at(held));
         let released = self.held.extract_if(.., |_, held| is_accepted(held));
         let released: Vec<Announcement> = released.map(|(_, announcement)| announcement).collect();
         let replies = released
@@ -92,6 +85,6 @@
     /// Returns the software that is to be accepted.
     #[must_use]
     pub fn software(&self) -> BTreeSet<ServiceSoftware> {
-        self.held.values().map(software_of).collect()
+        self.held.values().map(origin_at).collect()
     }
 }
--- a/crates/fleet/src/control/host/config.rs
+++ b/crates/fleet/src/control/host/config.rs
@@ -193,11 +193,11 @@
             PendingRequest::Ask { link, asked } => self.send_in_force(link, asked, reply),
             PendingRequest::OwnChange { change } => {
                 if let Err(error) = reply {
-                    info!(?change, %error, "change of the fleet not accepted; the next round repeats it");
+                    info!(?change, %error, "change of the fleet not accepted; the next round proposes again what is missing");
                 }
             }
-            request @ PendingRequest::FindStream { .. } => {
-                self.answer_find_stream(request, reply, Instant::now());
+            PendingRequest::FindStream(query) => {
+                self.answer_find_stream(&query, reply.is_ok(), Instant::now());
             }
         }
     }
--- a/crates/fleet/src/control/host/fleet.rs
+++ b/crates/fleet/src/control/host/fleet.rs
@@ -4,9 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
-use bamboospur_group::{
-    DataCentre, FleetChange, FleetRevision, GroupInput, Reply, ServiceSoftware, Unavailable,
-};
+use bamboospur_group::{DataCentre, FleetChange, FleetRevision, GroupInput, ServiceSoftware};
 use bamboospur_platform::settings::ProcessSettings;
 use bamboospur_types::InstanceId;
 use tokio::sync::oneshot;
@@ -208,27 +206,9 @@
         self.send_to_link(link, &Frame::Fleet(self.group.fleet().clone()));
     }
 
-    /// Answers a query for the origin of a stream, once the group has confirmed that this
-    /// instance knows all software versions, or has not.
-    pub(super) fn answer_find_stream(
-        &self,
-        request: PendingRequest,
-        reply: Result<Reply, Unavailable>,
-        now: Instant,
-    ) {
-        let PendingRequest::FindStream {
-            link,
-            ticket,
-            stream,
-            services,
-        } = request
-        else {
-            return;
-        };
-        let knows_software =
-            self.group.fleet().has_all_software() || now >= self.fleet.knows_software_at;
-        let found = self.find_stream(stream, &services, reply.is_ok() && knows_software, now);
-        // The router asks another instance if the answer is lost.
-        self.send_to_link(link, &Frame::StreamFound { ticket, found });
+    /// Whether this instance, if it leads, knows all software at which a stream can have begun
+    /// that still goes on.
+    pub(super) fn knows_software(&self, now: Instant) -> bool {
+        self.group.fleet().has_all_software() || now >= self.fleet.knows_software_at
     }
 }
--- a/crates/fleet/src/control/host/streams.rs
+++ b/crates/fleet/src/control/host/streams.rs
@@ -2,13 +2,12 @@
 
 use std::time::Instant;
 
-use bamboospur_catalog::ServiceName;
 use bamboospur_group::GroupInput;
 
 use super::Host;
-use crate::control::operators::PendingRequest;
-use crate::link::{Frame, LinkId, Ticket};
-use crate::stream_origins::{BegunStreams, FoundOrigin, PossibleOrigins, StreamId};
+use crate::control::operators::{PendingRequest, StreamQuery};
+use crate::link::{Frame, LinkId};
+use crate::stream_origins::{BegunStreams, FoundOrigin, PossibleOrigins};
 
 impl Host {
     /// Handles reports and queries of routers about the origins of streams.
@@ -19,7 +18,15 @@
                 ticket,
                 stream,
                 services,
-            } => self.handle_find_stream(link, ticket, stream, services, now),
+            } => {
+                let query = StreamQuery {
+                    link,
+                    ticket,
+                    stream,
+                    services,
+                };
+                self.handle_find_stream(query, now);
+            }
             _ => {}
         }
     }
@@ -34,43 +41,41 @@
 
     /// Answers at once if the stream was reported. Which versions it can have begun at
     /// otherwise, only the leader can say for certain.
-    fn handle_find_stream(
-        &mut self,
-        link: LinkId,
-        ticket: Ticket,
-        stream: Option<StreamId>,
-        services: Vec<ServiceName>,
-        now: Instant,
-    ) {
-        let found = self.find_stream(stream, &services, false, now);
+    fn handle_find_stream(&mut self, query: StreamQuery, now: Instant) {
+        let found = self.find_stream(&query, false, now);
         if self.is_leader() && matches!(found, FoundOrigin::NotReported(_)) {
-            let request = PendingRequest::FindStream {
-                link,
-                ticket,
-                stream,
-                services,
-            };
+            let request = PendingRequest::FindStream(query);
             let ticket = self.pending_requests.add(request, now);
             self.handle_group_input(GroupInput::Read { ticket });
         } else {
-            // The router asks another instance if the answer is lost.
-            self.send_to_link(link, &Frame::StreamFound { ticket, found });
+            self.send_found_stream(&query, found);
         }
     }
 
-    pub(super) fn find_stream(
-        &self,
-        stream: Option<StreamId>,
-        services: &[ServiceName],
-        is_complete: bool,
-        now: Instant,
-    ) -> FoundOrigin {
-        match stream.and_then(|stream| self.stream_origins.find(stream)) {
-            Some(origin) => FoundOrigin::Reported(origin.clone()),
-            None => FoundOrigin::NotReported(PossibleOrigins {
-                is_complete,
-                ..PossibleOrigins::known_to(&self.registry, self.group.fleet(), services, now)
-            }),
+    /// Answers a query after the read that it waited for. `confirmed` says whether the group
+    /// has confirmed that this instance has its newest state.
+    pub(super) fn answer_find_stream(&self, query: &StreamQuery, confirmed: bool, now: Instant) {
+        let is_complete = confirmed && self.knows_software(now);
+        self.send_found_stream(query, self.find_stream(query, is_complete, now));
+    }
+
+    fn send_found_stream(&self, query: &StreamQuery, found: FoundOrigin) {
+        let ticket = query.ticket;
+        // The router asks another instance if the answer is lost.
+        self.send_to_link(query.link, &Frame::StreamFound { ticket, found });
+    }
+
+    fn find_stream(&self, query: &StreamQuery, is_complete: bool, now: Instant) -> FoundOrigin {
+        let reported = query
+            .stream
+            .and_then(|stream| self.stream_origins.find(stream));
+        if let Some(origin) = reported {
+            return FoundOrigin::Reported(origin.clone());
         }
+        let (registry, fleet) = (&self.registry, self.group.fleet());
+        FoundOrigin::NotReported(PossibleOrigins {
+            is_complete,
+            ..PossibleOrigins::known_to(registry, fleet, &query.services, now)
+        })
     }
 }
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -11,9 +11,9 @@
 use super::{Host, MAX_CACHED_PREFIXES, UPDATE_BATCH_INTERVAL};
 use crate::calls::{TargetCall, TargetUpdate};
 use crate::control::disk::Write;
-use crate::control::held_targets::software_of;
 use crate::control::soft::SoftState;
 use crate::link::{Frame, LinkId, Ticket};
+use crate::stream_origins::origin_at;
 
 /// Departures times routers up to which departures go to every router directly, besides
 /// the relays. A router whose relays have all frozen then learns of a few departures
@@ -153,7 +153,7 @@
             return;
         }
         let state = SoftState {
-            targets: self.registry.all(Instant::now()).collect(),
+            targets: self.registry.all(now).collect(),
             prefixes: self.cached_prefixes.iter().copied().collect(),
         };
         if let Some(blob) = state.encode()
@@ -232,7 +232,7 @@
 
     /// Returns an announcement that can be merged now; proposes the software of another one.
     fn admit(&mut self, announcement: Announcement, now: Instant) -> Option<Announcement> {
-        let software = software_of(&announcement);
+        let software = origin_at(&announcement);
         let held_targets = &mut self.fleet.held_targets;
         let admitted = held_targets.admit(announcement, self.group.fleet());
         if admitted.is_none() {
--- a/crates/fleet/src/control/operators.rs
+++ b/crates/fleet/src/control/operators.rs
@@ -58,16 +58,7 @@
         ticket: Ticket,
     },
     /// Query of a router for the origin of a stream that was not reported to this instance.
-    FindStream {
-        /// Number of the link of the router.
-        link: LinkId,
-        /// Ticket that the router gave to the query.
-        ticket: Ticket,
-        /// Id of the stream; `None` if the caller does not name it.
-        stream: Option<StreamId>,
-        /// Services at which the stream may have begun.
-        services: Vec<ServiceName>,
-    },
+    FindStream(StreamQuery),
     /// Query of a router for the version in force.
     Ask {
         /// Number of the link of the router.
@@ -77,6 +68,19 @@
     },
 }
 
+/// Query of a router for the origin of a stream.
+#[derive(Debug)]
+pub struct StreamQuery {
+    /// Number of the link of the router.
+    pub link: LinkId,
+    /// Ticket that the router gave to the query.
+    pub ticket: Ticket,
+    /// Id of the stream; `None` if the caller does not name it.
+    pub stream: Option<StreamId>,
+    /// Services at which the stream may have begun.
+    pub services: Vec<ServiceName>,
+}
+
 #[derive(Debug)]
 struct TimedRequest {
     request: PendingRequest,
--- a/crates/fleet/src/link/bulk.rs
+++ b/crates/fleet/src/link/bulk.rs
@@ -29,7 +29,7 @@
 /// Rate of a network link whose rate is not stated: 1 Gbit/s.
 const DEFAULT_LINK_BYTES_PER_S: f64 = 125_000_000.0;
 
-/// Cached prompts in one frame; a frame takes 16 KB.
+/// Cached prompts in one frame; a frame takes at most 12 KB.
 const PREFIXES_PER_FRAME: usize = 1_024;
 
 /// Returns cached prompts in frames of limited size, those of one target together.
--- a/crates/fleet/src/router/reports.rs
+++ b/crates/fleet/src/router/reports.rs
@@ -101,11 +101,7 @@
     ) -> Option<Frame> {
         if announcement.phase == Phase::Ready && !self.router.knows_software(&announcement) {
             // The control instances name the target once its software is accepted.
-            let ticket = self.add_pending_reply(reply);
-            return Some(Frame::Report {
-                ticket,
-                announcement: Box::new(announcement),
-            });
+            return Some(self.forward(announcement, reply));
         }
         self.reported_at.insert(announcement.name.clone(), now);
         let merge = self.router.merge_report(&announcement);
@@ -113,11 +109,7 @@
             // The router may know of a drain already, from an answer of the target or a lost
             // report, but the target relies on all routers knowing it.
             (Merge::Changed, _) | (_, Phase::Draining | Phase::Gone) => {
-                let ticket = self.add_pending_reply(reply);
-                Some(Frame::Report {
-                    ticket,
-                    announcement: Box::new(announcement),
-                })
+                Some(self.forward(announcement, reply))
             }
             (Merge::Refreshed, Phase::Ready) => {
                 let reported = (announcement.start, announcement.sequence);
@@ -133,6 +125,19 @@
         }
     }
 
+    /// Returns the frame that asks a control instance to take a report.
+    fn forward(
+        &mut self,
+        announcement: Announcement,
+        reply: oneshot::Sender<Option<SocketAddr>>,
+    ) -> Frame {
+        let ticket = self.add_pending_reply(reply);
+        Frame::Report {
+            ticket,
+            announcement: Box::new(announcement),
+        }
+    }
+
     /// Stores a reply until a control instance acknowledges the returned ticket.
     fn add_pending_reply(&mut self, reply: oneshot::Sender<Option<SocketAddr>>) -> Ticket {
         self.next_ticket += 1;
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -9,7 +9,7 @@
 
 use bamboospur_catalog::{Catalog, CatalogVersion, Route, Service, ServiceName};
 use bamboospur_dispatch::{ChosenTarget, DispatchSettings, Dispatcher, Outcome};
-use bamboospur_group::{DataCentre, FleetRevision, FleetState, ServiceSoftware};
+use bamboospur_group::{DataCentre, FleetRevision, FleetState};
 use bamboospur_platform::settings::{Bounds, ProcessSettings};
 use bamboospur_registry::{Announcement, Merge, Phase, Registry, RegistrySettings, StartTime};
 use bamboospur_retries::{FleetBudget, FleetBudgetSettings};
@@ -25,7 +25,9 @@
 use super::pool::Pool;
 use super::readiness::{Readiness, ReadinessSettings};
 use crate::clock::BootTime;
-use crate::stream_origins::{BegunStreams, OwnStreams, PossibleOrigins, StreamId, StreamOrigin};
+use crate::stream_origins::{
+    BegunStreams, OwnStreams, PossibleOrigins, StreamId, StreamOrigin, origin_at,
+};
 
 /// The router's own detection of silent targets is disabled by a timeout of a year:
 /// the control instances report silent targets to the router.
@@ -285,10 +287,8 @@
 
     /// Whether targets with the software of this one may get requests.
     pub fn knows_software(&self, announcement: &Announcement) -> bool {
-        self.fleet.borrow().software().contains(&ServiceSoftware {
-            service: announcement.service.clone(),
-            software: announcement.software.clone(),
-        })
+        let origin = origin_at(announcement);
+        self.fleet.borrow().software().contains(&origin)
     }
 
     /// Merges announcements of targets and returns those that changed the registry.
--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -16,8 +16,8 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_catalog::ServiceName;
-use bamboospur_group::FleetState;
-use bamboospur_registry::{Registry, SoftwareVersion};
+use bamboospur_group::{FleetState, ServiceSoftware};
+use bamboospur_registry::{Announcement, Registry};
 use serde::{Deserialize, Serialize};
 
 /// Longest time from the first event of a stream to its last resume.
@@ -31,12 +31,15 @@
 pub type StreamId = u64;
 
 /// Service and software version of the target that began a stream.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct StreamOrigin {
-    /// Name of the service.
-    pub service: ServiceName,
-    /// Software version of the target.
-    pub software: SoftwareVersion,
+pub type StreamOrigin = ServiceSoftware;
+
+/// Returns the origin of the streams that a target begins.
+#[must_use]
+pub fn origin_at(target: &Announcement) -> StreamOrigin {
+    StreamOrigin {
+        service: target.service.clone(),
+        software: target.software.clone(),
+    }
 }
 
 /// Streams with the same origin.
@@ -67,17 +70,17 @@
         services: &[ServiceName],
         now: Instant,
     ) -> Self {
-        let origins = services.iter().flat_map(|service| {
-            let lately = registry.software_versions(service, MAX_STREAM_AGE, now);
-            let accepted = fleet.software().iter().filter(|s| s.service == *service);
-            let versions = lately.into_iter().chain(accepted.map(|s| &s.software));
-            versions.map(|software| StreamOrigin {
+        let lately = services.iter().flat_map(|service| {
+            let versions = registry.software_versions(service, MAX_STREAM_AGE, now);
+            versions.into_iter().map(|software| StreamOrigin {
                 service: service.clone(),
                 software: software.clone(),
             })
         });
+        let accepted = fleet.software().iter();
+        let accepted = accepted.filter(|origin| services.contains(&origin.service));
         Self {
-            origins: origins.collect(),
+            origins: lately.chain(accepted.cloned()).collect(),
             is_complete: false,
         }
     }
