Let requests wait for the list of targets after a start

Cause: a router without the list of targets took that for a service without targets.

Change: after its first lease a router waits for the list for at most 1.5 s, with the limit on waiting requests that there is, and is ready once it has the list. Deferred targets are applied before requests go on.

--- a/crates/fleet/src/router/follow/receive.rs
+++ b/crates/fleet/src/router/follow/receive.rs
@@ -53,6 +53,8 @@
     pub(super) fn handle_all_targets(&mut self, from: SocketAddr, targets: Vec<Announcement>) {
         self.state_request.record_complete(from);
         self.merge_targets(targets);
+        self.router.apply_pending_targets();
+        self.router.record_targets();
     }
 
     /// Merges announcements of targets and forwards those that changed something.
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -132,6 +132,7 @@
     let fail_closed = router.bounds.fail_closed;
     let wait_deadline = request.arrived + wait(&metadata).mul_f64(MAX_READY_WAIT_FRACTION);
     loop {
+        router.wait_for_targets(wait_deadline).await;
         let catalog = router.catalog.borrow().clone();
         let is_current = router.has_lease();
         trace.version = catalog.as_ref().map_or(0, |c| c.version());
--- a/crates/fleet/src/router/readiness.rs
+++ b/crates/fleet/src/router/readiness.rs
@@ -8,8 +8,10 @@
 //! reaches is probably cut off by itself, so a retry that goes to another router can be
 //! served at once.
 //!
-//! After its start a router also lacks the places of cached prompts, which arrive at about
-//! the time of the first lease. Requests with a prompt wait for them, too.
+//! After its start a router also lacks the list of targets and the places of cached prompts.
+//! When a whole fleet starts, both can arrive some time after the first lease. A router without
+//! the list cannot tell that a service has no target, so requests wait for it; those with a
+//! prompt wait for the places, too.
 
 use std::time::{Duration, Instant};
 
@@ -20,6 +22,8 @@
     pub startup_time: Duration,
     /// Time that an election and the query for the configuration take.
     pub recovery_time: Duration,
+    /// Time after the first lease in which the list of targets arrives.
+    pub targets_time: Duration,
     /// Time after the first lease in which the places of cached prompts arrive.
     pub prefixes_time: Duration,
     /// Most requests that wait at a time; they keep their bodies in memory.
@@ -36,6 +40,7 @@
         Self {
             startup_time: Duration::from_secs(2),
             recovery_time: Duration::from_secs(1),
+            targets_time: Duration::from_millis(1_500),
             prefixes_time: Duration::from_millis(300),
             max_waiting: 512,
             fleet_retry_after: Duration::from_millis(700),
@@ -52,9 +57,9 @@
     /// When waiting requests are rejected; set when a request first finds the router without
     /// a lease.
     wait_deadline: Option<Instant>,
-    /// When prompts no longer wait for the places of cached prompts; `None` before the first
-    /// lease.
-    prefixes_deadline: Option<Instant>,
+    /// When the router got its first lease.
+    leased_at: Option<Instant>,
+    has_targets: bool,
     has_prefixes: bool,
     linked_controls: usize,
     waiting: usize,
@@ -68,7 +73,8 @@
             settings,
             startup_deadline: now + settings.startup_time,
             wait_deadline: None,
-            prefixes_deadline: None,
+            leased_at: None,
+            has_targets: false,
             has_prefixes: false,
             linked_controls: 0,
             waiting: 0,
@@ -87,8 +93,31 @@
     /// Records that the router has a valid lease.
     pub fn record_ready(&mut self, now: Instant) {
         self.wait_deadline = None;
-        self.prefixes_deadline
-            .get_or_insert(now + self.settings.prefixes_time);
+        self.leased_at.get_or_insert(now);
+    }
+
+    /// Records that a list of all targets arrived.
+    pub fn record_targets(&mut self) {
+        self.has_targets = true;
+    }
+
+    /// Whether the router lacks the list of targets and expects it soon.
+    #[must_use]
+    pub fn expects_targets(&self, now: Instant) -> bool {
+        self.targets_deadline()
+            .is_some_and(|deadline| now < deadline)
+    }
+
+    fn targets_deadline(&self) -> Option<Instant> {
+        let leased_at = self.leased_at.filter(|_| !self.has_targets)?;
+        Some(leased_at + self.settings.targets_time)
+    }
+
+    /// Returns until when a request waits for the list of targets, or `None` if it does not.
+    #[must_use]
+    pub fn targets_wait_deadline(&self, now: Instant) -> Option<Instant> {
+        self.targets_deadline()
+            .filter(|&deadline| self.has_room() && now < deadline)
     }
 
     /// Records that the places of prompts arrived that were cached before the start.
@@ -100,9 +129,9 @@
     /// does not. Without them its target would process again what others have cached.
     #[must_use]
     pub fn prompt_wait_deadline(&self, now: Instant) -> Option<Instant> {
-        let deadline = self.prefixes_deadline.filter(|_| !self.has_prefixes)?;
-        let has_room = self.waiting < self.settings.max_waiting;
-        (has_room && now < deadline).then_some(deadline)
+        let leased_at = self.leased_at.filter(|_| !self.has_prefixes)?;
+        let deadline = leased_at + self.settings.prefixes_time;
+        (self.has_room() && now < deadline).then_some(deadline)
     }
 
     /// Returns until when a request that finds the router without a lease waits, or `None`
@@ -113,8 +142,11 @@
             .wait_deadline
             .get_or_insert(recovery_deadline.max(self.startup_deadline));
         let expects_lease = now < self.startup_deadline || self.linked_controls > 0;
-        let has_room = self.waiting < self.settings.max_waiting;
-        (expects_lease && has_room && now < deadline).then_some(deadline)
+        (expects_lease && self.has_room() && now < deadline).then_some(deadline)
+    }
+
+    const fn has_room(&self) -> bool {
+        self.waiting < self.settings.max_waiting
     }
 
     /// Counts a request that begins to wait.
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -71,7 +71,8 @@
     /// State of the fleet that the control group agreed on.
     fleet: RefCell<FleetState>,
     pub readiness: RefCell<Readiness>,
-    /// Notified when the lease has become valid, and when the places of cached prompts arrived.
+    /// Notified when the lease has become valid, and when the list of targets or the places of
+    /// cached prompts arrived.
     readiness_changed: Notify,
     pub registry: RefCell<Registry>,
     pub dispatcher: RefCell<Dispatcher>,
@@ -145,7 +146,8 @@
 
     /// Whether the balancer should send new connections.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.has_lease()
+        let expects_targets = self.readiness.borrow().expects_targets(Instant::now());
+        !self.draining.get() && self.has_lease() && !expects_targets
     }
 
     /// Whether the router has a configuration that is known to be in force.
@@ -171,6 +173,12 @@
         }
     }
 
+    /// Records that a list of all targets arrived.
+    pub fn record_targets(&self) {
+        self.readiness.borrow_mut().record_targets();
+        self.readiness_changed.notify_waiters();
+    }
+
     /// Records that the places of prompts arrived that were cached before the start.
     pub fn record_prefixes(&self) {
         self.readiness.borrow_mut().record_prefixes();
@@ -187,6 +195,19 @@
         }
     }
 
+    /// Waits until the list of targets is known if it is expected soon, at most until
+    /// `deadline`.
+    pub async fn wait_for_targets(&self, deadline: tokio::time::Instant) {
+        while tokio::time::Instant::now() < deadline {
+            let expected = self
+                .readiness
+                .borrow()
+                .targets_wait_deadline(Instant::now());
+            let Some(expected) = expected else { return };
+            self.wait_until(deadline.min(expected.into())).await;
+        }
+    }
+
     /// Waits until the places of cached prompts are known, if they are expected soon.
     pub async fn wait_for_prefixes(&self) {
         loop {
--- a/crates/fleet/tests/readiness.rs
+++ b/crates/fleet/tests/readiness.rs
@@ -1,5 +1,5 @@
-//! Loads on routers without a lease: which requests wait, which are rejected, and when
-//! their callers return.
+//! Loads on routers without a lease or without targets: which requests wait, which are
+//! rejected, and when their callers return.
 
 use std::time::{Duration, Instant};
 
@@ -8,6 +8,7 @@
 const SETTINGS: ReadinessSettings = ReadinessSettings {
     startup_time: Duration::from_secs(2),
     recovery_time: Duration::from_secs(1),
+    targets_time: Duration::from_millis(1_500),
     prefixes_time: Duration::from_millis(300),
     max_waiting: 3,
     fleet_retry_after: Duration::from_millis(700),
@@ -127,3 +128,38 @@
     readiness.record_ready(start);
     assert_eq!(readiness.prompt_wait_deadline(start), None);
 }
+
+#[test]
+fn all_start_at_once_and_requests_wait_for_the_list_of_targets() {
+    let (mut readiness, start) = started();
+    assert_eq!(readiness.targets_wait_deadline(start), None);
+    let leased = start + ms(800);
+    readiness.record_ready(leased);
+    let deadline = Some(leased + ms(1_500));
+    assert_eq!(readiness.targets_wait_deadline(leased + ms(900)), deadline);
+    assert!(readiness.expects_targets(leased + ms(900)));
+    assert_eq!(readiness.targets_wait_deadline(leased + ms(1_500)), None);
+    assert!(!readiness.expects_targets(leased + ms(1_500)));
+}
+
+#[test]
+fn requests_do_not_wait_once_the_list_of_targets_is_known() {
+    let (mut readiness, start) = started();
+    readiness.record_targets();
+    readiness.record_ready(start);
+    assert_eq!(readiness.targets_wait_deadline(start), None);
+    assert!(!readiness.expects_targets(start));
+}
+
+#[test]
+fn crowd_without_a_list_of_targets_is_held_only_up_to_the_limit() {
+    let (mut readiness, start) = started();
+    readiness.record_ready(start);
+    for _ in 0..SETTINGS.max_waiting {
+        assert!(readiness.targets_wait_deadline(start).is_some());
+        readiness.begin_wait();
+    }
+    assert_eq!(readiness.targets_wait_deadline(start), None);
+    readiness.end_wait();
+    assert!(readiness.targets_wait_deadline(start).is_some());
+}
