Propose held software versions as soon as there is a leader

Reports of a new version wait for the group; one that comes while there is no leader waited for the next round, up to 500 ms after the election.

Change: versions that are held are proposed when a leader becomes known. The test no longer depends on its own speed: its target breaks the stream off when told to, after the others have reported, and all its checks stay.

--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -350,6 +350,7 @@
                 info!(?leader, own = leader == Some(self.id), "leader changed");
                 if leader.is_some() {
                     self.found_fleet(Instant::now());
+                    self.update_software(Instant::now());
                     for request in self.pending_requests.take_operator_requests() {
                         self.submit_request(request, Instant::now());
                     }
--- a/crates/node/tests/deployment/target.rs
+++ b/crates/node/tests/deployment/target.rs
@@ -18,7 +18,8 @@
     CloseWithoutAnswer,
     /// Streams ten events with pauses, or those after the last one that the caller has.
     Stream,
-    /// Streams three events and closes the connection.
+    /// Streams three events, waits until the test releases [`Target::end_gate`] and closes the
+    /// connection.
     BreakOff,
     /// Answers the first request of each connection, and closes the connection when the next
     /// one arrives.
@@ -56,6 +57,8 @@
     pub arrived_at: Arc<Mutex<Vec<Instant>>>,
     /// Requests per second that the answers state as limit, if any.
     pub limit: Arc<Mutex<Option<String>>>,
+    /// A stream is broken off only while no one else holds this.
+    pub end_gate: Arc<Mutex<()>>,
 }
 
 /// Records that all connections of a target share; see the fields of `Target`.
@@ -68,6 +71,7 @@
     bodies: Arc<Mutex<Vec<Vec<u8>>>>,
     arrived_at: Arc<Mutex<Vec<Instant>>>,
     limit: Arc<Mutex<Option<String>>>,
+    end_gate: Arc<Mutex<()>>,
 }
 
 impl Observations {
@@ -94,6 +98,7 @@
             bodies: Arc::default(),
             arrived_at: Arc::default(),
             limit: Arc::default(),
+            end_gate: Arc::default(),
         };
         let records = Observations {
             runs: Arc::clone(&target.runs),
@@ -103,6 +108,7 @@
             bodies: Arc::clone(&target.bodies),
             arrived_at: Arc::clone(&target.arrived_at),
             limit: Arc::clone(&target.limit),
+            end_gate: Arc::clone(&target.end_gate),
         };
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -194,6 +200,9 @@
                 records.closed_at.lock().ok()?.push(Instant::now());
                 return None;
             }
+            if behaviour == Behaviour::BreakOff {
+                drop(records.end_gate.lock().ok()?);
+            }
         }
     }
     Some(false)
