Tell routers that start one target of each cached prompt first

Cause: after the restart of everything each of 72 routers asks for some 6,000 places of cached prompts, about 50 KB of hashes, over links of 4.2 Mbit/s, and prompts wait for them for 300 ms.

Change: control instances keep each place once, leave out targets that have left, and send the newest target of each prompt to all routers before the others. Lists of targets and the newest places may use the part of the link that configurations may. Prompts wait for them up to 900 ms.

--- a/crates/dispatch/src/cache_map.rs
+++ b/crates/dispatch/src/cache_map.rs
@@ -79,12 +79,24 @@
         std::mem::take(&mut self.unsent)
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = CachedPrefix> {
-        self.entries.iter().flat_map(|(&hash, entry)| {
-            let caches = entry.caches.iter();
-            caches.map(move |&cache| CachedPrefix {
-                prefix_hash: hash,
-                cache_id: cache,
+    /// Returns each prefix with the target that was added last.
+    pub fn newest(&self) -> impl Iterator<Item = CachedPrefix> {
+        self.entries.iter().filter_map(|(&prefix_hash, entry)| {
+            let &cache_id = entry.caches.last()?;
+            Some(CachedPrefix {
+                prefix_hash,
+                cache_id,
+            })
+        })
+    }
+
+    /// Returns each prefix with all targets but the one that was added last.
+    pub fn others(&self) -> impl Iterator<Item = CachedPrefix> {
+        self.entries.iter().flat_map(|(&prefix_hash, entry)| {
+            let caches = entry.caches.iter().rev().skip(1);
+            caches.map(move |&cache_id| CachedPrefix {
+                prefix_hash,
+                cache_id,
             })
         })
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -194,10 +194,17 @@
         self.cache_map.take_unsent()
     }
 
-    /// Returns at most `max_count` known cached prefixes, for a router that has just started.
+    /// Returns at most `max_count` cached prefixes with the newest target of each, for a router
+    /// that has just started.
     #[must_use]
-    pub fn cached_prefixes(&self, max_count: usize) -> Vec<CachedPrefix> {
-        self.cache_map.iter().take(max_count).collect()
+    pub fn newest_prefixes(&self, max_count: usize) -> Vec<CachedPrefix> {
+        self.cache_map.newest().take(max_count).collect()
+    }
+
+    /// Returns at most `max_count` cached prefixes with the other targets of each.
+    #[must_use]
+    pub fn other_prefixes(&self, max_count: usize) -> Vec<CachedPrefix> {
+        self.cache_map.others().take(max_count).collect()
     }
 
     /// Returns the load of this router to report to other routers: the requests in flight
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -9,7 +9,7 @@
 mod streams;
 mod targets;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -31,6 +31,7 @@
 use super::operators::{PendingRequest, PendingRequests};
 use super::peers::Peers;
 use super::prefix_queue::PrefixQueue;
+use super::prefix_store::PrefixStore;
 use super::soft::{SoftState, SoftStateSchedule};
 use crate::link::{AcceptedLinks, Frame, LinkId};
 use crate::loads::{Loads, MIN_LOADS_INTERVAL, loads_interval};
@@ -48,9 +49,6 @@
 const UPDATE_BATCH_INTERVAL: Duration = Duration::from_millis(50);
 /// Report periods without a report after which a target counts as silent.
 const MAX_MISSED_REPORTS: u32 = 5;
-/// Cached prefixes that are stored for routers that start; each is a pair of a prompt
-/// prefix and a target that has it cached.
-const MAX_CACHED_PREFIXES: usize = 8_192;
 
 /// State of a control instance.
 pub struct Host {
@@ -81,9 +79,8 @@
     next_updates_at: Instant,
     /// Silent targets that were reported to routers.
     reported_silent: BTreeSet<String>,
-    /// Newest cached prefixes, oldest first, as pairs of hashes: of the prefix and of the
-    /// target.
-    cached_prefixes: VecDeque<(u64, u64)>,
+    /// Cached prefixes for routers that start.
+    cached_prefixes: PrefixStore,
     /// Cached prefixes that wait to be sent to routers.
     prefix_queue: PrefixQueue,
     /// Origins of the streams that routers reported.
@@ -129,6 +126,8 @@
             prefixes = soft.prefixes.len(),
             "soft state loaded"
         );
+        let mut cached_prefixes = PrefixStore::default();
+        cached_prefixes.add(soft.prefixes);
         let registry = restore_registry(soft.targets, silence_timeout, now);
         Ok(Self {
             id: opened.id,
@@ -155,7 +154,7 @@
             pending_updates: Vec::new(),
             next_updates_at: now,
             reported_silent: BTreeSet::new(),
-            cached_prefixes: soft.prefixes.into(),
+            cached_prefixes,
             prefix_queue: PrefixQueue::new(settings.link_bytes_per_s, now),
             stream_origins: OriginTable::default(),
             crash_hub: Hub::new(HubSettings::default()),
--- a/crates/fleet/src/control/host/outbox.rs
+++ b/crates/fleet/src/control/host/outbox.rs
@@ -1,8 +1,12 @@
 //! Configurations and state for routers, sent one after the other as the bandwidth allows.
 
+use std::collections::BTreeSet;
 use std::time::Instant;
 
+use bamboospur_dispatch::target_start_id;
+
 use super::Host;
+use crate::control::prefix_store::Entry;
 use crate::link::{Frame, prefix_frames};
 use crate::outbox::Content;
 
@@ -27,7 +31,20 @@
                     self.registry.all(Instant::now()).collect(),
                 )]
             }
-            Content::CachedPrefixes => prefix_frames(self.cached_prefixes.iter().copied()),
+            Content::NewestPrefixes => prefix_frames(self.split_prefixes().0),
+            Content::OtherPrefixes => prefix_frames(self.split_prefixes().1),
         }
     }
+
+    /// Returns the newest of the cached prefixes at known targets, and the others.
+    fn split_prefixes(&self) -> (Vec<Entry>, Vec<Entry>) {
+        let now = Instant::now();
+        let targets = self.registry.usable(now).into_iter();
+        let targets = targets.chain(self.registry.draining(now));
+        let targets: BTreeSet<u64> = targets
+            .map(|target| target_start_id(&target.name, target.start))
+            .collect();
+        let is_known = |target| targets.contains(&target);
+        self.cached_prefixes.split_newest(is_known)
+    }
 }
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 use tracing::{error, info};
 
-use super::{Host, MAX_CACHED_PREFIXES, UPDATE_BATCH_INTERVAL};
+use super::{Host, UPDATE_BATCH_INTERVAL};
 use crate::calls::{TargetCall, TargetUpdate};
 use crate::control::disk::Write;
 use crate::control::soft::SoftState;
@@ -154,7 +154,7 @@
         }
         let state = SoftState {
             targets: self.registry.all(now).collect(),
-            prefixes: self.cached_prefixes.iter().copied().collect(),
+            prefixes: self.cached_prefixes.iter().collect(),
         };
         if let Some(blob) = state.encode()
             && self.writes.send(Write::SoftState(blob)).is_err()
@@ -298,12 +298,7 @@
 
     /// Stores cached prefixes for routers that start.
     pub(super) fn store_prefixes(&mut self, prefixes: &[(u64, u64)]) {
-        self.cached_prefixes.extend(prefixes.iter().copied());
-        let excess = self
-            .cached_prefixes
-            .len()
-            .saturating_sub(MAX_CACHED_PREFIXES);
-        self.cached_prefixes.drain(..excess);
+        self.cached_prefixes.add(prefixes.iter().copied());
         self.soft_schedule.record_change();
     }
 }
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod operators;
 mod peers;
 mod prefix_queue;
+mod prefix_store;
 mod soft;
 
 use std::time::Duration;
@@ -36,6 +37,7 @@
 pub use fanout::{Fanout, FanoutSettings, Selection};
 pub use held_targets::HeldTargets;
 pub use prefix_queue::PrefixQueue;
+pub use prefix_store::PrefixStore;
 pub use soft::{SoftState, SoftStateSchedule};
 
 /// Events that can wait for the host. When the queue is full, senders wait.
--- a/crates/fleet/src/link/bulk.rs
+++ b/crates/fleet/src/link/bulk.rs
@@ -16,12 +16,11 @@
 use super::accept::LinkId;
 use super::frame::Frame;
 
-/// Part of the rate of the network link that configurations may use. All routers need a
-/// new one within two or three seconds.
-const CONFIG_SHARE: f64 = 0.9;
-/// Part of the rate that all bulk frames together may use before others than configurations
-/// wait.
-const STATE_SHARE: f64 = 0.5;
+/// Part of the rate of the network link that urgent content may use. All routers need a new
+/// configuration within two or three seconds.
+const URGENT_SHARE: f64 = 0.9;
+/// Part of the rate that all bulk frames together may use before other content waits.
+const TOTAL_SHARE: f64 = 0.5;
 /// Bulk frames that may be sent at once after a pause, as time at their rate.
 const BURST: Duration = Duration::from_millis(100);
 /// Longest time for which other large sends hold back bulk frames.
@@ -34,8 +33,7 @@
 
 /// Returns cached prompts in frames of limited size, those of one target together.
 #[must_use]
-pub fn prefix_frames(prefixes: impl Iterator<Item = (u64, u64)>) -> Vec<Frame> {
-    let mut prefixes: Vec<(u64, u64)> = prefixes.collect();
+pub fn prefix_frames(mut prefixes: Vec<(u64, u64)>) -> Vec<Frame> {
     prefixes.sort_unstable_by_key(|&(_, target)| target);
     let parts = prefixes.chunks(PREFIXES_PER_FRAME);
     parts
@@ -50,8 +48,21 @@
     Config,
     /// Announcements of all targets.
     Targets,
-    /// Cached prompts and the targets that hold them.
-    CachedPrefixes,
+    /// The newest target of each cached prompt.
+    NewestPrefixes,
+    /// The other targets of cached prompts.
+    OtherPrefixes,
+}
+
+impl BulkKind {
+    /// Whether a router that has just started needs the content before it can serve requests
+    /// well.
+    const fn is_urgent(self) -> bool {
+        match self {
+            Self::Config | Self::Targets | Self::NewestPrefixes => true,
+            Self::OtherPrefixes => false,
+        }
+    }
 }
 
 /// Item that a link waits for.
@@ -97,10 +108,10 @@
 /// Items that wait to be sent, and the budgets for them.
 #[derive(Clone, Debug)]
 pub struct BulkQueue {
-    /// Budget of configurations.
-    config_budget: Budget,
+    /// Budget of urgent items.
+    urgent_budget: Budget,
     /// Budget of all items.
-    state_budget: Budget,
+    total_budget: Budget,
     updated_at: Instant,
     /// Items by kind and order of arrival.
     waiting: BTreeMap<(BulkKind, u64), BulkItem>,
@@ -115,8 +126,8 @@
     pub fn new(link_bytes_per_s: Option<f64>, now: Instant) -> Self {
         let bytes_per_s = link_bytes_per_s.unwrap_or(DEFAULT_LINK_BYTES_PER_S);
         Self {
-            config_budget: Budget::new(bytes_per_s * CONFIG_SHARE),
-            state_budget: Budget::new(bytes_per_s * STATE_SHARE),
+            urgent_budget: Budget::new(bytes_per_s * URGENT_SHARE),
+            total_budget: Budget::new(bytes_per_s * TOTAL_SHARE),
             updated_at: now,
             waiting: BTreeMap::new(),
             queued: BTreeSet::new(),
@@ -151,8 +162,8 @@
     pub fn take(&mut self, now: Instant) -> Option<BulkItem> {
         let elapsed = now.saturating_duration_since(self.updated_at);
         self.updated_at = now;
-        self.config_budget.refill(elapsed);
-        self.state_budget.refill(elapsed);
+        self.urgent_budget.refill(elapsed);
+        self.total_budget.refill(elapsed);
         if self.budget_of_next()?.bytes <= 0.0 {
             return None;
         }
@@ -167,7 +178,7 @@
         reason = "frames are smaller than 2^53 bytes"
     )]
     pub fn record_sent(&mut self, bytes: usize) {
-        for budget in [&mut self.config_budget, &mut self.state_budget] {
+        for budget in [&mut self.urgent_budget, &mut self.total_budget] {
             budget.bytes -= bytes as f64;
         }
     }
@@ -176,7 +187,7 @@
     /// that bulk frames leave room for them.
     pub fn record_other(&mut self, bytes: usize) {
         self.record_sent(bytes);
-        for budget in [&mut self.config_budget, &mut self.state_budget] {
+        for budget in [&mut self.urgent_budget, &mut self.total_budget] {
             let least_bytes = -budget.bytes_per_s * MAX_DEBT.as_secs_f64();
             budget.bytes = budget.bytes.max(least_bytes);
         }
@@ -191,9 +202,10 @@
     /// Returns the budget of the first item.
     fn budget_of_next(&self) -> Option<&Budget> {
         let (&(kind, _), _) = self.waiting.first_key_value()?;
-        Some(match kind {
-            BulkKind::Config => &self.config_budget,
-            BulkKind::Targets | BulkKind::CachedPrefixes => &self.state_budget,
+        Some(if kind.is_urgent() {
+            &self.urgent_budget
+        } else {
+            &self.total_budget
         })
     }
 
--- a/crates/fleet/src/outbox.rs
+++ b/crates/fleet/src/outbox.rs
@@ -23,8 +23,10 @@
     Config(Change),
     /// All targets.
     Targets,
-    /// Cached prompts and the targets that hold them.
-    CachedPrefixes,
+    /// The newest target of each cached prompt.
+    NewestPrefixes,
+    /// The other targets of cached prompts.
+    OtherPrefixes,
 }
 
 /// Configurations, and what links wait for.
@@ -103,7 +105,8 @@
     pub fn request_state(&mut self, link: LinkId, with_prefixes: bool) {
         self.queue(link, BulkKind::Targets, 0);
         if with_prefixes {
-            self.queue(link, BulkKind::CachedPrefixes, 0);
+            self.queue(link, BulkKind::NewestPrefixes, 0);
+            self.queue(link, BulkKind::OtherPrefixes, 0);
         }
     }
 
@@ -130,7 +133,8 @@
                     change.map(Content::Config)
                 }
                 BulkKind::Targets => Some(Content::Targets),
-                BulkKind::CachedPrefixes => Some(Content::CachedPrefixes),
+                BulkKind::NewestPrefixes => Some(Content::NewestPrefixes),
+                BulkKind::OtherPrefixes => Some(Content::OtherPrefixes),
             };
             if let Some(content) = content {
                 return Some((item.link, content));
--- a/crates/fleet/src/router/follow/config.rs
+++ b/crates/fleet/src/router/follow/config.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use bamboospur_dispatch::{CachedPrefix, Dispatcher};
 use bamboospur_group::{Change, Document, DocumentVersion};
 use bamboospur_platform::config;
 use tracing::{error, info};
@@ -23,6 +24,18 @@
 const MAX_INITIAL_CACHED_PREFIXES: usize = 8_192;
 
 impl Follower {
+    fn prefix_frames(
+        &self,
+        select: impl Fn(&Dispatcher, usize) -> Vec<CachedPrefix>,
+    ) -> Vec<Frame> {
+        let selected = select(
+            &self.router.dispatcher.borrow(),
+            MAX_INITIAL_CACHED_PREFIXES,
+        );
+        let entries = selected.iter().map(|p| (p.prefix_hash, p.cache_id));
+        prefix_frames(entries.collect())
+    }
+
     /// Records that a version is in force, and requests it if the router lacks it.
     /// `stated_by` is the control instance that said so.
     pub(super) fn record_known_version(
@@ -128,11 +141,8 @@
                 let registry = self.router.registry.borrow();
                 vec![Frame::AllTargets(registry.all(Instant::now()).collect())]
             }
-            Content::CachedPrefixes => {
-                let dispatcher = self.router.dispatcher.borrow();
-                let cached = dispatcher.cached_prefixes(MAX_INITIAL_CACHED_PREFIXES);
-                prefix_frames(cached.iter().map(|p| (p.prefix_hash, p.cache_id)))
-            }
+            Content::NewestPrefixes => self.prefix_frames(Dispatcher::newest_prefixes),
+            Content::OtherPrefixes => self.prefix_frames(Dispatcher::other_prefixes),
         }
     }
 }
--- a/crates/fleet/src/router/readiness.rs
+++ b/crates/fleet/src/router/readiness.rs
@@ -41,7 +41,7 @@
             startup_time: Duration::from_secs(2),
             recovery_time: Duration::from_secs(1),
             targets_time: Duration::from_millis(1_500),
-            prefixes_time: Duration::from_millis(300),
+            prefixes_time: Duration::from_millis(900),
             max_waiting: 512,
             fleet_retry_after: Duration::from_millis(700),
             other_router_retry_after: Duration::from_millis(60),
--- a/crates/fleet/tests/bulk.rs
+++ b/crates/fleet/tests/bulk.rs
@@ -28,7 +28,7 @@
     match item.kind {
         BulkKind::Config => CONFIG_BYTES,
         BulkKind::Targets => TARGETS_BYTES,
-        BulkKind::CachedPrefixes => PREFIXES_BYTES,
+        BulkKind::NewestPrefixes | BulkKind::OtherPrefixes => PREFIXES_BYTES,
     }
 }
 
@@ -88,11 +88,7 @@
     let start = Instant::now();
     let mut queue = BulkQueue::new(Some(LINK_BYTES_PER_S), start);
     for link in 0..300 {
-        for kind in [
-            BulkKind::CachedPrefixes,
-            BulkKind::Targets,
-            BulkKind::Config,
-        ] {
+        for kind in [BulkKind::OtherPrefixes, BulkKind::Targets, BulkKind::Config] {
             queue.push(item(link, kind));
         }
     }
@@ -113,14 +109,14 @@
     let start = Instant::now();
     let mut queue = BulkQueue::new(Some(LINK_BYTES_PER_S), start);
     for link in 0..5 {
-        queue.push(item(link, BulkKind::CachedPrefixes));
+        queue.push(item(link, BulkKind::OtherPrefixes));
         queue.push(item(link, BulkKind::Targets));
     }
     queue.push(item(9, BulkKind::Config));
     let sent = run(&mut queue, start, Duration::from_secs(5), |_, _| {});
     let config_at = sent.done[&(9, BulkKind::Config)];
     let targets_at = (0..5).map(|link| sent.done[&(link, BulkKind::Targets)]);
-    let prefixes_at = (0..5).map(|link| sent.done[&(link, BulkKind::CachedPrefixes)]);
+    let prefixes_at = (0..5).map(|link| sent.done[&(link, BulkKind::OtherPrefixes)]);
     let (last_targets, first_prefixes) = (targets_at.max(), prefixes_at.min());
     assert!(Some(config_at) < last_targets && last_targets < first_prefixes);
     assert!(queue.is_empty() && queue.next_at().is_none());
@@ -152,7 +148,7 @@
     let start = Instant::now();
     let mut queue = BulkQueue::new(Some(LINK_BYTES_PER_S), start);
     for link in 0..300 {
-        queue.push(item(link, BulkKind::CachedPrefixes));
+        queue.push(item(link, BulkKind::OtherPrefixes));
         queue.push(item(link, BulkKind::Targets));
     }
     let sent = run(&mut queue, start, Duration::from_secs(10), |_, _| {});
@@ -170,7 +166,7 @@
     let mut queue = BulkQueue::new(Some(LINK_BYTES_PER_S), start);
     for link in 0..20 {
         queue.push(item(link, BulkKind::Config));
-        queue.push(item(link, BulkKind::CachedPrefixes));
+        queue.push(item(link, BulkKind::OtherPrefixes));
     }
     let sent = run(&mut queue, start, Duration::from_secs(5), |_, _| {});
     let last = (0..20).map(|link| sent.done[&(link, BulkKind::Config)]);
@@ -232,7 +228,7 @@
     let prefixes: Vec<(u64, u64)> = (0..3_000_u64)
         .map(|index| (mix64(index), mix64(1_000_000 + index % 90)))
         .collect();
-    let frames = prefix_frames(prefixes.iter().copied());
+    let frames = prefix_frames(prefixes.clone());
     let bytes: usize = frames
         .iter()
         .map(|frame| encode(frame).expect("a frame").len())
--- a/crates/fleet/tests/outbox.rs
+++ b/crates/fleet/tests/outbox.rs
@@ -27,7 +27,7 @@
     let taken = std::iter::from_fn(|| outbox.take(now));
     let configs = taken.filter_map(|(link, content)| match content {
         Content::Config(change) => Some((link, change.version())),
-        Content::Targets | Content::CachedPrefixes => None,
+        Content::Targets | Content::NewestPrefixes | Content::OtherPrefixes => None,
     });
     configs.collect()
 }
@@ -95,5 +95,5 @@
     let links: Vec<u64> = std::iter::from_fn(|| outbox.take(now + Duration::from_secs(9)))
         .map(|(link, _)| link)
         .collect();
-    assert_eq!(links, [1, 2, 2, 2]);
+    assert_eq!(links, [1, 2, 2, 2, 2]);
 }
