--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -99,6 +99,8 @@
     deployment.report("t1", &first, "lossy", "ready", 1);
     deployment.report("t2", &second, "lossy", "ready", 1);
     deployment.wait_ready();
+    // A router can be ready before it hears of targets that a control instance acknowledged.
+    thread::sleep(versions::SPREAD_TIME);
     let reply = deployment
         .request("POST", "/submit/1", "id-1", "k1")
         .expect("a reply");
--- a/crates/node/tests/deployment/versions.rs
+++ b/crates/node/tests/deployment/versions.rs
@@ -11,7 +11,7 @@
 };
 use super::target::EVENTS;
 
-/// Time after which another router knows where a stream began.
+/// Time after which all routers know of a target that reported, and where a stream began.
 pub const SPREAD_TIME: Duration = Duration::from_millis(600);
 /// Time after its start in which a process has heard of all targets, which report every 1.2 s.
 const KNOWS_TARGETS_AFTER: Duration = Duration::from_secs(4);
