Split targets and the choice among them from the pool

A target as one router knows it is now in target.rs, the choice among candidates in choice.rs, and the pool says which targets a request may go to and whether they have room.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -9,12 +9,14 @@
 use bamboospur_types::{InstanceId, RequestRate, Rng, mix64, stable_id};
 
 use crate::cache_map::{CacheId, CacheMap, CachedPrefix};
+use crate::choice::{ChoiceContext, unit_interval};
 use crate::cold::Cold;
 use crate::health::Outcome;
 use crate::load::LoadReport;
-use crate::pool::{ChoiceContext, CopySource, Pool, Target, cache_id, prefix_hash, unit_interval};
+use crate::pool::{CopySource, Pool, prefix_hash};
 use crate::request::{ChooseError, ChosenTarget, DispatchRequest};
 use crate::settings::DispatchSettings;
+use crate::target::{Target, cache_id};
 
 /// Chooses targets for the requests of one router.
 #[derive(Clone, Debug)]
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod arrivals;
 mod cache_map;
+mod choice;
 mod cold;
 mod dispatcher;
 mod health;
@@ -25,6 +26,7 @@
 mod pool;
 mod request;
 mod settings;
+mod target;
 
 pub use cache_map::{CacheId, CachedPrefix, PrefixHash};
 pub use dispatcher::Dispatcher;
