Split the waits, targets and streams from the state of a router

The file had 680 lines with the state of several owners. Waits of requests, the targets that the router knows and the origins of streams now each have a file; code is moved only, and the tests of the crate pass as before.

--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -1,7 +1,12 @@
-//! State that the tasks of a router share.
+//! State that the tasks of a router share. The parts that concern the waits of requests, targets
+//! and the origins of streams are in modules of their own.
 //!
 //! All tasks run on one thread, and no borrow is held across an await.
 
+mod streams;
+mod targets;
+mod waits;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -11,11 +16,10 @@
 use bamboospur_dispatch::{ChosenTarget, DispatchSettings, Dispatcher, Outcome};
 use bamboospur_group::{DataCentre, FleetRevision, FleetState};
 use bamboospur_platform::settings::{Bounds, ProcessSettings};
-use bamboospur_registry::{Announcement, Merge, Phase, Registry, RegistrySettings, StartTime};
+use bamboospur_registry::{Announcement, Registry, RegistrySettings};
 use bamboospur_retries::{FleetBudget, FleetBudgetSettings};
 use bamboospur_types::{Rng, stable_id};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::time::{timeout, timeout_at};
 use tracing::info;
 
 use super::crashes::{Connected, Crashes};
@@ -25,9 +29,7 @@
 use super::pool::Pool;
 use super::readiness::{Readiness, ReadinessSettings};
 use crate::clock::BootTime;
-use crate::stream_origins::{
-    BegunStreams, OwnStreams, PossibleOrigins, StreamId, StreamOrigin, origin_at,
-};
+use crate::stream_origins::{OwnStreams, StreamId, StreamOrigin};
 
 /// The router's own detection of silent targets is disabled by a timeout of a year:
 /// the control instances report silent targets to the router.
@@ -38,16 +40,6 @@
 /// Fraction of a target's connections that all routers use together; the rest is
 /// reserved for closed connections whose close the target has not noticed yet.
 const ROUTER_CONNECTION_FRACTION: f64 = 0.9;
-
-/// Time for which a target gets no requests after another process answered at its address.
-/// Meanwhile that process reports, or the target counts as silent.
-const REPLACED_PAUSE: Duration = Duration::from_secs(3);
-
-/// With more known targets than this, newly ready targets are applied in batches.
-const MAX_IMMEDIATE_UPDATE_TARGETS: usize = 200;
-
-/// Longest wait for the answers of control instances about the origin of a stream.
-const MAX_ORIGIN_WAIT: Duration = Duration::from_millis(500);
 /// Queries for origins that can wait to be sent; more callers than this resume streams at
 /// once only if something is wrong, and are refused.
 const MAX_QUEUED_ORIGIN_QUERIES: usize = 1_024;
@@ -166,65 +158,6 @@
         self.handle_lease_change();
     }
 
-    fn handle_lease_change(&self) {
-        if self.has_lease() {
-            self.readiness.borrow_mut().record_ready(Instant::now());
-            self.readiness_changed.notify_waiters();
-        }
-    }
-
-    /// Records that a list of all targets arrived.
-    pub fn record_targets(&self) {
-        self.readiness.borrow_mut().record_targets();
-        self.readiness_changed.notify_waiters();
-    }
-
-    /// Records that the places of prompts arrived that were cached before the start.
-    pub fn record_prefixes(&self) {
-        self.readiness.borrow_mut().record_prefixes();
-        self.readiness_changed.notify_waiters();
-    }
-
-    /// Waits until more is known that this router needs for its requests. Returns `false` at
-    /// once if it is not expected to get a valid lease soon, and at `deadline`.
-    pub async fn wait_until_ready(&self, deadline: tokio::time::Instant) -> bool {
-        let expected = self.readiness.borrow_mut().wait_deadline(Instant::now());
-        match expected {
-            Some(expected) => self.wait_until(deadline.min(expected.into())).await,
-            None => false,
-        }
-    }
-
-    /// Waits until the list of targets is known if it is expected soon, at most until
-    /// `deadline`.
-    pub async fn wait_for_targets(&self, deadline: tokio::time::Instant) {
-        while tokio::time::Instant::now() < deadline {
-            let expected = self
-                .readiness
-                .borrow()
-                .targets_wait_deadline(Instant::now());
-            let Some(expected) = expected else { return };
-            self.wait_until(deadline.min(expected.into())).await;
-        }
-    }
-
-    /// Waits until the places of cached prompts are known, if they are expected soon.
-    pub async fn wait_for_prefixes(&self) {
-        loop {
-            let expected = self.readiness.borrow().prompt_wait_deadline(Instant::now());
-            let Some(expected) = expected else { return };
-            self.wait_until(expected.into()).await;
-        }
-    }
-
-    /// Waits for a change of the readiness; returns whether there was one until `deadline`.
-    async fn wait_until(&self, deadline: tokio::time::Instant) -> bool {
-        let _waiting = WaitingRequest::new(&self.readiness);
-        timeout_at(deadline, self.readiness_changed.notified())
-            .await
-            .is_ok()
-    }
-
     pub fn is_draining(&self) -> bool {
         self.draining.get()
     }
@@ -306,174 +239,6 @@
         self.handle_lease_change();
     }
 
-    /// Whether targets with the software of this one may get requests.
-    pub fn knows_software(&self, announcement: &Announcement) -> bool {
-        let origin = origin_at(announcement);
-        self.fleet.borrow().software().contains(&origin)
-    }
-
-    /// Merges announcements of targets and returns those that changed the registry.
-    pub fn merge_announcements(&self, announcements: Vec<Announcement>) -> Vec<Announcement> {
-        let now = Instant::now();
-        let mut changed = Vec::new();
-        for announcement in announcements {
-            if self.merge_into_registry(&announcement, now) == Merge::Changed {
-                changed.push(announcement);
-            }
-        }
-        self.handle_changed_targets(&changed, now);
-        changed
-    }
-
-    /// Merges the report of a target.
-    pub fn merge_report(&self, report: &Announcement) -> Merge {
-        let now = Instant::now();
-        let merge = self.merge_into_registry(report, now);
-        if merge == Merge::Changed {
-            self.handle_changed_targets(std::slice::from_ref(report), now);
-        }
-        merge
-    }
-
-    /// Passes changed targets on to the dispatcher. With many targets, newly ready
-    /// ones are deferred to [`Self::apply_pending_targets`], as each update processes all
-    /// targets.
-    fn handle_changed_targets(&self, changed: &[Announcement], now: Instant) {
-        let many = self.registry.borrow().len() > MAX_IMMEDIATE_UPDATE_TARGETS;
-        if changed.is_empty() {
-            return;
-        }
-        if many
-            && changed
-                .iter()
-                .all(|announcement| announcement.phase == Phase::Ready)
-        {
-            self.has_pending_targets.set(true);
-        } else {
-            self.update_targets(now);
-        }
-    }
-
-    /// Passes deferred targets on to the dispatcher.
-    pub fn apply_pending_targets(&self) {
-        if self.has_pending_targets.get() {
-            self.update_targets(Instant::now());
-        }
-    }
-
-    /// Merges an announcement without updating the dispatcher.
-    fn merge_into_registry(&self, announcement: &Announcement, now: Instant) -> Merge {
-        let merge = self.registry.borrow_mut().merge(announcement.clone(), now);
-        if merge == Merge::Changed {
-            info!(
-                target_name = announcement.name,
-                phase = %announcement.phase,
-                start = announcement.start.0,
-                sequence = announcement.sequence,
-                service = announcement.service,
-                software = announcement.software,
-                "target changed"
-            );
-        }
-        merge
-    }
-
-    /// Records the departure of a target that called this router.
-    pub fn leave(&self, name: &str, start: Option<StartTime>) {
-        let now = Instant::now();
-        let left = self.registry.borrow_mut().leave(name, start, now);
-        if left.is_some() {
-            info!(target_name = name, "target announced its departure");
-            self.update_targets(now);
-        }
-    }
-
-    /// Records that a target said in an answer that it leaves.
-    pub fn record_leaving(&self, choice: &ChosenTarget) {
-        let now = Instant::now();
-        let mut registry = self.registry.borrow_mut();
-        let drained = registry.drain(&choice.name, choice.start, now);
-        drop(registry);
-        if let Some(drained) = drained {
-            info!(
-                target_name = choice.name,
-                "target says in an answer that it leaves; sending it no further requests"
-            );
-            self.leaving.borrow_mut().push(drained);
-            self.update_targets(now);
-        }
-    }
-
-    /// Whether this start of a target has announced that it leaves, or has left.
-    pub fn is_leaving(&self, name: &str, start: StartTime) -> bool {
-        let registry = self.registry.borrow();
-        let known = registry.get(name).filter(|known| known.start == start);
-        known.is_some_and(|known| known.phase != Phase::Ready)
-    }
-
-    /// Records that another process answered at the address of a target, which has probably
-    /// ended.
-    pub fn record_replaced(&self, service: &str, choice: &ChosenTarget) {
-        let now = Instant::now();
-        info!(
-            target_name = choice.name,
-            address = %choice.address,
-            "another process answers at the address of a target; avoiding the target"
-        );
-        let has_successor = self
-            .registry
-            .borrow_mut()
-            .disown(&choice.name, choice.start, now);
-        if has_successor {
-            self.update_targets(now);
-        } else {
-            let mut dispatcher = self.dispatcher.borrow_mut();
-            dispatcher.record_rejection(service, choice, REPLACED_PAUSE, now);
-        }
-    }
-
-    /// Removes and returns the targets that said in answers that they leave.
-    pub fn take_leaving(&self) -> Vec<Announcement> {
-        self.leaving.take()
-    }
-
-    /// Puts back targets that could not be reported.
-    pub fn put_back_leaving(&self, leaving: Vec<Announcement>) {
-        self.leaving.borrow_mut().extend(leaving);
-    }
-
-    /// Marks targets as silent that have announced nothing for long, according to a
-    /// control instance. Returns whether any target changed.
-    pub fn mark_silent(&self, silent: &[Announcement]) -> bool {
-        let now = Instant::now();
-        let mut changed = false;
-        for target in silent {
-            if self.registry.borrow_mut().mark_silent(target, now) {
-                info!(
-                    target_name = target.name,
-                    "target marked as silent: it has announced nothing for long"
-                );
-                changed = true;
-            }
-        }
-        if changed {
-            self.update_targets(now);
-        }
-        changed
-    }
-
-    /// Passes the usable and the draining targets on to the dispatcher.
-    fn update_targets(&self, now: Instant) {
-        self.has_pending_targets.set(false);
-        let registry = self.registry.borrow();
-        let draining: Vec<&Announcement> = registry.draining(now).collect();
-        let mut dispatcher = self.dispatcher.borrow_mut();
-        dispatcher.update(&registry.usable(now), &draining, now);
-        for (target, until) in registry.cold(now) {
-            dispatcher.record_cold(target, until, now);
-        }
-    }
-
     pub fn router_count(&self) -> u32 {
         self.routers.get()
     }
@@ -502,65 +267,6 @@
         budget.record_request(&self.retry_settings, Instant::now());
     }
 
-    /// Records where a stream began: its first event was delivered, or it goes on here.
-    pub fn begin_stream(&self, stream: StreamId, origin: &StreamOrigin, route: &Route) {
-        let several_services = route.shares.len() > 1;
-        let mut streams = self.own_streams.borrow_mut();
-        streams.record(stream, origin.clone(), several_services, Instant::now());
-        drop(streams);
-        self.stream_began.notify_one();
-    }
-
-    /// Removes and returns the streams whose origin is to be reported now.
-    pub fn take_begun_streams(&self) -> Vec<BegunStreams> {
-        let now = Instant::now();
-        let has_versions = |service: &ServiceName| {
-            let possible = self.possible_origins(std::slice::from_ref(service));
-            possible.origins.len() > 1
-        };
-        self.own_streams.borrow_mut().take_due(has_versions, now)
-    }
-
-    /// Returns the streams whose origin was reported lately.
-    pub fn reported_streams(&self) -> Vec<BegunStreams> {
-        self.own_streams.borrow().reported_lately(Instant::now())
-    }
-
-    /// Puts back streams whose origin could not be reported.
-    pub fn put_back_streams(&self, begun: Vec<BegunStreams>) {
-        self.own_streams
-            .borrow_mut()
-            .put_back(begun, Instant::now());
-    }
-
-    /// Returns where a stream that was not reported may have begun, as far as this router
-    /// knows.
-    pub fn possible_origins(&self, services: &[ServiceName]) -> PossibleOrigins {
-        let (registry, fleet) = (self.registry.borrow(), self.fleet.borrow());
-        PossibleOrigins::known_to(&registry, &fleet, services, Instant::now())
-    }
-
-    /// Returns where a stream that a caller resumes began; `None` if neither this router nor
-    /// a control instance can tell.
-    pub async fn find_origin(
-        &self,
-        stream: Option<StreamId>,
-        services: Vec<ServiceName>,
-    ) -> Option<StreamOrigin> {
-        let known = stream.and_then(|stream| self.own_streams.borrow().find(stream).cloned());
-        if known.is_some() {
-            return known;
-        }
-        let (reply, answer) = oneshot::channel();
-        let query = OriginQuery {
-            stream,
-            services,
-            reply,
-        };
-        self.origin_queries.try_send(query).ok()?;
-        timeout(MAX_ORIGIN_WAIT, answer).await.ok()?.ok()?
-    }
-
     /// Takes a retry from the budget of a service. Returns whether the budget had one.
     pub fn try_retry(&self, service: &str) -> bool {
         let mut budgets = self.retry_budgets.borrow_mut();
@@ -621,22 +327,6 @@
     }
 }
 
-/// Guard that counts a request as waiting for the lease until it is dropped.
-struct WaitingRequest<'a>(&'a RefCell<Readiness>);
-
-impl<'a> WaitingRequest<'a> {
-    fn new(readiness: &'a RefCell<Readiness>) -> Self {
-        readiness.borrow_mut().begin_wait();
-        Self(readiness)
-    }
-}
-
-impl Drop for WaitingRequest<'_> {
-    fn drop(&mut self) {
-        self.0.borrow_mut().end_wait();
-    }
-}
-
 /// An attempt in progress, which counts towards the load of its target until it is
 /// dropped.
 pub struct ActiveAttempt {
