Store deadlines of waits after a start, and test the order of places of prompts

Cause: the last reading found a stored time from which two deadlines were computed on each call, and no test of the order in which a fleet that starts is told of cached prompts. Change: the deadlines are stored; a test sends what twelve routers ask for over a link of 6 Mbit/s. It was seen to fail with the other places first; it passes with the lower share of the link for the newest ones.

--- a/crates/fleet/src/router/readiness.rs
+++ b/crates/fleet/src/router/readiness.rs
@@ -57,9 +57,12 @@
     /// When waiting requests are rejected; set when a request first finds the router without
     /// a lease.
     wait_deadline: Option<Instant>,
-    /// When the router got its first lease.
-    leased_at: Option<Instant>,
+    /// When requests no longer wait for the list of targets; `None` before the first lease.
+    targets_deadline: Option<Instant>,
     has_targets: bool,
+    /// When prompts no longer wait for the places of cached prompts; `None` before the first
+    /// lease.
+    prefixes_deadline: Option<Instant>,
     has_prefixes: bool,
     linked_controls: usize,
     waiting: usize,
@@ -73,8 +76,9 @@
             settings,
             startup_deadline: now + settings.startup_time,
             wait_deadline: None,
-            leased_at: None,
+            targets_deadline: None,
             has_targets: false,
+            prefixes_deadline: None,
             has_prefixes: false,
             linked_controls: 0,
             waiting: 0,
@@ -93,7 +97,10 @@
     /// Records that the router has a valid lease.
     pub fn record_ready(&mut self, now: Instant) {
         self.wait_deadline = None;
-        self.leased_at.get_or_insert(now);
+        self.targets_deadline
+            .get_or_insert(now + self.settings.targets_time);
+        self.prefixes_deadline
+            .get_or_insert(now + self.settings.prefixes_time);
     }
 
     /// Records that a list of all targets arrived.
@@ -104,20 +111,15 @@
     /// Whether the router lacks the list of targets and expects it soon.
     #[must_use]
     pub fn expects_targets(&self, now: Instant) -> bool {
-        self.targets_deadline()
-            .is_some_and(|deadline| now < deadline)
-    }
-
-    fn targets_deadline(&self) -> Option<Instant> {
-        let leased_at = self.leased_at.filter(|_| !self.has_targets)?;
-        Some(leased_at + self.settings.targets_time)
+        let deadline = self.targets_deadline.filter(|_| !self.has_targets);
+        deadline.is_some_and(|deadline| now < deadline)
     }
 
     /// Returns until when a request waits for the list of targets, or `None` if it does not.
     #[must_use]
     pub fn targets_wait_deadline(&self, now: Instant) -> Option<Instant> {
-        self.targets_deadline()
-            .filter(|&deadline| self.has_room() && now < deadline)
+        self.targets_deadline
+            .filter(|_| self.has_room() && self.expects_targets(now))
     }
 
     /// Records that the places of prompts arrived that were cached before the start.
@@ -129,8 +131,7 @@
     /// does not. Without them its target would process again what others have cached.
     #[must_use]
     pub fn prompt_wait_deadline(&self, now: Instant) -> Option<Instant> {
-        let leased_at = self.leased_at.filter(|_| !self.has_prefixes)?;
-        let deadline = leased_at + self.settings.prefixes_time;
+        let deadline = self.prefixes_deadline.filter(|_| !self.has_prefixes)?;
         (self.has_room() && now < deadline).then_some(deadline)
     }
 
--- a/crates/fleet/tests/bulk.rs
+++ b/crates/fleet/tests/bulk.rs
@@ -22,13 +22,15 @@
 const HEARTBEAT_BYTES: usize = 4 * 100;
 const CONFIG_BYTES: usize = 50_000;
 const TARGETS_BYTES: usize = 6_000;
+const NEWEST_PREFIXES_BYTES: usize = 10_000;
 const PREFIXES_BYTES: usize = 65_536;
 
 fn size_of(item: &BulkItem) -> usize {
     match item.kind {
         BulkKind::Config => CONFIG_BYTES,
         BulkKind::Targets => TARGETS_BYTES,
-        BulkKind::NewestPrefixes | BulkKind::OtherPrefixes => PREFIXES_BYTES,
+        BulkKind::NewestPrefixes => NEWEST_PREFIXES_BYTES,
+        BulkKind::OtherPrefixes => PREFIXES_BYTES,
     }
 }
 
@@ -122,6 +124,30 @@
     assert!(queue.is_empty() && queue.next_at().is_none());
 }
 
+/// Restart of all: prompts wait 900 ms after the first lease for the places of cached ones.
+#[test]
+fn all_routers_of_a_fleet_that_starts_get_the_newest_places_before_the_others() {
+    const ROUTERS: u64 = 12;
+    let start = Instant::now();
+    let mut queue = BulkQueue::new(Some(LINK_BYTES_PER_S), start);
+    for link in 0..ROUTERS {
+        for kind in [
+            BulkKind::Targets,
+            BulkKind::NewestPrefixes,
+            BulkKind::OtherPrefixes,
+        ] {
+            queue.push(item(link, kind));
+        }
+    }
+    let sent = run(&mut queue, start, Duration::from_secs(5), |_, _| {});
+    let times = |kind| (0..ROUTERS).map(move |link| (link, kind));
+    let newest_at = times(BulkKind::NewestPrefixes).map(|key| sent.done[&key]);
+    let others_at = times(BulkKind::OtherPrefixes).map(|key| sent.done[&key]);
+    let (last_newest, first_others) = (newest_at.max(), others_at.min());
+    assert!(last_newest < first_others);
+    assert!(last_newest < Some(Duration::from_millis(900)));
+}
+
 #[test]
 fn routers_that_dial_again_do_not_add_to_the_queue() {
     let start = Instant::now();
