Ask in one place whether a target is evacuated

Change: ChoiceContext::is_evacuated serves all four; the means are computed for prompts only. Behaviour is unchanged.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -33,6 +33,11 @@
     pub fn random_unit(&self, salt: u64) -> f64 {
         unit_interval(mix64(self.random ^ salt))
     }
+
+    /// Whether a target gets no requests because its data centre is evacuated.
+    pub fn is_evacuated(&self, target: &Target) -> bool {
+        self.evacuated.contains(&target.data_centre)
+    }
 }
 
 /// Maps random bits to [0, 1).
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -73,7 +73,6 @@
             accepting,
             next_cold_at,
         } = self.candidates(request, &loads, context)?;
-        let means = self.mean_loads(&loads, context);
         let reachable = self.reachable(accepting, request, settings, now);
         let healthy = self.healthy(reachable, request, settings, now);
         let max_own = request.max_in_flight_per_target;
@@ -88,6 +87,7 @@
             }
             return Ok(choose_by_expected_wait(&available, context));
         }
+        let means = self.mean_loads(&loads, context);
         let prompt = PromptDemand {
             prefix_hash: prefix_hash(request.prompt),
             caches: caches.iter().copied().collect(),
@@ -132,8 +132,7 @@
 
     /// Whether so many targets are cold that the others could hold over twice the mean load.
     fn is_mostly_cold(&self, context: ChoiceContext<'_>) -> bool {
-        let is_open = |target: &&Target| !context.evacuated.contains(&target.data_centre);
-        let open = self.targets.values().filter(is_open);
+        let open = self.targets.values().filter(|t| !context.is_evacuated(t));
         let (cold, warm): (Vec<_>, Vec<_>) = open.partition(|target| target.is_cold(context.now));
         cold.len() > warm.len()
     }
@@ -193,7 +192,7 @@
     /// with it, prompts would leave targets that have them cached.
     fn mean_loads(&self, loads: &[f64], context: ChoiceContext<'_>) -> MeanLoads {
         let unlimited = self.unlimited(context.limits);
-        let open = self.not_evacuated(&unlimited, context.evacuated);
+        let open = self.not_evacuated(&unlimited, context);
         MeanLoads {
             all: mean(unlimited.iter().map(|&index| loads[index])),
             open: mean(open.iter().map(|&index| loads[index])),
@@ -214,11 +213,11 @@
     }
 
     /// Returns those of the targets at these positions whose data centre is not evacuated.
-    fn not_evacuated(&self, indexes: &[usize], evacuated: &BTreeSet<String>) -> Vec<usize> {
+    fn not_evacuated(&self, indexes: &[usize], context: ChoiceContext<'_>) -> Vec<usize> {
         let targets: Vec<&Target> = self.targets.values().collect();
         let indexes = indexes.iter().copied();
         indexes
-            .filter(|&index| !evacuated.contains(&targets[index].data_centre))
+            .filter(|&index| !context.is_evacuated(targets[index]))
             .collect()
     }
 
@@ -232,7 +231,6 @@
     ) -> Result<Candidates<'a>, ChooseError> {
         let ChoiceContext {
             limits,
-            evacuated,
             router_count,
             now,
             ..
@@ -252,7 +250,7 @@
             let has_version = request
                 .software
                 .is_none_or(|wanted| target.software == wanted);
-            has_version && !request.tried.contains(name) && !evacuated.contains(&target.data_centre)
+            has_version && !request.tried.contains(name) && !context.is_evacuated(target)
         };
         let fitting = self.targets.iter().zip(loads);
         let fitting = fitting.filter(|((name, target), _)| fits(name, target));
@@ -455,19 +453,20 @@
     /// for one of them, and over the others for another one.
     fn estimate_loads(&self, context: ChoiceContext<'_>) -> Vec<f64> {
         let decay = context.settings.report_decay;
-        let is_evacuated = |target: &Target| context.evacuated.contains(&target.data_centre);
         let reports = self
             .targets
             .values()
             .map(|target| (target, target.load.others(context.now, decay)));
         let reports: Vec<_> = reports.collect();
         let mean_others = |evacuated: bool| {
-            let alike = reports.iter().filter(|(t, _)| is_evacuated(t) == evacuated);
+            let alike = reports
+                .iter()
+                .filter(|(t, _)| context.is_evacuated(t) == evacuated);
             mean(alike.map(|(_, (others, weight))| others * weight))
         };
         let (mean_open, mean_evacuated) = (mean_others(false), mean_others(true));
         let estimate = |target: &Target, others: f64, weight: f64| {
-            let mean_others = if is_evacuated(target) {
+            let mean_others = if context.is_evacuated(target) {
                 mean_evacuated
             } else {
                 mean_open
