Count bytes on links by kind of frame, and the age of confirmations

Cause: on a narrow network link of a control instance a late lease and a late change look alike, whatever delays them. Neither log nor metrics told bytes by kind, or how far a router was behind.

Change: counters by kind of frame and bytes that wait, on routers and control instances; a log line of control instances when their link is more than half used; confirmation age and newest accepted version as gauges of routers.

--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -33,7 +33,7 @@
 use super::prefix_queue::PrefixQueue;
 use super::prefix_store::PrefixStore;
 use super::soft::{SoftState, SoftStateSchedule};
-use crate::link::{AcceptedLinks, Frame, LinkId};
+use crate::link::{AcceptedLinks, Frame, LinkId, Traffic};
 use crate::loads::{Loads, MIN_LOADS_INTERVAL, loads_interval};
 use crate::outbox::Outbox;
 use crate::stream_origins::OriginTable;
@@ -47,6 +47,8 @@
 /// Least time between two batches of updates to routers, so that many targets that start
 /// at once cause few frames.
 const UPDATE_BATCH_INTERVAL: Duration = Duration::from_millis(50);
+/// Part of the network link that is used before a log line tells by what.
+const BUSY_LINK_SHARE: f64 = 0.5;
 /// Report periods without a report after which a target counts as silent.
 const MAX_MISSED_REPORTS: u32 = 5;
 
@@ -97,6 +99,10 @@
     loads: Loads,
     next_loads_at: Instant,
     next_round_at: Instant,
+    /// What was sent until the last round.
+    traffic: Traffic,
+    /// Rate of the network link, if it is known.
+    link_bytes_per_s: Option<f64>,
 }
 
 impl Host {
@@ -165,6 +171,8 @@
             loads: Loads::default(),
             next_loads_at: now + MIN_LOADS_INTERVAL,
             next_round_at: now + ROUND_INTERVAL,
+            traffic: Traffic::now(),
+            link_bytes_per_s: settings.link_bytes_per_s,
         })
     }
 
@@ -250,6 +258,30 @@
         }
         self.send_silent_targets(now);
         self.save_soft_state(now);
+        self.log_busy_link();
+    }
+
+    /// Logs what was sent since the last round if it takes more than [`BUSY_LINK_SHARE`] of the
+    /// network link.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a round sends less than 2^53 bytes"
+    )]
+    fn log_busy_link(&mut self) {
+        let before = std::mem::replace(&mut self.traffic, Traffic::now());
+        let sent_bytes = self.traffic.total_bytes() - before.total_bytes();
+        let busy_bytes = self
+            .link_bytes_per_s
+            .map(|rate| rate * ROUND_INTERVAL.as_secs_f64() * BUSY_LINK_SHARE);
+        if busy_bytes.is_some_and(|busy_bytes| sent_bytes as f64 > busy_bytes) {
+            info!(
+                bytes = sent_bytes,
+                kinds = self.traffic.describe_since(&before),
+                waiting_bytes = self.traffic.waiting_bytes(),
+                contents_waiting = self.outbox.waiting(),
+                "the network link is busy; leases and changes can be late"
+            );
+        }
     }
 
     fn handle(&mut self, event: Event) {
@@ -307,7 +339,7 @@
             target_limits: self.limit_hub.len(),
             blocked_parts: self.crash_hub.blocked_count(now),
             dropped_crash_messages: self.crash_outbox.dropped(),
-        })
+        }) + &Traffic::now().text()
     }
 
     fn handle_group_input(&mut self, input: GroupInput) {
--- a/crates/fleet/src/link/accept.rs
+++ b/crates/fleet/src/link/accept.rs
@@ -14,6 +14,7 @@
 
 use super::codec::{FrameError, FrameReader};
 use super::frame::{Frame, Hello};
+use super::traffic;
 use crate::process::accept;
 
 /// Number of an accepted link, unique within the process.
@@ -114,6 +115,10 @@
     {
         info!(link, peer, control, %error, "link failed; closing it");
     }
+    receiver.close();
+    while let Ok(dropped) = receiver.try_recv() {
+        traffic::record_written(dropped.len());
+    }
     // Sending fails only when the receiver of events has ended.
     let _sent = events.send(convert(AcceptEvent::Ended { link })).await;
 }
@@ -134,6 +139,7 @@
                     return Ok(());
                 };
                 let written = timeout(SILENCE_TIMEOUT, write_all(stream, &bytes, &mut 0)).await;
+                traffic::record_written(bytes.len());
                 written.map_err(|_| timed_out())??;
             }
             frame = reader.next(stream) => {
--- a/crates/fleet/src/link/accepted.rs
+++ b/crates/fleet/src/link/accepted.rs
@@ -8,6 +8,7 @@
 use super::accept::{FrameQueue, LinkId};
 use super::codec::encode;
 use super::frame::{Frame, Hello};
+use super::traffic;
 
 #[derive(Debug)]
 struct AcceptedLink {
@@ -73,7 +74,9 @@
         };
         let open = links.iter().filter_map(|link| self.links.get(link));
         let sent = open.filter(|accepted| accepted.frames.send(&bytes));
-        sent.count() * bytes.len()
+        let sent_bytes = sent.count() * bytes.len();
+        traffic::record_queued(frame, sent_bytes);
+        sent_bytes
     }
 
     /// Sends a frame that must not be lost. Links whose queue is full are closed; their
@@ -83,8 +86,12 @@
             return;
         };
         for &link in links {
-            let accepted = self.links.get(&link);
-            if accepted.is_some_and(|accepted| !accepted.frames.send(&bytes)) {
+            let Some(accepted) = self.links.get(&link) else {
+                continue;
+            };
+            if accepted.frames.send(&bytes) {
+                traffic::record_queued(frame, bytes.len());
+            } else {
                 warn!(link, "frame queue of a router is full; closing its link");
                 self.links.remove(&link);
             }
--- a/crates/fleet/src/link/dial.rs
+++ b/crates/fleet/src/link/dial.rs
@@ -12,6 +12,7 @@
 
 use super::codec::{FrameError, FrameReader, encode};
 use super::frame::{Frame, Hello};
+use super::traffic;
 
 /// Time limit for a connection attempt. Links have a delay of a few ms, so an attempt
 /// that takes longer does not succeed.
@@ -139,7 +140,9 @@
         let Some(bytes) = encode(frame) else {
             return Err(FrameError::Malformed);
         };
+        traffic::record_queued(frame, bytes.len());
         let written = timeout(SILENCE_TIMEOUT, write_all(self.stream, &bytes, &mut 0)).await;
+        traffic::record_written(bytes.len());
         let timed_out = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
         Ok(written.map_err(timed_out).flatten()?)
     }
--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -69,7 +69,8 @@
 }
 
 /// Message on a link.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Frame {
     /// First frame of the side that dials.
     Hello(Hello),
--- a/crates/fleet/src/link/mod.rs
+++ b/crates/fleet/src/link/mod.rs
@@ -13,6 +13,7 @@
 mod dial;
 mod frame;
 mod prefixes;
+mod traffic;
 
 pub use accept::{AcceptEvent, FrameQueue, LinkId, serve};
 pub use accepted::AcceptedLinks;
@@ -20,3 +21,4 @@
 pub use codec::{FrameError, FrameReader, encode};
 pub use dial::{DialEvent, DialedLink, dial};
 pub use frame::{Frame, Hello, Role, RouterLocation, Ticket};
+pub use traffic::{Traffic, record_queued, record_written};
--- a/crates/fleet/src/router/lease.rs
+++ b/crates/fleet/src/router/lease.rs
@@ -101,6 +101,13 @@
         age.is_some_and(|age| age < self.duration)
     }
 
+    /// Returns the newest version of the configuration that is known to be accepted.
+    #[must_use]
+    pub fn accepted_config(&self) -> CatalogVersion {
+        let pending = self.pending.map(|(accepted, _)| accepted.config);
+        self.held.config.max(pending.unwrap_or_default())
+    }
+
     /// Returns the age of the last confirmation, or `None` before the first one.
     #[must_use]
     pub fn age(&self, now: BootTime) -> Option<Duration> {
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -62,6 +62,7 @@
 use tracing::info;
 
 use crate::exposition;
+use crate::link::Traffic;
 use crate::process;
 use crate::settings_file::SettingsFile;
 use crate::signals::Signals;
@@ -124,7 +125,9 @@
 
     if let Some(port) = metrics_port {
         let router = Rc::clone(&router);
-        exposition::start(settings.ip, port, move || ready(router.metrics_text()));
+        exposition::start(settings.ip, port, move || {
+            ready(router.metrics_text() + &Traffic::now().text())
+        });
     }
 
     spawn_local(sweep(Rc::clone(&router)));
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -291,7 +291,14 @@
         let active = u64::try_from(self.active.get()).unwrap_or(u64::MAX);
         let idle = u64::try_from(self.pool.borrow().len()).unwrap_or(u64::MAX);
         let limits = self.dispatcher.borrow().limit_count();
+        let confirmed = self.lease_age().unwrap_or(Duration::MAX);
+        let confirmation_age_ms = u64::try_from(confirmed.as_millis()).unwrap_or(u64::MAX);
         let gauges = [
+            ("confirmation_age_ms", confirmation_age_ms),
+            (
+                "config_version_accepted",
+                self.lease.borrow().accepted_config(),
+            ),
             ("target_limits", u64::try_from(limits).unwrap_or(u64::MAX)),
             ("config_version", version),
             ("requests_active", active),
