Show late refusals, foreign answers and broken streams by tests that fail

Change: tests with real processes and targets of raw bytes, a seeded fuzz of what a target writes between and after its answers, a test of the client connection, and one of the choice of the peer that a router asks for a configuration.

--- a/crates/fleet/tests/config_requests.rs
+++ b/crates/fleet/tests/config_requests.rs
@@ -68,6 +68,16 @@
     assert_eq!(requests.next_peer(7, &controls(now), now), None);
 }
 
+/// Guards against a leader that sends a large change to most routers of a fleet, while the
+/// instances that serve them have it too: its heartbeats and confirmations were late by seconds.
+#[test]
+fn a_router_asks_the_instance_that_serves_it_before_the_leader() {
+    let now = Instant::now();
+    let mut requests = behind();
+    let asked = requests.next_peer(7, &controls(now), now);
+    assert_eq!(asked, Some(address(1)));
+}
+
 /// The answer to the last request arrived, and the next version is missed as well.
 #[test]
 fn the_next_version_is_requested_at_once() {
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -1,5 +1,6 @@
 //! Control instances and routers as real processes on loopback addresses.
 
+mod answers;
 mod caller;
 mod callers;
 mod crashing;
@@ -10,6 +11,7 @@
 mod limited;
 mod prompts;
 mod proxy;
+mod raw_target;
 mod rejected;
 mod rejoined;
 mod relays;
@@ -199,6 +201,31 @@
     assert_eq!(first.runs(), 0);
 }
 
+/// Guards against 404 and 401 for a route or key that a router has not heard of yet: the last
+/// confirmation of its configuration is older than changes may take.
+#[test]
+fn a_router_that_may_have_missed_a_change_refuses_nothing_for_good() {
+    let mut deployment = Deployment::start(89);
+    deployment.configure("k1");
+    let first = Target::start(deployment.host(20), "t1", Behaviour::Answer);
+    deployment.report("t1", &first, "s", "ready", 1);
+    deployment.wait_ready();
+    assert_eq!(status(&deployment, "/none/1", "k1"), 404);
+    assert_eq!(status(&deployment, "/read/1", "other"), 401);
+    for control in 1..=3 {
+        deployment.kill(&format!("control-{control}"));
+    }
+    thread::sleep(Duration::from_millis(2_500));
+    assert_eq!(status(&deployment, "/read/1", "k1"), 200);
+    assert_eq!(status(&deployment, "/none/1", "k1"), 503);
+    assert_eq!(status(&deployment, "/read/1", "other"), 503);
+}
+
+fn status(deployment: &Deployment, path: &str, key: &str) -> u16 {
+    let reply = deployment.request("GET", path, "id-1", key);
+    reply.expect("a reply").status
+}
+
 #[test]
 fn a_stopped_router_finishes_streams_and_exits_in_time() {
     let mut deployment = Deployment::start(5);
