Refuse unknown routes and keys only with a recent confirmation

Cause: a router refused for good while its lease of 4.75 s was valid, though a change takes effect within 2 to 3 s. Not having heard of a route was taken for knowing that there is none.

Change: the lease tells a recent confirmation, younger than 0.9 of the time that a change may take, from an older one. Without a recent one the router serves what it knows, and a refusal waits for the next confirmation or says 503. It then queries every 400 ms.

--- a/crates/fleet/src/router/admit.rs
+++ b/crates/fleet/src/router/admit.rs
@@ -4,6 +4,8 @@
 use bamboospur_platform::request::RequestMetadata;
 use bamboospur_types::ResultCode;
 
+use super::lease::ConfigState;
+
 /// The route and team of an admitted request.
 #[derive(Clone, Copy, Debug)]
 pub struct Admitted<'a> {
@@ -47,11 +49,10 @@
 /// Result of [`admit`].
 pub type Admission<'a> = Result<Admitted<'a>, Refusal>;
 
-/// Decides whether a request is served. `is_current` says whether the catalog is
-/// known to be in force; `fail_closed` whether requests with a key are refused when
-/// it is not.
+/// Decides whether a request is served. `state` says whether the catalog is known to be in
+/// force; `fail_closed` whether requests with a key are refused once the lease is over.
 ///
-/// With a catalog that may be out of date, an unknown route or key is refused as
+/// Without a recent confirmation, an unknown route or key is refused as
 /// [`Refusal::Stale`], which callers may retry: the route or the key may have been
 /// added since.
 ///
@@ -62,17 +63,20 @@
     catalog: Option<&'a Catalog>,
     metadata: &RequestMetadata,
     path: &str,
-    is_current: bool,
+    state: ConfigState,
     fail_closed: bool,
 ) -> Admission<'a> {
     let catalog = catalog.ok_or(Refusal::NoConfig)?;
-    let refusal_or_stale = |refusal| if is_current { refusal } else { Refusal::Stale };
+    let refusal_or_stale = |refusal| match state {
+        ConfigState::Confirmed => refusal,
+        ConfigState::Unconfirmed | ConfigState::Expired => Refusal::Stale,
+    };
     let route = catalog.route(&metadata.host, path);
     let route = route.ok_or_else(|| refusal_or_stale(Refusal::NoRoute))?;
     match catalog.access(route, metadata.api_key.as_deref()) {
         Access::Open => Ok(Admitted { route, team: None }),
         Access::Denied => Err(refusal_or_stale(Refusal::NoTeam)),
-        Access::Team(_) if fail_closed && !is_current => Err(Refusal::Stale),
+        Access::Team(_) if fail_closed && state == ConfigState::Expired => Err(Refusal::Stale),
         Access::Team(team) => Ok(Admitted {
             route,
             team: Some(team),
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -24,6 +24,7 @@
 
 use super::config_requests::ConfigRequests;
 use super::followers::Followers;
+use super::lease::ConfigState;
 use super::origin_queries::OriginQueries;
 use super::reports::{self, Reports};
 use super::state::{OriginQuery, Router};
@@ -44,9 +45,9 @@
 const QUERY_INTERVAL_PER_ROUTER: Duration = Duration::from_millis(4);
 /// Longest time between two queries; a lease of 4.75 s survives three lost queries.
 const MAX_QUERY_INTERVAL: Duration = Duration::from_millis(1_400);
-/// Time between two queries while the lease is not valid. A control instance whose
-/// link comes up or that is elected leader is queried at once as well.
-const QUERY_INTERVAL_WITHOUT_LEASE: Duration = Duration::from_millis(400);
+/// Time between two queries without a recent confirmation. A control instance whose link
+/// comes up or that is elected leader is queried at once as well.
+const QUERY_INTERVAL_UNCONFIRMED: Duration = Duration::from_millis(400);
 /// Time between two batches of target updates and of newly cached prompts.
 const UPDATE_BATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two batches of unchanged target reports. A target that reports every
@@ -161,7 +162,7 @@
 impl Follower {
     async fn run(mut self, mut events: Receiver<Event>, mut queries: Receiver<OriginQuery>) {
         let router = Rc::clone(&self.router);
-        let mut query = interval(QUERY_INTERVAL_WITHOUT_LEASE);
+        let mut query = interval(QUERY_INTERVAL_UNCONFIRMED);
         let mut queried_at = Instant::now();
         let mut updates = interval(UPDATE_BATCH_INTERVAL);
         let mut loads = interval(MIN_LOADS_INTERVAL);
@@ -187,8 +188,8 @@
                 _ = query.tick() => {
                     self.config_requests.forget_lacking();
                     self.request_config_if_behind();
-                    let valid = self.router.has_lease();
-                    if !valid || queried_at.elapsed() >= query_interval(self.router.router_count()) {
+                    let confirmed = self.router.config_state() == ConfigState::Confirmed;
+                    if !confirmed || queried_at.elapsed() >= query_interval(self.router.router_count()) {
                         queried_at = Instant::now();
                         self.query_controls();
                     }
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -134,12 +134,18 @@
     loop {
         router.wait_for_targets(wait_deadline).await;
         let catalog = router.catalog.borrow().clone();
-        let is_current = router.has_lease();
+        let config_state = router.config_state();
         trace.version = catalog.as_ref().map_or(0, |c| c.version());
         trace.lease_age_ms = router
             .lease_age()
             .and_then(|age| u64::try_from(age.as_millis()).ok());
-        let admission = admit(catalog.as_deref(), &metadata, path, is_current, fail_closed);
+        let admission = admit(
+            catalog.as_deref(),
+            &metadata,
+            path,
+            config_state,
+            fail_closed,
+        );
         let refusal = match (admission, catalog.as_deref()) {
             (Ok(admitted), Some(catalog)) => {
                 return forward_admitted(
--- a/crates/fleet/src/router/lease.rs
+++ b/crates/fleet/src/router/lease.rs
@@ -7,6 +7,10 @@
 //! key stops working everywhere in time, also on a router that is cut off from the
 //! control group or was suspended. Times come from the boot-time clock, which
 //! includes suspends.
+//!
+//! Other changes take effect sooner than the removal of a key. A router whose last
+//! confirmation is older than that goes on serving what it knows, but not having heard of a
+//! route or key no longer means that there is none.
 
 use std::time::Duration;
 
@@ -18,6 +22,20 @@
 /// Duration of the lease, as a fraction of the time allowed for the removal of a
 /// key.
 const LEASE_FRACTION: f64 = 0.95;
+/// Age up to which a confirmation counts as recent, as a fraction of the time in which a
+/// change takes effect.
+const CONFIRMATION_FRACTION: f64 = 0.9;
+
+/// Whether a router's configuration is known to be in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigState {
+    /// It is: the last confirmation is recent.
+    Confirmed,
+    /// A change may be in force that the router has not heard of.
+    Unconfirmed,
+    /// The lease is over: keys may have been removed.
+    Expired,
+}
 
 /// What the control group has accepted, as far as a router has received it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -38,6 +56,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Lease {
     duration: Duration,
+    /// Age up to which a confirmation is recent.
+    recent_age: Duration,
     /// When the newest query was sent whose answer confirmed what the router holds.
     confirmed_at: Option<BootTime>,
     /// Newest answer about something that the router has not received yet, with the time of
@@ -49,11 +69,12 @@
 
 impl Lease {
     /// Creates a lease that is not valid yet. `key_removal` is the time within which a
-    /// removed key must stop working.
+    /// removed key must stop working, and `change` that in which any change takes effect.
     #[must_use]
-    pub fn new(key_removal: Duration) -> Self {
+    pub fn new(key_removal: Duration, change: Duration) -> Self {
         Self {
             duration: key_removal.mul_f64(LEASE_FRACTION),
+            recent_age: change.mul_f64(CONFIRMATION_FRACTION),
             confirmed_at: None,
             pending: None,
             held: Accepted::default(),
@@ -97,8 +118,17 @@
     /// Whether the last confirmation is recent enough to trust the configuration.
     #[must_use]
     pub fn is_valid(&self, now: BootTime) -> bool {
-        let age = self.confirmed_at.map(|at| now.since(at));
-        age.is_some_and(|age| age < self.duration)
+        self.config_state(now) != ConfigState::Expired
+    }
+
+    /// Returns what is known about the router's configuration.
+    #[must_use]
+    pub fn config_state(&self, now: BootTime) -> ConfigState {
+        match self.age(now) {
+            Some(age) if age < self.recent_age.min(self.duration) => ConfigState::Confirmed,
+            Some(age) if age < self.duration => ConfigState::Unconfirmed,
+            _ => ConfigState::Expired,
+        }
     }
 
     /// Returns the newest version of the configuration that is known to be accepted.
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -44,7 +44,7 @@
 pub use admit::{Admission, Admitted, Refusal, admit};
 pub use attempt_history::{AttemptHistory, AttemptLimits, Execution};
 pub use config_requests::{ConfigRequests, Peer, Peers};
-pub use lease::{Accepted, Lease};
+pub use lease::{Accepted, ConfigState, Lease};
 pub use origin_queries::{OriginQueries, QueryStep};
 pub use path_checks::PathChecks;
 pub use readiness::{Readiness, ReadinessSettings};
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -23,7 +23,7 @@
 use tracing::info;
 
 use super::crashes::{Connected, Crashes};
-use super::lease::{Accepted, Lease};
+use super::lease::{Accepted, ConfigState, Lease};
 use super::metrics::Metrics;
 use super::path_checks::PathChecks;
 use super::pool::Pool;
@@ -105,7 +105,7 @@
         let router = Self {
             bounds,
             catalog: RefCell::new(None),
-            lease: RefCell::new(Lease::new(bounds.key_removal_limit)),
+            lease: RefCell::new(Lease::new(bounds.key_removal_limit, bounds.change_limit)),
             fleet: RefCell::default(),
             readiness: RefCell::new(Readiness::new(ReadinessSettings::default(), Instant::now())),
             readiness_changed: Notify::new(),
@@ -147,7 +147,13 @@
         self.lease.borrow().is_valid(BootTime::now()) && self.catalog.borrow().is_some()
     }
 
-    /// Returns the age of the last confirmation of the configuration.
+    /// Returns whether the configuration is known to be in force.
+    pub fn config_state(&self) -> ConfigState {
+        self.lease.borrow().config_state(BootTime::now())
+    }
+
+    /// Returns the age of the last confirmation of the configuration, or `None` before the
+    /// first one.
     pub fn lease_age(&self) -> Option<Duration> {
         self.lease.borrow().age(BootTime::now())
     }
--- a/crates/fleet/tests/router.rs
+++ b/crates/fleet/tests/router.rs
@@ -9,13 +9,14 @@
 use bamboospur_dispatch::LoadReport;
 use bamboospur_fleet::clock::BootTime;
 use bamboospur_fleet::router::{
-    Accepted, AttemptHistory, AttemptLimits, Execution, Lease, Refusal, RejectionCause, Rejections,
-    admit,
+    Accepted, AttemptHistory, AttemptLimits, ConfigState, Execution, Lease, Refusal,
+    RejectionCause, Rejections, admit,
 };
 use bamboospur_platform::request::RequestMetadata;
 use quickcheck::quickcheck;
 
 const KEY_REMOVAL_TIME: Duration = Duration::from_secs(5);
+const CHANGE_TIME: Duration = Duration::from_secs(2);
 
 fn limits(repeatable: bool, runs: u32) -> AttemptLimits {
     AttemptLimits {
@@ -98,7 +99,7 @@
 
 #[test]
 fn a_lease_ends_before_a_removed_key_must_stop() {
-    let mut lease = Lease::new(KEY_REMOVAL_TIME);
+    let mut lease = Lease::new(KEY_REMOVAL_TIME, CHANGE_TIME);
     let asked = BootTime(1_000);
     lease.record_config(7);
     assert!(!lease.is_valid(asked));
@@ -107,9 +108,23 @@
     assert!(!lease.is_valid(BootTime(6_000)));
 }
 
+#[test]
+fn a_confirmation_is_recent_for_less_time_than_a_change_may_take() {
+    let mut lease = Lease::new(KEY_REMOVAL_TIME, CHANGE_TIME);
+    lease.record_config(7);
+    assert_eq!(lease.config_state(BootTime(1_000)), ConfigState::Expired);
+    lease.confirm(config(7), BootTime(1_000));
+    assert_eq!(lease.config_state(BootTime(2_700)), ConfigState::Confirmed);
+    assert_eq!(
+        lease.config_state(BootTime(3_000)),
+        ConfigState::Unconfirmed
+    );
+    assert_eq!(lease.config_state(BootTime(6_000)), ConfigState::Expired);
+}
+
 #[test]
 fn a_confirmation_of_a_version_counts_once_the_version_has_arrived() {
-    let mut lease = Lease::new(KEY_REMOVAL_TIME);
+    let mut lease = Lease::new(KEY_REMOVAL_TIME, CHANGE_TIME);
     lease.record_config(7);
     lease.confirm(config(8), BootTime(1_000));
     assert!(!lease.is_valid(BootTime(1_100)));
@@ -119,7 +134,7 @@
 
 #[test]
 fn a_confirmation_counts_once_the_state_of_the_fleet_has_arrived() {
-    let mut lease = Lease::new(KEY_REMOVAL_TIME);
+    let mut lease = Lease::new(KEY_REMOVAL_TIME, CHANGE_TIME);
     lease.record_config(7);
     let accepted = Accepted {
         config: 7,
@@ -134,7 +149,7 @@
 
 #[test]
 fn a_suspend_ends_a_lease() {
-    let mut lease = Lease::new(KEY_REMOVAL_TIME);
+    let mut lease = Lease::new(KEY_REMOVAL_TIME, CHANGE_TIME);
     lease.record_config(1);
     lease.confirm(config(1), BootTime(1_000));
     // The boot-time clock includes the eight seconds for which the machine was
@@ -199,14 +214,16 @@
 #[test]
 fn nothing_is_refused_for_good_by_a_catalog_that_may_be_old() {
     let catalog = catalog();
-    let refusal =
-        |key, path, current| admit(Some(&catalog), &metadata(key), path, current, true).err();
-    assert_eq!(refusal("k", "/none/", true), Some(Refusal::NoRoute));
-    assert_eq!(refusal("k", "/none/", false), Some(Refusal::Stale));
-    assert_eq!(refusal("other", "/x/1", true), Some(Refusal::NoTeam));
-    assert_eq!(refusal("other", "/x/1", false), Some(Refusal::Stale));
+    let refusal = |key, path, state| admit(Some(&catalog), &metadata(key), path, state, true).err();
+    let confirmed = ConfigState::Confirmed;
+    assert_eq!(refusal("k", "/none/", confirmed), Some(Refusal::NoRoute));
+    assert_eq!(refusal("other", "/x/1", confirmed), Some(Refusal::NoTeam));
+    for state in [ConfigState::Unconfirmed, ConfigState::Expired] {
+        assert_eq!(refusal("k", "/none/", state), Some(Refusal::Stale));
+        assert_eq!(refusal("other", "/x/1", state), Some(Refusal::Stale));
+    }
     assert_eq!(
-        admit(None, &metadata("k"), "/x/1", true, true).err(),
+        admit(None, &metadata("k"), "/x/1", confirmed, true).err(),
         Some(Refusal::NoConfig)
     );
 }
@@ -214,11 +231,11 @@
 #[test]
 fn keys_fail_closed_and_public_routes_stay_open() {
     let catalog = catalog();
-    let served = |path, current, closed| {
-        admit(Some(&catalog), &metadata("k"), path, current, closed).is_ok()
-    };
-    assert!(served("/x/1", true, true));
-    assert!(!served("/x/1", false, true));
-    assert!(served("/x/1", false, false));
-    assert!(served("/open/1", false, true));
+    let served =
+        |path, state, closed| admit(Some(&catalog), &metadata("k"), path, state, closed).is_ok();
+    assert!(served("/x/1", ConfigState::Confirmed, true));
+    assert!(served("/x/1", ConfigState::Unconfirmed, true));
+    assert!(!served("/x/1", ConfigState::Expired, true));
+    assert!(served("/x/1", ConfigState::Expired, false));
+    assert!(served("/open/1", ConfigState::Expired, true));
 }
