Serve nothing by a configuration that is known to be outdated for too long

What callers could see: a request run by the service that an older version names, or on a route or with a key that a change had removed, later than allowed.

Cause: a router that had heard of a change and still waited for its content went on serving by the version before until the lease ended, 4.75 s, though the change has to take effect within 2 to 3 s.

Change: the lease knows that a newer version is accepted. Once the last confirmation of what the router holds is as old as a change may take, requests wait for the content or are rejected as not ready.

Measured: the new test of the lease fails without the state (Unconfirmed instead of Outdated at 3 s).

--- a/crates/fleet/src/router/admit.rs
+++ b/crates/fleet/src/router/admit.rs
@@ -54,7 +54,7 @@
 ///
 /// Without a recent confirmation, an unknown route or key is refused as
 /// [`Refusal::Stale`], which callers may retry: the route or the key may have been
-/// added since.
+/// added since. With an outdated catalog everything is.
 ///
 /// # Errors
 ///
@@ -69,10 +69,13 @@
     let catalog = catalog.ok_or(Refusal::NoConfig)?;
     let refusal_or_stale = |refusal| match state {
         ConfigState::Confirmed => refusal,
-        ConfigState::Unconfirmed | ConfigState::Expired => Refusal::Stale,
+        ConfigState::Unconfirmed | ConfigState::Outdated | ConfigState::Expired => Refusal::Stale,
     };
     let route = catalog.route(&metadata.host, path);
     let route = route.ok_or_else(|| refusal_or_stale(Refusal::NoRoute))?;
+    if state == ConfigState::Outdated {
+        return Err(Refusal::Stale);
+    }
     match catalog.access(route, metadata.api_key.as_deref()) {
         Access::Open => Ok(Admitted { route, team: None }),
         Access::Denied => Err(refusal_or_stale(Refusal::NoTeam)),
--- a/crates/fleet/src/router/lease.rs
+++ b/crates/fleet/src/router/lease.rs
@@ -10,7 +10,8 @@
 //!
 //! Other changes take effect sooner than the removal of a key. A router whose last
 //! confirmation is older than that goes on serving what it knows, but not having heard of a
-//! route or key no longer means that there is none.
+//! route or key no longer means that there is none. A router that has heard of a change
+//! for which it still waits then serves nothing, since the change may be to any route.
 
 use std::time::Duration;
 
@@ -33,6 +34,8 @@
     Confirmed,
     /// A change may be in force that the router has not heard of.
     Unconfirmed,
+    /// A change that the router has heard of and not received may be in force.
+    Outdated,
     /// The lease is over: keys may have been removed.
     Expired,
 }
@@ -118,14 +121,16 @@
     /// Whether the last confirmation is recent enough to trust the configuration.
     #[must_use]
     pub fn is_valid(&self, now: BootTime) -> bool {
-        self.config_state(now) != ConfigState::Expired
+        self.age(now).is_some_and(|age| age < self.duration)
     }
 
     /// Returns what is known about the router's configuration.
     #[must_use]
     pub fn config_state(&self, now: BootTime) -> ConfigState {
+        let lacks_change = self.held.config < self.accepted_config();
         match self.age(now) {
             Some(age) if age < self.recent_age.min(self.duration) => ConfigState::Confirmed,
+            Some(_) if lacks_change => ConfigState::Outdated,
             Some(age) if age < self.duration => ConfigState::Unconfirmed,
             _ => ConfigState::Expired,
         }
--- a/crates/fleet/tests/router.rs
+++ b/crates/fleet/tests/router.rs
@@ -122,6 +122,24 @@
     assert_eq!(lease.config_state(BootTime(6_000)), ConfigState::Expired);
 }
 
+/// Guards against requests that run by a configuration which the router knows to be outdated.
+#[test]
+fn a_router_is_outdated_while_it_waits_for_a_change_for_too_long() {
+    let mut lease = Lease::new(KEY_REMOVAL_TIME, CHANGE_TIME);
+    lease.record_config(7);
+    lease.confirm(config(7), BootTime(1_000));
+    lease.confirm(config(8), BootTime(1_500));
+    assert_eq!(lease.config_state(BootTime(2_700)), ConfigState::Confirmed);
+    assert_eq!(lease.config_state(BootTime(3_000)), ConfigState::Outdated);
+    assert_eq!(lease.config_state(BootTime(9_000)), ConfigState::Outdated);
+    lease.record_config(8);
+    assert_eq!(lease.config_state(BootTime(3_000)), ConfigState::Confirmed);
+    assert_eq!(
+        lease.config_state(BootTime(4_000)),
+        ConfigState::Unconfirmed
+    );
+}
+
 #[test]
 fn a_confirmation_of_a_version_counts_once_the_version_has_arrived() {
     let mut lease = Lease::new(KEY_REMOVAL_TIME, CHANGE_TIME);
@@ -218,7 +236,11 @@
     let confirmed = ConfigState::Confirmed;
     assert_eq!(refusal("k", "/none/", confirmed), Some(Refusal::NoRoute));
     assert_eq!(refusal("other", "/x/1", confirmed), Some(Refusal::NoTeam));
-    for state in [ConfigState::Unconfirmed, ConfigState::Expired] {
+    for state in [
+        ConfigState::Unconfirmed,
+        ConfigState::Outdated,
+        ConfigState::Expired,
+    ] {
         assert_eq!(refusal("k", "/none/", state), Some(Refusal::Stale));
         assert_eq!(refusal("other", "/x/1", state), Some(Refusal::Stale));
     }
@@ -238,4 +260,7 @@
     assert!(!served("/x/1", ConfigState::Expired, true));
     assert!(served("/x/1", ConfigState::Expired, false));
     assert!(served("/open/1", ConfigState::Expired, true));
+    for path in ["/x/1", "/open/1"] {
+        assert!(!served(path, ConfigState::Outdated, false));
+    }
 }
