Ask the serving control instance for a missed change before the leader

What callers saw: leases that ran out, and changes in force up to 3.3 s late, on a deployment of 72 routers after a change of 36 kB on the link.

Cause: a router hears of a change from the leader and requested it there, while the instance that serves it had not sent it yet.

Change: the serving instance is asked first. If it has no newer version, it gets 500 ms to catch up; then the one that stated the version is asked.

--- a/crates/fleet/src/router/config_requests.rs
+++ b/crates/fleet/src/router/config_requests.rs
@@ -1,10 +1,14 @@
 //! Which peer a router asks for a newer configuration.
 //!
-//! Relays come first, so that control instances need not serve every router. A peer can be
-//! linked and behind: a relay or control instance that is cut off from the leader answers
-//! that it has no newer version, and the next peer is asked at once. A router without a
-//! configuration waits for such a peer instead, because after a restart of the whole fleet
-//! all peers get the configuration at about the same time.
+//! Relays come first, so that control instances need not serve every router, then the control
+//! instance that serves this router. All routers hear of a change from the leader, which could
+//! not send a large one to all of them.
+//!
+//! A peer can be linked and behind, and answers that it has no newer version. Usually it gets
+//! the version within some hundred milliseconds, so the router waits for a limited time; a
+//! router without a configuration waits longer, because after a restart of the whole fleet
+//! all peers get the configuration at about the same time. Then the next peer is asked, such
+//! as the one that stated the version: the first one may be cut off from the leader.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -21,6 +25,8 @@
 /// configuration, before it asks a control instance. After a restart of the whole fleet,
 /// control instances could not send the configuration to every router.
 const START_WAIT: Duration = Duration::from_millis(1_200);
+/// Time for which a router that holds a configuration waits for a peer without a newer one.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(500);
 
 /// A relay or a control instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,7 +44,7 @@
 pub struct Peers {
     /// Relays of the data centre, linked or not; none for a relay.
     pub relays: Vec<Peer>,
-    /// Control instances.
+    /// Control instances; the first one that is linked serves this router.
     pub controls: Vec<Peer>,
 }
 
@@ -109,10 +115,11 @@
         }
         let behind_since = *self.behind_since.get_or_insert(now);
         let starts = held == 0 && now < behind_since + START_WAIT;
+        let waits = starts || (held > 0 && now < behind_since + CATCH_UP_WAIT);
         let all = || peers.relays.iter().chain(&peers.controls);
         if let Some(request) = self.asked
             && let Some(peer) = all().find(|peer| peer.address == request.address)
-            && self.may_answer(peer, request.asked_at, starts, now)
+            && self.may_answer(peer, request.asked_at, waits, now)
         {
             return None;
         }
@@ -124,11 +131,14 @@
         if relay.is_none() && starts && !peers.relays.is_empty() {
             return None;
         }
+        let serving = peers.controls.iter().find(|peer| peer.up);
+        let serving = serving.filter(is_candidate);
         let mut controls = peers.controls.iter().filter(is_candidate);
         // The instance that stated the version has it, but could not send a whole
         // configuration to all routers of a fleet that starts.
         let stated_by = |peer: &&Peer| held > 0 && Some(peer.address) == self.known_at;
-        let control = controls.clone().find(stated_by).or_else(|| controls.next());
+        let stating = controls.clone().find(stated_by);
+        let control = serving.or(stating).or_else(|| controls.next());
         let address = relay.or(control)?.address;
         self.asked = Some(Request {
             address,
@@ -139,8 +149,8 @@
     }
 
     /// Whether a peer that was asked may still answer.
-    fn may_answer(&self, peer: &Peer, asked_at: Instant, starts: bool, now: Instant) -> bool {
-        if self.lacking.contains(&peer.address) && !starts {
+    fn may_answer(&self, peer: &Peer, asked_at: Instant, waits: bool, now: Instant) -> bool {
+        if self.lacking.contains(&peer.address) && !waits {
             return false;
         }
         let active_at = peer.heard_at.map_or(asked_at, |at| at.max(asked_at));
