Put nothing of another answer into a stream that has begun

Cause: a whole answer that is no server error was delivered without asking whether the answer to the caller had begun, as it has when a stream is resumed.

Change: such an answer counts as a failed attempt; another target may go on, otherwise the stream is broken off. A responder writes no second head, whatever calls it.

--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -274,7 +274,7 @@
                         .answer_failure(ResultCode::DeadlineExceeded, responder)
                         .await;
                 }
-                AttemptEnd::Whole(answer) if !answer.is_failure() => {
+                AttemptEnd::Whole(answer) if !answer.is_failure() && !self.progress.has_begun() => {
                     self.record_failed_answer();
                     if answer.is_success() {
                         self.record_answer();
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -286,8 +286,9 @@
     ///
     /// # Errors
     ///
-    /// Returns the error of the socket.
+    /// Returns the error of the socket, and an error if a response has begun.
     pub async fn write_response(&mut self, head: &ResponseHead, body: &[u8]) -> io::Result<()> {
+        self.check_not_begun()?;
         let mut out = head.to_bytes();
         self.write_connection(&mut out);
         if !matches!(head.status, 204 | 304) {
@@ -309,8 +310,9 @@
     ///
     /// # Errors
     ///
-    /// Returns the error of the socket.
+    /// Returns the error of the socket, and an error if a response has begun.
     pub async fn write_head(&mut self, head: &ResponseHead, framing: Framing) -> io::Result<()> {
+        self.check_not_begun()?;
         let framing = match framing {
             Framing::Length(_) => framing,
             _ if self.supports_chunks => Framing::Chunked,
@@ -361,6 +363,16 @@
         Ok(())
     }
 
+    /// A second head would be taken for a part of the first response.
+    fn check_not_begun(&self) -> io::Result<()> {
+        match self.progress {
+            ResponseProgress::Nothing => Ok(()),
+            ResponseProgress::Part(_) | ResponseProgress::Whole => Err(io::Error::other(
+                "a response has begun on the connection; no other one is written",
+            )),
+        }
+    }
+
     fn write_connection(&self, out: &mut Vec<u8>) {
         if !self.keep_alive {
             write_field(out, "Connection", "close");
