Do not end a stream where its continuation is closed without an event

What callers saw: a stream that ended as complete before its last event (ORDER).

Cause: a stream without length and chunks that ends with its connection before any event counts as broken off, but only if nothing had been sent to the caller. When the target that went on closed the connection, the caller got the last chunk.

Change: what counts is whether this target has sent an event.

Measured: the test with real processes failed (three of five events and the last chunk) and passes.

--- a/crates/fleet/src/router/event_stream.rs
+++ b/crates/fleet/src/router/event_stream.rs
@@ -230,8 +230,9 @@
 
     async fn finish(&mut self) -> StreamEnd {
         let has_ended_inside_event = self.splitter.has_partial();
-        // Such a stream ends like one whose target fails, so one without events is no answer.
-        let is_empty = !self.job.progress.head_sent && self.source.connection.ended_by_close();
+        // Such a stream ends like one whose target fails, so one without events is no answer
+        // and no end of one that has begun.
+        let is_empty = self.first_event_at.is_none() && self.source.connection.ended_by_close();
         if has_ended_inside_event || is_empty {
             return StreamEnd::BrokenOff;
         }
