Ask another control instance when the serving one takes a second

Cause: routers choose the instance that serves them by a hash, so one of six instances served 19 of 72 routers and took 3.5 s for them, while the others had sent the change to theirs after 1.8 s. A router asked another one after 3 s.

Change: a router that holds a configuration asks another instance after a second, the leader last. Once it holds the newest version, it asks the slow one for nothing newer, in a frame that earlier versions know, and the slow one drops what it had queued.

--- a/crates/fleet/src/outbox.rs
+++ b/crates/fleet/src/outbox.rs
@@ -92,13 +92,15 @@
     }
 
     /// Queues the change from the version that a router holds, now or once there is one.
-    /// Returns whether there is one now.
+    /// Returns whether there is one now; without one, what was queued before is dropped.
     #[must_use]
     pub fn request_config(&mut self, link: LinkId, held_version: DocumentVersion) -> bool {
         let has_newer = held_version < self.configs.version();
         if has_newer {
             self.queue(link, BulkKind::Config, held_version);
         } else {
+            self.bulk
+                .retain(|item| item.link != link || item.kind != BulkKind::Config);
             self.config_waiters.insert(link, held_version);
         }
         has_newer
--- a/crates/fleet/src/router/config_requests.rs
+++ b/crates/fleet/src/router/config_requests.rs
@@ -18,9 +18,12 @@
 
 /// Another peer is asked when the asked one has sent nothing for this time.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
-/// Another peer is asked after this time in any case. Relays send a whole configuration to
-/// one router after the other.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+/// Another peer is asked after this time in any case by a router without a configuration.
+/// Relays send a whole configuration to one router after the other.
+const START_TIMEOUT: Duration = Duration::from_secs(3);
+/// Another peer is asked after this time in any case for a change. Some instances serve more
+/// routers than others, which have sent the change to theirs by then.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which a router waits for a link to a relay, or for a peer without a newer
 /// configuration, before it asks a control instance. After a restart of the whole fleet,
 /// control instances could not send the configuration to every router.
@@ -69,6 +72,8 @@
     asked: Option<Request>,
     /// Peers that had no newer version.
     lacking: BTreeSet<SocketAddr>,
+    /// Peers that were asked and have not answered, besides the one asked last.
+    slow: BTreeSet<SocketAddr>,
 }
 
 impl ConfigRequests {
@@ -86,6 +91,16 @@
         self.lacking.insert(address);
     }
 
+    /// Returns the peers that need not answer any more, once the router holds the newest
+    /// version that it knows of.
+    pub fn take_unneeded(&mut self, held: DocumentVersion) -> BTreeSet<SocketAddr> {
+        if self.known_version <= held {
+            std::mem::take(&mut self.slow)
+        } else {
+            BTreeSet::new()
+        }
+    }
+
     /// Allows to ask peers again that had no newer version; called now and then.
     pub fn forget_lacking(&mut self) {
         self.lacking.clear();
@@ -119,11 +134,13 @@
         let all = || peers.relays.iter().chain(&peers.controls);
         if let Some(request) = self.asked
             && let Some(peer) = all().find(|peer| peer.address == request.address)
-            && self.may_answer(peer, request.asked_at, waits, now)
+            && self.may_answer(peer, request.asked_at, held, waits, now)
         {
             return None;
         }
         let asked = self.asked.take().map(|request| request.address);
+        let slow = asked.filter(|address| !self.lacking.contains(address));
+        self.slow.extend(slow);
         let is_candidate = |peer: &&Peer| {
             peer.up && Some(peer.address) != asked && !self.lacking.contains(&peer.address)
         };
@@ -133,13 +150,19 @@
         }
         let serving = peers.controls.iter().find(|peer| peer.up);
         let serving = serving.filter(is_candidate);
-        let mut controls = peers.controls.iter().filter(is_candidate);
-        // The instance that stated the version has it, but could not send a whole
-        // configuration to all routers of a fleet that starts.
-        let stated_by = |peer: &&Peer| held > 0 && Some(peer.address) == self.known_at;
-        let stating = controls.clone().find(stated_by);
-        let control = serving.or(stating).or_else(|| controls.next());
-        let address = relay.or(control)?.address;
+        let controls = peers.controls.iter().filter(is_candidate);
+        // The instance that stated the version has it, but could not send it to all routers
+        // whose own instance is slow, or to all of a fleet that starts.
+        let states = |peer: &&Peer| Some(peer.address) == self.known_at;
+        let stating = controls.clone().find(states);
+        let other = controls.clone().find(|peer| !states(peer));
+        let next = if held == 0 || slow.is_some() {
+            other.or(stating)
+        } else {
+            stating.or(other)
+        };
+        let address = relay.or(serving).or(next)?.address;
+        self.slow.remove(&address);
         self.asked = Some(Request {
             address,
             asked_at: now,
@@ -149,11 +172,23 @@
     }
 
     /// Whether a peer that was asked may still answer.
-    fn may_answer(&self, peer: &Peer, asked_at: Instant, waits: bool, now: Instant) -> bool {
+    fn may_answer(
+        &self,
+        peer: &Peer,
+        asked_at: Instant,
+        held: DocumentVersion,
+        waits: bool,
+        now: Instant,
+    ) -> bool {
         if self.lacking.contains(&peer.address) && !waits {
             return false;
         }
         let active_at = peer.heard_at.map_or(asked_at, |at| at.max(asked_at));
-        peer.up && now < active_at + SILENCE_TIMEOUT && now < asked_at + REQUEST_TIMEOUT
+        let timeout = if held == 0 {
+            START_TIMEOUT
+        } else {
+            CHANGE_TIMEOUT
+        };
+        peer.up && now < active_at + SILENCE_TIMEOUT && now < asked_at + timeout
     }
 }
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -196,6 +196,7 @@
                 }
                 _ = updates.tick() => {
                     self.router.apply_pending_targets();
+                    self.request_config_if_behind();
                     self.request_state_if_due();
                     self.send_cached_prefixes();
                     self.report_begun_streams();
--- a/crates/fleet/src/router/follow/config.rs
+++ b/crates/fleet/src/router/follow/config.rs
@@ -57,6 +57,12 @@
     /// is in progress.
     pub(super) fn request_config_if_behind(&mut self) {
         let held = self.outbox.configs().version();
+        for address in self.config_requests.take_unneeded(held) {
+            if let Some(followed) = self.followed_link(address) {
+                // The peer that gets no request for a newer version sends what was asked for.
+                let _sent = followed.link.send(Frame::RequestConfig(held));
+            }
+        }
         if self.config_requests.known_version() <= held {
             return;
         }
@@ -69,13 +75,18 @@
         };
         let version = self.config_requests.known_version();
         info!(%address, version, held, "requesting a newer configuration");
-        let relay = self.relays.get(&address);
-        if let Some(followed) = relay.or_else(|| self.controls.get(&address)) {
+        if let Some(followed) = self.followed_link(address) {
             // A lost request is repeated after a time-out.
             let _sent = followed.link.send(Frame::RequestConfig(held));
         }
     }
 
+    /// Returns the link to a relay or control instance.
+    fn followed_link(&self, address: SocketAddr) -> Option<&FollowedLink> {
+        let relay = self.relays.get(&address);
+        relay.or_else(|| self.controls.get(&address))
+    }
+
     /// Returns the peers of these links, the preferred one first.
     fn peers(&self, links: &BTreeMap<SocketAddr, FollowedLink>) -> Vec<Peer> {
         let peer = |(&address, followed): (&SocketAddr, &FollowedLink)| Peer {
--- a/crates/fleet/tests/config_requests.rs
+++ b/crates/fleet/tests/config_requests.rs
@@ -85,6 +85,26 @@
     assert_eq!(asked, Some(address(1)));
 }
 
+/// Guards against a router that waits for seconds because the instance that serves it serves
+/// many others, while the other instances have sent the change to theirs.
+#[test]
+fn a_router_asks_another_instance_than_the_leader_after_a_second() {
+    let start = Instant::now();
+    let mut requests = behind();
+    assert_eq!(
+        requests.next_peer(7, &controls(start), start),
+        Some(address(1))
+    );
+    let early = start + Duration::from_millis(900);
+    assert_eq!(requests.next_peer(7, &controls(early), early), None);
+    let now = start + Duration::from_secs(1);
+    assert_eq!(requests.next_peer(7, &controls(now), now), Some(address(2)));
+    assert!(requests.take_unneeded(7).is_empty());
+    // The change has arrived, so the first one need not send it any more.
+    assert_eq!(requests.take_unneeded(8), [address(1)].into());
+    assert!(requests.take_unneeded(8).is_empty());
+}
+
 /// The answer to the last request arrived, and the next version is missed as well.
 #[test]
 fn the_next_version_is_requested_at_once() {
--- a/crates/fleet/tests/outbox.rs
+++ b/crates/fleet/tests/outbox.rs
@@ -97,3 +97,12 @@
         .collect();
     assert_eq!(links, [1, 2, 2, 2, 2]);
 }
+
+#[test]
+fn a_router_that_got_the_change_elsewhere_is_sent_nothing() {
+    let now = Instant::now();
+    let mut outbox = outbox(now);
+    assert_eq!(outbox.publish(document(2, 3_000), None, &[1, 2]), None);
+    assert!(!outbox.request_config(1, 2));
+    assert_eq!(take_configs(&mut outbox, now), [(2, 2)]);
+}
