Take an answer without an id on a kept connection for no answer to the request

What callers saw: 503 "not run" for a request that ran, where a target wrote the refusal before it once more without an id (REFUSED); in the fuzz a whole answer to another request (MIXED).

Cause: only an answer with another id was told from that of the request. Targets repeat the id; without one only the first answer on a connection is known to belong to the request.

Change: such an answer is skipped on a kept connection, as one with another id is, and the own answer is read. In the node's interface the call fails, is sent again over a new connection if it may be, and a connection with bytes behind its answer is not kept.

--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -170,7 +170,8 @@
         let first_result_by = self.first_result_deadline();
         let exchange = async {
             let head = connection.exchange(&bytes, &method, &mut written).await?;
-            self.skip_late_answers(&mut connection, head, &method).await
+            self.skip_late_answers(&mut connection, head, &method, reused)
+                .await
         };
         let (router, service) = (self.job.router, &self.job.service.name);
         let exchange = await_answer(router, service, &self.active.choice, exchange);
@@ -240,15 +241,17 @@
         self.sent_at + objective.mul_f64(FIRST_RESULT_TIMEOUT_FACTOR)
     }
 
-    /// Skips late answers to earlier requests on the connection, and returns the
-    /// first answer to this request.
+    /// Skips late answers to earlier requests on the connection, which may be `reused`, and
+    /// returns the first answer to this request.
     async fn skip_late_answers(
         &self,
         connection: &mut ClientConnection,
         mut head: ResponseHead,
         method: &str,
+        reused: bool,
     ) -> Result<(ResponseHead, ResponseVerdict), ClientError> {
-        let mut verdict = classify_response(&head, &self.job.metadata.id);
+        let id = &self.job.metadata.id;
+        let mut verdict = classify_response(&head, id, !reused);
         for _ in 0..MAX_LATE_ANSWERS {
             if verdict != ResponseVerdict::RequestIdMismatch {
                 break;
@@ -257,7 +260,7 @@
                 return Err(ClientError::InvalidResponse);
             }
             head = connection.next_head(method).await?;
-            verdict = classify_response(&head, &self.job.metadata.id);
+            verdict = classify_response(&head, id, false);
         }
         Ok((head, verdict))
     }
--- a/crates/node/tests/outcomes.rs
+++ b/crates/node/tests/outcomes.rs
@@ -174,6 +174,20 @@
     assert_eq!((records.runs(), records.connections()), (4, 3));
 }
 
+/// Guards against an answer that is not the caller's own: a target wrote one without an id on a
+/// kept connection before that of the request.
+#[test]
+fn an_answer_without_an_id_on_a_kept_connection_is_not_taken_for_the_next_request() {
+    let node = node();
+    let records = node.add_records(&[TargetAction::Answer, TargetAction::AnswerBefore]);
+    for run in 1..=2 {
+        let answer = node.caller().get(&format!("/services/records/{run}"));
+        answer.assert_outcome("answered", Code::Ok);
+    }
+    // The second one is sent again over a new connection.
+    assert_eq!((records.runs(), records.connections()), (3, 2));
+}
+
 /// Guards against counting a pooled connection that stopped answering as a failure of
 /// the target.
 #[test]
--- a/crates/node/tests/support/target.rs
+++ b/crates/node/tests/support/target.rs
@@ -52,6 +52,8 @@
     SkipEvent,
     /// Sends a complete answer without `x-request-id`.
     NoRequestId,
+    /// Sends a complete answer without `x-request-id` before the own one.
+    AnswerBefore,
     /// Answers a resume with status 410.
     Gone,
     /// Streams events until the connection breaks.
@@ -282,6 +284,10 @@
             let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
             write(stream, &(head + &body));
         }
+        TargetAction::AnswerBefore => {
+            perform(stream, request, TargetAction::NoRequestId, shared);
+            return perform(stream, request, TargetAction::Answer, shared);
+        }
         TargetAction::Gone => write_answer(stream, request, 410, "{}"),
         TargetAction::NoEndEvent => {
             write_events(stream, request, EVENT_COUNT - 1, false);
--- a/crates/upstream/src/answer.rs
+++ b/crates/upstream/src/answer.rs
@@ -85,15 +85,16 @@
             state.allow_reuse();
             Ok(())
         }
-        // Without the id, a late response on a reused connection would look like the
-        // response to the current call, so the connection is closed after use.
-        (None, RequestIdEcho::Optional) => Ok(()),
+        // On a reused connection it can be an earlier response that the target sent again, so
+        // the connection is closed after use.
+        (None, RequestIdEcho::Optional) if !state.is_reused() => Ok(()),
         (Some(false), _) => {
             let detail = "the response has the x-request-id of another request".to_owned();
             Err(state.failure(FailureKind::WrongAnswer, detail))
         }
-        (None, RequestIdEcho::Required) => {
-            let detail = "the response has no x-request-id header".to_owned();
+        (None, _) => {
+            let detail =
+                "the response has no x-request-id header that shows its request".to_owned();
             Err(state.failure(FailureKind::WrongAnswer, detail))
         }
     }
--- a/crates/upstream/src/call.rs
+++ b/crates/upstream/src/call.rs
@@ -8,7 +8,8 @@
 pub enum RequestIdEcho {
     /// A response without the header is a failure.
     Required,
-    /// A response without the header is accepted, and its connection is not reused.
+    /// A response without the header is accepted as the first one on its connection, which is
+    /// not reused.
     Optional,
 }
 
--- a/crates/upstream/src/state.rs
+++ b/crates/upstream/src/state.rs
@@ -59,6 +59,11 @@
         self.cancel.attach(socket);
     }
 
+    /// Whether the connection had carried an earlier call.
+    pub fn is_reused(&self) -> bool {
+        self.reused.load(Ordering::Relaxed)
+    }
+
     pub fn record_head(&self) {
         self.head_received.store(true, Ordering::Relaxed);
     }
--- a/crates/upstream/src/transport.rs
+++ b/crates/upstream/src/transport.rs
@@ -150,7 +150,8 @@
 
     fn is_open(&mut self) -> bool {
         let reusable = self.call.as_ref().is_none_or(|call| call.is_reusable());
-        reusable && is_open_and_idle(&self.stream).unwrap_or(false)
+        let has_no_rest = self.buffers.input().is_empty();
+        reusable && has_no_rest && is_open_and_idle(&self.stream).unwrap_or(false)
     }
 }
 
