Let the fuzz of answers use more targets than a router avoids at a time

Cause: with two targets a service, most requests came while both were avoided after a rejection, and were rejected without reaching one.

Change: eight targets a service. The check that more than half of the requests are answered stays.

--- a/crates/node/tests/deployment/answers.rs
+++ b/crates/node/tests/deployment/answers.rs
@@ -20,6 +20,9 @@
 /// Time until a target has read what was sent before, and less than a router waits.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Fuzzed targets of a service; a router avoids those that have just rejected or failed.
+const TARGETS: u32 = 8;
+
 type Serve = fn(&mut RawConnection) -> Option<()>;
 
 /// Starts a deployment with these targets of a service.
@@ -346,8 +349,8 @@
     deployment.configure("k1");
     let runs = Runs::default();
     let connections = Arc::new(Mutex::new(Choices(seed)));
-    for (service, count) in [("s", 2), ("lossy", 2), ("engine", 2)] {
-        for index in 0..count {
+    for service in ["s", "lossy", "engine"] {
+        for index in 0..TARGETS {
             let (runs, connections) = (Arc::clone(&runs), Arc::clone(&connections));
             let address = raw_target::start(deployment.host(20), move |connection| {
                 let seed = connections.lock().ok()?.below(1 << 30);
