Send the rest of a request after a late answer to an earlier one

What callers saw: no answer to a request with a long body whose connection first brought a late answer, and UNASKED or MIXED after it: the connection was kept, and the target could take the next request for the rest of the body.

Cause: the exchange stopped writing at the first head, whichever request it belonged to, and the next head marked the connection as fit for another request.

Change: the connection holds the request and writes on while it reads the next head; it is fit for another one only once all of it was written.

--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -166,10 +166,9 @@
             .record_connection(reused);
         let bytes = self.request_bytes();
         let method = self.job.request.head.method.clone();
-        let mut written = 0;
         let first_result_by = self.first_result_deadline();
         let exchange = async {
-            let head = connection.exchange(&bytes, &method, &mut written).await?;
+            let head = connection.exchange(bytes, &method).await?;
             self.skip_late_answers(&mut connection, head, &method, reused)
                 .await
         };
@@ -177,7 +176,10 @@
         let exchange = await_answer(router, service, &self.active.choice, exchange);
         let (head, verdict) = match wait_or_abandon(self.job, first_result_by, exchange).await {
             WaitResult::Done(Ok(matched)) => matched,
-            WaitResult::Done(Err(error)) => return self.connection_failed(&error, written, reused),
+            WaitResult::Done(Err(error)) => {
+                let written_bytes = connection.written_bytes();
+                return self.connection_failed(&error, written_bytes, reused);
+            }
             WaitResult::Abandoned => return self.fail_with(AttemptEnd::Left),
             WaitResult::Deadline => return self.fail_with(AttemptEnd::Deadline),
         };
@@ -457,14 +459,16 @@
     fn connection_failed(
         mut self,
         error: &ClientError,
-        written: usize,
+        written_bytes: usize,
         reused: bool,
     ) -> AttemptEnd {
         let ended = error.is_connection_end();
         if reused && ended {
             let mut pool = self.job.router.pool.borrow_mut();
             pool.close_all(self.active.choice.address);
-            return AttemptEnd::KeptConnectionEnded { sent: written > 0 };
+            return AttemptEnd::KeptConnectionEnded {
+                sent: written_bytes > 0,
+            };
         }
         let timed_out = reused && matches!(error, ClientError::Io(_));
         self.active.set_outcome(if timed_out {
@@ -472,7 +476,7 @@
         } else {
             Outcome::Failed
         });
-        if written == 0 {
+        if written_bytes == 0 {
             AttemptEnd::NotSent
         } else if ended {
             AttemptEnd::BrokenOff {
--- a/crates/fleet/src/router/pool.rs
+++ b/crates/fleet/src/router/pool.rs
@@ -46,7 +46,7 @@
     ) {
         let idle = idle_time(fields);
         if connection.can_keep_alive() && !idle.is_zero() {
-            connection.set_idle_deadline(now + idle);
+            connection.set_idle(now + idle);
             self.idle.entry(address).or_default().push(connection);
         }
     }
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -75,6 +75,9 @@
     stream: TcpStream,
     buffer: BytesMut,
     body: BodyDecoder,
+    /// The last request, and how much of it was sent.
+    request: Vec<u8>,
+    written_bytes: usize,
     /// Whether the last exchange left the connection open for another request.
     keep_alive: bool,
     /// When the target is expected to close the idle connection.
@@ -104,6 +107,8 @@
             stream,
             buffer: BytesMut::new(),
             body: BodyDecoder::new(crate::body::Framing::Length(0)),
+            request: Vec::new(),
+            written_bytes: 0,
             keep_alive: false,
             idle_deadline: Instant::now(),
         })
@@ -125,8 +130,7 @@
         quiet && self.buffer.is_empty() && now < self.idle_deadline
     }
 
-    /// Sends a request and reads the head of its response. `written` counts the
-    /// bytes handed to the kernel, also when the future fails or is dropped.
+    /// Sends a request and reads the head of a response.
     ///
     /// A target can respond before it has read the whole request; the connection is
     /// then not reusable.
@@ -137,14 +141,31 @@
     /// HTTP/1 response.
     pub async fn exchange(
         &mut self,
-        request: &[u8],
+        request: Vec<u8>,
         method: &str,
-        written: &mut usize,
     ) -> Result<ResponseHead, ClientError> {
-        let Self { stream, buffer, .. } = self;
+        self.request = request;
+        self.written_bytes = 0;
+        self.next_head(method).await
+    }
+
+    /// Reads the head of the next response, after one that belonged to an earlier request, and
+    /// sends what is left of the request meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`ClientConnection::exchange`] does.
+    pub async fn next_head(&mut self, method: &str) -> Result<ResponseHead, ClientError> {
+        let Self {
+            stream,
+            buffer,
+            request,
+            written_bytes,
+            ..
+        } = self;
         let mut sent = Ok(());
         let head = {
-            let write = write_all(stream, request, written);
+            let write = write_all(stream, request, written_bytes);
             tokio::pin!(write);
             let mut writing = true;
             loop {
@@ -162,35 +183,20 @@
             Err(sent) => ClientError::Io(sent),
             Ok(()) => error,
         })?;
-        if *written < request.len() {
+        self.body = BodyDecoder::new(head.framing(method)?);
+        let is_sent = self.written_bytes == self.request.len();
+        if !is_sent {
             self.idle_deadline = Instant::now();
-            self.keep_alive = false;
         }
-        self.start_body(&head, method, *written == request.len())?;
+        self.keep_alive = is_sent && head.keeps_alive();
         Ok(head)
     }
 
-    /// Reads the head of the next response, after one that belonged to an earlier
-    /// request.
-    ///
-    /// # Errors
-    ///
-    /// Fails as [`ClientConnection::exchange`] does.
-    pub async fn next_head(&mut self, method: &str) -> Result<ResponseHead, ClientError> {
-        let head = read_head(&self.stream, &mut self.buffer).await?;
-        self.start_body(&head, method, true)?;
-        Ok(head)
-    }
-
-    fn start_body(
-        &mut self,
-        head: &ResponseHead,
-        method: &str,
-        request_sent: bool,
-    ) -> Result<(), ClientError> {
-        self.body = BodyDecoder::new(head.framing(method)?);
-        self.keep_alive = request_sent && head.keeps_alive();
-        Ok(())
+    /// Bytes of the last request that were handed to the kernel, also when its exchange failed
+    /// or was dropped.
+    #[must_use]
+    pub const fn written_bytes(&self) -> usize {
+        self.written_bytes
     }
 
     /// Reads the next bytes of the body; `None` when the body is complete.
@@ -244,8 +250,11 @@
         self.keep_alive && self.body.is_done() && self.buffer.is_empty()
     }
 
-    /// Sets when the connection stops being usable if no request is sent on it.
-    pub fn set_idle_deadline(&mut self, idle_deadline: Instant) {
+    /// Frees the last request, and sets when the connection stops being usable if no other is
+    /// sent on it.
+    pub fn set_idle(&mut self, idle_deadline: Instant) {
+        self.request = Vec::new();
+        self.written_bytes = 0;
         self.idle_deadline = idle_deadline;
     }
 }
--- a/crates/http1/tests/client.rs
+++ b/crates/http1/tests/client.rs
@@ -45,11 +45,14 @@
         let connected = ClientConnection::connect(address, CONNECT_TIMEOUT, PEER_TIMEOUT).await;
         let mut connection = connected.expect("a connection");
         let request = vec![b'x'; BODY_BYTES];
-        let mut written = 0;
-        let late = connection.exchange(&request, "POST", &mut written).await;
+        let late = connection.exchange(request, "POST").await;
         assert_eq!(late.expect("the late answer").status, 200);
         assert!(connection.skip_body(BODY_BYTES).await.expect("its body"));
-        assert!(written < BODY_BYTES, "the connection buffers too much");
+        let written_bytes = connection.written_bytes();
+        assert!(
+            written_bytes < BODY_BYTES,
+            "the connection buffers too much"
+        );
         connection.next_head("POST").await.expect("the answer");
         let body = connection.next_chunk().await.expect("its body");
         assert_eq!(body.as_deref(), Some(&b"own"[..]));
