Refuse unknown keys, models and pools for good only in contact with the leader

What callers saw (own interface): 401 and 404 from a node that was cut off from the control group and could not have heard of a key or pool.

Not having heard of something was taken for knowing that there is none.

Change: refusals that depend on the settings say so; a node without contact to the leader answers not ready (503 with Retry-After) instead.

Measured: the test with real processes failed (401, 404) and passes.

--- a/crates/node/src/operators/mod.rs
+++ b/crates/node/src/operators/mod.rs
@@ -96,6 +96,13 @@
     parts.is_some_and(|parts| are_settings_complete(node, &parts))
 }
 
+/// Returns whether the node has contact to the leader of the control group, so that its
+/// settings are current. False when the main loop does not answer.
+pub fn has_current_settings(node: &Node) -> bool {
+    let parts = node.mailbox.request(MainLoopMessage::Status);
+    parts.is_some_and(|parts| parts.control.has_leader)
+}
+
 /// Returns whether the first settings are complete: a development node creates
 /// its own in several changes.
 fn are_settings_complete(node: &Node, parts: &StatusParts) -> bool {
--- a/crates/node/src/request/authenticate.rs
+++ b/crates/node/src/request/authenticate.rs
@@ -16,6 +16,8 @@
 
 /// `Retry-After` for requests that arrive before the settings have been received.
 const STARTING_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// `Retry-After` for requests that settings may allow which a cut-off instance has missed.
+const CUT_OFF_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The team that sent a request, with the settings in force at that time.
 #[derive(Clone, Debug)]
@@ -60,7 +62,10 @@
                 STARTING_RETRY_AFTER,
             ))
         }
-        Some(None) => unauthenticated("no team has this key; check the key"),
+        Some(None) => Err(RequestError::by_settings(
+            ResultCode::Unauthenticated,
+            "no team has this key; check the key",
+        )),
         None => Err(RequestError::no_main_loop()),
     }
 }
@@ -87,5 +92,16 @@
         return Ok(());
     }
     let message = format!("the team may not use {offer}; ask the operators for access");
-    Err(RequestError::new(ResultCode::Forbidden, message))
+    Err(RequestError::by_settings(ResultCode::Forbidden, message))
+}
+
+/// Returns the error for a request that is refused. An instance without contact to the leader
+/// of the control group may have missed settings that allow the request.
+pub fn final_refusal(node: &Node, error: RequestError) -> RequestError {
+    if !error.depends_on_settings || operators::has_current_settings(node) {
+        return error;
+    }
+    let message = "the instance is cut off from the control group and may have missed settings; \
+                   send the request to another one";
+    RequestError::with_retry_after(ResultCode::NotReady, message, CUT_OFF_RETRY_AFTER)
 }
--- a/crates/node/src/request/chat.rs
+++ b/crates/node/src/request/chat.rs
@@ -52,7 +52,7 @@
         .map_err(|error| RequestError::new(ResultCode::UnknownModel, format!("{error}")))?;
     let Some(model) = identity.fleet.models.get(&offer.model) else {
         let message = format!("model {:?} is not served; check the name", offer.model);
-        return Err(RequestError::new(ResultCode::UnknownModel, message));
+        return Err(RequestError::by_settings(ResultCode::UnknownModel, message));
     };
     let pool = identity.fleet.pools.get(&model.pool);
     let rules = pool.map(|pool| pool.not_repeatable.as_slice());
--- a/crates/node/src/request/error.rs
+++ b/crates/node/src/request/error.rs
@@ -13,6 +13,8 @@
     pub message: String,
     /// Pause asked of the caller; `None` if a retry does not help.
     pub retry_after: Option<Duration>,
+    /// Whether newer settings than those of this instance may allow the request.
+    pub depends_on_settings: bool,
 }
 
 impl RequestError {
@@ -23,6 +25,16 @@
             code,
             message: message.into(),
             retry_after: None,
+            depends_on_settings: false,
+        }
+    }
+
+    /// Creates an error that the same request would get again under the same settings.
+    #[must_use]
+    pub fn by_settings(code: ResultCode, message: impl Into<String>) -> Self {
+        Self {
+            depends_on_settings: true,
+            ..Self::new(code, message)
         }
     }
 
@@ -33,6 +45,7 @@
             code,
             message: message.into(),
             retry_after: Some(after),
+            depends_on_settings: false,
         }
     }
 
--- a/crates/node/src/request/mod.rs
+++ b/crates/node/src/request/mod.rs
@@ -37,7 +37,10 @@
     let responder = incoming.into_responder();
     let ending = match prepared {
         Ok((request, identity)) => serve(node, &request, &identity, &caller, responder),
-        Err(error) => finish::send_error(node, &context, responder, error),
+        Err(error) => {
+            let error = authenticate::final_refusal(node, error);
+            finish::send_error(node, &context, responder, error)
+        }
     };
     finish::record(node, &context, &ending);
 }
--- a/crates/node/src/request/service.rs
+++ b/crates/node/src/request/service.rs
@@ -48,7 +48,7 @@
     let named_pool = identity.fleet.pools.get(pool);
     let Some(settings) = named_pool.filter(|pool| pool.kind == TargetKind::Service) else {
         let message = format!("there is no service pool {pool:?}; check the path");
-        return Err(RequestError::new(ResultCode::UnknownPool, message));
+        return Err(RequestError::by_settings(ResultCode::UnknownPool, message));
     };
     if !body.is_empty() && matches!(method.as_str(), "GET" | "HEAD" | "OPTIONS" | "DELETE") {
         let message = format!("{method} takes no body; send it without one");
--- a/crates/node/tests/fleet/cut_off.rs
+++ b/crates/node/tests/fleet/cut_off.rs
@@ -50,6 +50,36 @@
     fleet.assert_no_violations();
 }
 
+/// Guards against 401 and 404 for a key or pool that a cut-off node has not heard of.
+#[test]
+fn a_cut_off_node_refuses_nothing_for_good() {
+    let mut fleet = Fleet::start(3, 1);
+    let unknown = |fleet: &Fleet| {
+        let caller = fleet.routers[0].caller();
+        let key = caller.clone().with_header("authorization", "Bearer other");
+        let answers = [
+            key.get("/services/records/x"),
+            caller.get("/services/none/x"),
+        ];
+        answers.map(|answer| answer.status)
+    };
+    assert_eq!(unknown(&fleet), [401, 404]);
+    for member in &mut fleet.control {
+        member.kill();
+    }
+    let router = &fleet.routers[0];
+    eventually("the node reports that it is cut off", || {
+        router.is_cut_off()
+    });
+    assert_eq!(unknown(&fleet), [503, 503]);
+    for member in &mut fleet.control {
+        member.restart();
+    }
+    let router = &fleet.routers[0];
+    eventually("the node is connected again", || !router.is_cut_off());
+    assert_eq!(unknown(&fleet), [401, 404]);
+}
+
 /// Guards against a minority that accepts changes or claims, and against members that
 /// do not catch up after a restart.
 #[test]
