--- a/crates/node/tests/deployment/harness.rs
+++ b/crates/node/tests/deployment/harness.rs
@@ -76,6 +76,18 @@
     pub version: u64,
     /// Command-line options of the control instances.
     control_options: &'static [&'static str],
+    /// Processes started so far.
+    starts: u32,
+}
+
+/// Environment variable with the path of another build of the program, which runs in every
+/// second process, so that a soak shows whether two builds serve side by side.
+const OTHER_PROGRAM_VARIABLE: &str = "OTHER_PROGRAM";
+
+/// Returns the program of a process that is started as number `start`.
+fn program(start: u32) -> PathBuf {
+    let other = std::env::var_os(OTHER_PROGRAM_VARIABLE).filter(|_| start.is_multiple_of(2));
+    other.map_or_else(|| env!("CARGO_BIN_EXE_bamboospur").into(), PathBuf::from)
 }
 
 /// Options with which one router relays to all others and routers take all reports of
@@ -112,6 +124,7 @@
             processes: BTreeMap::new(),
             version: 0,
             control_options,
+            starts: 0,
         };
         for index in 1..=3 {
             deployment.start_control(index, true);
@@ -188,7 +201,8 @@
             "control" => self.control_options,
             _ => &[],
         };
-        let child = Command::new(env!("CARGO_BIN_EXE_bamboospur"))
+        self.starts += 1;
+        let child = Command::new(program(self.starts))
             .arg(role)
             .args(options)
             .env("BAMBOOSPUR_SETTINGS", &path)
