--- a/crates/agreement/src/message.rs
+++ b/crates/agreement/src/message.rs
@@ -139,16 +139,6 @@
 const MAX_TERM_OR_INDEX: u64 = 1 << 62;
 
 impl Message {
-    /// Size of the entries or the part of a snapshot in the message, in bytes.
-    #[must_use]
-    pub fn content_bytes(&self) -> usize {
-        match &self.body {
-            MessageBody::Append { entries, .. } => entries.iter().map(Entry::size_bytes).sum(),
-            MessageBody::SnapshotChunk(chunk) => chunk.data.len(),
-            _ => 0,
-        }
-    }
-
     /// Whether the checked terms and indexes are at most [`MAX_TERM_OR_INDEX`].
     pub(crate) fn is_in_range(&self) -> bool {
         let numbers = match &self.body {
