--- a/crates/fleet/tests/recorded_frames.rs
+++ b/crates/fleet/tests/recorded_frames.rs
@@ -54,9 +54,16 @@
     }
 }
 
+fn members() -> Members {
+    Members::from_voters(&[(1, 11), (2, 12)])
+}
+
 /// Returns a patch between two documents with many lines.
 fn patch() -> Change {
-    let text = |routes: u32| -> String { (0..routes).map(|n| format!("route {n}\n")).collect() };
+    let text = |routes: u32| {
+        let lines: Vec<String> = (0..routes).map(|n| format!("route {n}\n")).collect();
+        lines.concat()
+    };
     let base = Document::new(7, text(400).as_bytes());
     let change = Change::between(&base, &Document::new(9, text(401).as_bytes()));
     assert!(matches!(change, Change::Patch(_)));
@@ -76,22 +83,45 @@
     }
 }
 
-fn replica_frames() -> Vec<(&'static str, Frame)> {
+fn election_frames() -> Vec<(&'static str, Frame)> {
+    let (last_index, last_term) = (6, 3);
+    let vote = MessageBody::Vote {
+        last_index,
+        last_term,
+        transfer: false,
+    };
+    let pre_vote = MessageBody::PreVote {
+        last_index,
+        last_term,
+    };
+    let granted = true;
+    vec![
+        ("pre-vote", replica(pre_vote)),
+        (
+            "pre-vote-reply",
+            replica(MessageBody::PreVoteReply { granted }),
+        ),
+        ("vote", replica(vote)),
+        ("vote-reply", replica(MessageBody::VoteReply { granted })),
+        ("timeout-now", replica(MessageBody::TimeoutNow)),
+        ("refused", replica(MessageBody::Refused { known_disk: 11 })),
+    ]
+}
+
+fn append_frames() -> Vec<(&'static str, Frame)> {
     let entry = |index, payload| Entry {
         index,
         term: 3,
         payload,
     };
-    let members = Members::from_voters(&[(1, 11), (2, 12)]);
-    let entries = vec![
-        entry(4, Payload::Empty),
-        entry(5, Payload::Data(vec![1, 2, 3])),
-        entry(6, Payload::Members(members.clone())),
-    ];
     let append = MessageBody::Append {
         prev_index: 3,
         prev_term: 2,
-        entries,
+        entries: vec![
+            entry(4, Payload::Empty),
+            entry(5, Payload::Data(vec![1, 2, 3])),
+            entry(6, Payload::Members(members())),
+        ],
         commit: 3,
     };
     let conflict = AppendResult::Conflict {
@@ -99,70 +129,50 @@
         hint_term: Some(1),
         hint_index: 2,
     };
-    let chunk = SnapshotChunk {
-        index: 6,
-        snapshot_term: 3,
-        members,
-        total_bytes: 3,
-        total_checksum: 99,
-        offset: 0,
-        data: vec![4, 5, 6],
-        checksum: 98,
-    };
-    let vote = MessageBody::Vote {
-        last_index: 6,
-        last_term: 3,
-        transfer: false,
-    };
-    let pre_vote = MessageBody::PreVote {
-        last_index: 6,
-        last_term: 3,
+    let matched = AppendResult::Matched { index: 6 };
+    let heartbeat = MessageBody::Heartbeat {
+        commit: 6,
+        round: 40,
     };
     vec![
-        ("pre-vote", replica(pre_vote)),
-        (
-            "pre-vote-reply",
-            replica(MessageBody::PreVoteReply { granted: true }),
-        ),
-        ("vote", replica(vote)),
-        (
-            "vote-reply",
-            replica(MessageBody::VoteReply { granted: true }),
-        ),
         ("append", replica(append)),
-        (
-            "append-matched",
-            replica(MessageBody::AppendReply(AppendResult::Matched { index: 6 })),
-        ),
+        ("append-matched", replica(MessageBody::AppendReply(matched))),
         (
             "append-conflict",
             replica(MessageBody::AppendReply(conflict)),
         ),
-        (
-            "heartbeat",
-            replica(MessageBody::Heartbeat {
-                commit: 6,
-                round: 40,
-            }),
-        ),
+        ("heartbeat", replica(heartbeat)),
         (
             "heartbeat-reply",
             replica(MessageBody::HeartbeatReply { round: 40 }),
         ),
+    ]
+}
+
+fn snapshot_frames() -> Vec<(&'static str, Frame)> {
+    let chunk = SnapshotChunk {
+        index: 6,
+        snapshot_term: 3,
+        members: members(),
+        total_bytes: 3,
+        total_checksum: 99,
+        offset: 0,
+        data: vec![4, 5, 6],
+        checksum: 98,
+    };
+    let reply = MessageBody::SnapshotReply {
+        index: 6,
+        offset: 3,
+    };
+    vec![
         ("snapshot-chunk", replica(MessageBody::SnapshotChunk(chunk))),
-        (
-            "snapshot-reply",
-            replica(MessageBody::SnapshotReply {
-                index: 6,
-                offset: 3,
-            }),
-        ),
-        ("timeout-now", replica(MessageBody::TimeoutNow)),
-        ("refused", replica(MessageBody::Refused { known_disk: 11 })),
+        ("snapshot-reply", replica(reply)),
     ]
 }
 
 fn target_frames() -> Vec<(&'static str, Frame)> {
+    let targets = |phase| vec![announcement(phase)];
+    let heard = vec![("t1".to_owned(), StartTime(5), 300)];
     let report = Frame::Report {
         ticket: 8,
         announcement: Box::new(announcement(Phase::Ready)),
@@ -176,6 +186,25 @@
         with_prefixes: true,
         as_relay: false,
     };
+    vec![
+        ("request-targets", request),
+        ("targets", Frame::Targets(targets(Phase::Ready))),
+        ("all-targets", Frame::AllTargets(targets(Phase::Draining))),
+        ("silent", Frame::Silent(targets(Phase::Gone))),
+        ("heard", Frame::Heard(heard)),
+        ("report", report),
+        ("leave", leave),
+        ("taken", Frame::Taken { ticket: 8 }),
+        (
+            "cached-prefixes",
+            Frame::CachedPrefixes(vec![(1, 2), (3, 4)]),
+        ),
+        ("loads", Frame::Loads(vec![(5, 6)])),
+        ("totals", Frame::Totals(vec![(5, 60)])),
+    ]
+}
+
+fn stream_frames() -> Vec<(&'static str, Frame)> {
     let begun = BegunStreams {
         origin: origin(),
         streams: vec![70, 71],
@@ -190,36 +219,7 @@
         is_complete: true,
     };
     let found = |ticket, found| Frame::StreamFound { ticket, found };
-    let limit = Some(RequestRate::from_milli_per_s(2_500));
-    let share = LimitShare {
-        target: 5,
-        limit,
-        holders: vec![1, 2],
-    };
-    let age = Age::from(Duration::from_secs(4));
-    let crashed = CrashMessage::Crashed {
-        target: 5,
-        parts: vec![30, 31],
-    };
     vec![
-        ("request-targets", request),
-        ("targets", Frame::Targets(vec![announcement(Phase::Ready)])),
-        (
-            "all-targets",
-            Frame::AllTargets(vec![announcement(Phase::Draining)]),
-        ),
-        ("silent", Frame::Silent(vec![announcement(Phase::Gone)])),
-        (
-            "heard",
-            Frame::Heard(vec![("t1".to_owned(), StartTime(5), 300)]),
-        ),
-        ("report", report),
-        ("leave", leave),
-        ("taken", Frame::Taken { ticket: 8 }),
-        (
-            "cached-prefixes",
-            Frame::CachedPrefixes(vec![(1, 2), (3, 4)]),
-        ),
         ("streams-begun", Frame::StreamsBegun(vec![begun])),
         ("find-stream", find),
         ("stream-found", found(10, FoundOrigin::Reported(origin()))),
@@ -227,22 +227,31 @@
             "stream-not-found",
             found(11, FoundOrigin::NotReported(possible)),
         ),
-        ("loads", Frame::Loads(vec![(5, 6)])),
-        ("totals", Frame::Totals(vec![(5, 60)])),
-        ("crashed", Frame::Crashes(crashed)),
-        ("watch", Frame::Crashes(CrashMessage::Watch(vec![30]))),
-        (
-            "answered",
-            Frame::Crashes(CrashMessage::Answered(vec![(30, age)])),
-        ),
-        (
-            "blocked",
-            Frame::Crashes(CrashMessage::Blocked(vec![(30, age)])),
-        ),
-        ("released", Frame::Crashes(CrashMessage::Released(vec![30]))),
+    ]
+}
+
+fn observation_frames() -> Vec<(&'static str, Frame)> {
+    let (target, limit) = (5, Some(RequestRate::from_milli_per_s(2_500)));
+    let share = LimitShare {
+        target,
+        limit,
+        holders: vec![1, 2],
+    };
+    let aged = || vec![(30, Age::from(Duration::from_secs(4)))];
+    let crashed = CrashMessage::Crashed {
+        target,
+        parts: vec![30, 31],
+    };
+    let report = Frame::Crashes;
+    vec![
+        ("crashed", report(crashed)),
+        ("watch", report(CrashMessage::Watch(vec![30]))),
+        ("answered", report(CrashMessage::Answered(aged()))),
+        ("blocked", report(CrashMessage::Blocked(aged()))),
+        ("released", report(CrashMessage::Released(vec![30]))),
         (
             "stated-limits",
-            Frame::StatedLimits(vec![StatedLimit { target: 5, limit }]),
+            Frame::StatedLimits(vec![StatedLimit { target, limit }]),
         ),
         ("limit-shares", Frame::LimitShares(vec![share])),
     ]
@@ -260,16 +269,14 @@
         ticket: 1,
         document: document.clone(),
     };
+    let done = Frame::PutDone {
+        ticket: 1,
+        accepted: true,
+    };
     let got = Frame::GetDone {
         ticket: 2,
         document: Some(document.clone()),
     };
-    let change = |change| Frame::ChangeFleet { ticket: 3, change };
-    let evacuate = FleetChange::Evacuate {
-        data_centre: "north".to_owned(),
-        evacuated: true,
-        base: 4,
-    };
     vec![
         ("request-config", Frame::RequestConfig(7)),
         ("no-newer-config", Frame::NoNewerConfig),
@@ -279,25 +286,26 @@
         ("leader", Frame::Leader(address(7_000))),
         ("in-force", in_force),
         ("put", put),
-        (
-            "put-done",
-            Frame::PutDone {
-                ticket: 1,
-                accepted: true,
-            },
-        ),
+        ("put-done", done),
         ("get", Frame::Get { ticket: 2 }),
         ("get-done", got),
+    ]
+}
+
+fn fleet_frames() -> Vec<(&'static str, Frame)> {
+    let change = |change| Frame::ChangeFleet { ticket: 3, change };
+    let evacuate = FleetChange::Evacuate {
+        data_centre: "north".to_owned(),
+        evacuated: true,
+        base: 4,
+    };
+    let add = FleetChange::AddSoftware([software()].into());
+    let remove = FleetChange::RemoveSoftware([software()].into());
+    vec![
         ("found", change(FleetChange::Found)),
         ("evacuate", change(evacuate)),
-        (
-            "add-software",
-            change(FleetChange::AddSoftware([software()].into())),
-        ),
-        (
-            "remove-software",
-            change(FleetChange::RemoveSoftware([software()].into())),
-        ),
+        ("add-software", change(add)),
+        ("remove-software", change(remove)),
         ("request-fleet", Frame::RequestFleet),
         ("fleet", Frame::Fleet(FleetState::default())),
     ]
@@ -305,25 +313,18 @@
 
 fn link_frames() -> Vec<(&'static str, Frame)> {
     let hello = |role| Frame::Hello(Hello { id: 1, role });
+    let links = address(7_000);
     let location = RouterLocation {
         data_centre: "north".to_owned(),
-        links: address(7_000),
+        links,
         reports: address(7_001),
     };
     vec![
         ("hello-router", hello(Role::Router(location))),
-        (
-            "hello-control",
-            hello(Role::Control {
-                links: address(7_000),
-            }),
-        ),
+        ("hello-control", hello(Role::Control { links })),
         ("alive", Frame::Alive(40)),
-        ("controls", Frame::Controls(vec![address(7_000)])),
-        (
-            "relays",
-            Frame::Relays(vec![("north".to_owned(), address(7_000))]),
-        ),
+        ("controls", Frame::Controls(vec![links])),
+        ("relays", Frame::Relays(vec![("north".to_owned(), links)])),
     ]
 }
 
@@ -332,9 +333,14 @@
 fn samples() -> Vec<(&'static str, Frame)> {
     let parts = [
         link_frames(),
-        replica_frames(),
+        election_frames(),
+        append_frames(),
+        snapshot_frames(),
         target_frames(),
+        stream_frames(),
+        observation_frames(),
         config_frames(),
+        fleet_frames(),
     ];
     parts.into_iter().flatten().collect()
 }
@@ -363,13 +369,14 @@
     let recorded: BTreeMap<&str, &str> = lines.collect();
     let samples = samples();
     let encoded = |frame: &Frame| to_hex(&encode(frame).expect("a frame"));
-    let all: String = samples
+    let lines: Vec<String> = samples
         .iter()
         .map(|(name, frame)| format!("{name} {}\n", encoded(frame)))
         .collect();
     for (name, frame) in &samples {
         let bytes = recorded.get(name).copied();
-        let bytes = bytes.unwrap_or_else(|| panic!("{name} is not recorded; all frames:\n{all}"));
+        let bytes = bytes
+            .unwrap_or_else(|| panic!("{name} is not recorded; all frames:\n{}", lines.concat()));
         assert_eq!(
             encoded(frame),
             bytes,
