--- a/crates/fleet/src/router/follow/config.rs
+++ b/crates/fleet/src/router/follow/config.rs
@@ -59,7 +59,7 @@
         let held = self.outbox.configs().version();
         for address in self.config_requests.take_unneeded(held) {
             if let Some(followed) = self.followed_link(address) {
-                // The peer that gets no request for a newer version sends what was asked for.
+                // If the frame is lost, the peer sends what was asked for before.
                 let _sent = followed.link.send(Frame::RequestConfig(held));
             }
         }
