Review, case 2: a stream goes on at a service that did not begin it

Cause: who resumes a stream is asked where it can have begun with the services that its route has now. After the route has moved, only the new service is left and taken as the origin.

Change: a case of the review with its claim. Nothing is fixed.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -3,6 +3,7 @@
 
 mod deployment;
 mod http;
+mod moved_route;
 mod outage;
 mod record;
 mod replica;
@@ -30,6 +31,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     note!("case {case}, with the disruption: {trouble}");
     let verdict = match case.as_str() {
+        "moved-route" => moved_route::run(trouble),
         "outage" => outage::run(trouble),
         _ => Ok(Verdict::CouldNotRun("there is no such case")),
     };
