Review, case 3: one malformed report stops all control processes

Cause: a report with an absurd remaining cold time overflows an Instant. The panic ends the task that owns the state of a control instance, but not the process, so nothing starts it again.

Change: a case of the review with its claim. Nothing is fixed.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the platform, operators, consumers and replicas for the cases of the review, and
 //! the cases themselves. Usage: `cases CASE RECORD`, in the root of the repository.
 
+mod bad_report;
 mod deployment;
 mod http;
 mod moved_route;
@@ -32,6 +33,7 @@
     note!("case {case}, with the disruption: {trouble}");
     let verdict = match case.as_str() {
         "moved-route" => moved_route::run(trouble),
+        "bad-report" => bad_report::run(trouble),
         "outage" => outage::run(trouble),
         _ => Ok(Verdict::CouldNotRun("there is no such case")),
     };
