Reject reports with absurd times, and cut times from outside to a year

Cause: Registry::merge adds the time of a report to an Instant, which panics on overflow. A Duration holds far longer times than that, and parse_announcement accepted all of them. The panic ends the task that owns the state of the control instance.

Announcements from links and disks, also of older builds, are cut when they are deserialised; their format is unchanged.

--- a/crates/crashes/src/outbox.rs
+++ b/crates/crashes/src/outbox.rs
@@ -6,6 +6,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use bamboospur_types::time_at_rate;
+
 use crate::message::CrashMessage;
 
 /// Bytes per second and messages that an [`CrashOutbox`] may send and keep.
@@ -45,7 +47,7 @@
     };
 
     fn time_for(self, bytes: u32) -> Duration {
-        Duration::from_secs_f64(f64::from(bytes) / f64::from(self.bytes_per_s.max(1)))
+        time_at_rate(f64::from(bytes), f64::from(self.bytes_per_s.max(1)))
     }
 
     /// Returns since when, at most, bytes that were not sent add up.
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -12,7 +12,7 @@
     PromptPart,
 };
 use bamboospur_registry::{Announcement, Phase, StartTime};
-use bamboospur_types::Rng;
+use bamboospur_types::{MAX_TIME, Rng, time_from_s};
 
 use crate::engine::{Engine, Prefix, PrefixSource, RouterIndex};
 
@@ -333,7 +333,8 @@
             .and_then(engine_index)
             .is_some_and(|source| self.engines[source].has_cached(prefix));
         let mean_s = self.settings.mean_service_s;
-        let mut duration = Duration::from_secs_f64(-mean_s * (1.0 - unit(&mut self.rng)).ln());
+        let mut duration =
+            time_from_s(-mean_s * (1.0 - unit(&mut self.rng)).ln()).unwrap_or(MAX_TIME);
         match self.engines[engine].load_prefix(prefix, can_copy) {
             PrefixSource::Cache => {}
             PrefixSource::Copy => self.counts.copied += 1,
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -1,6 +1,8 @@
 //! Network link of one machine.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
+
+use bamboospur_types::time_at_rate;
 
 /// A link that sends its bytes in order at a fixed rate. What is queued waits.
 #[derive(Clone, Debug)]
@@ -27,7 +29,7 @@
         reason = "frames are smaller than 2^53 bytes"
     )]
     pub fn send(&mut self, bytes: usize, now: Instant) -> Instant {
-        let duration = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+        let duration = time_at_rate(bytes as f64, self.bytes_per_s);
         self.free_at = self.free_at.max(now) + duration;
         self.sent_bytes += bytes;
         self.free_at
--- a/crates/fleet/src/link/bulk.rs
+++ b/crates/fleet/src/link/bulk.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_group::DocumentVersion;
+use bamboospur_types::time_at_rate;
 
 use super::accept::LinkId;
 use super::frame::Frame;
@@ -112,7 +113,7 @@
     fn wait(&self) -> Duration {
         // A byte more than the missing ones, since the budget has to be positive.
         let missing_bytes = (1.0 - self.bytes).max(0.0);
-        Duration::from_secs_f64(missing_bytes / self.bytes_per_s)
+        time_at_rate(missing_bytes, self.bytes_per_s)
     }
 }
 
--- a/crates/measure/examples/measure/control/claims.rs
+++ b/crates/measure/examples/measure/control/claims.rs
@@ -9,6 +9,7 @@
     ClaimCommand, Command, Reply, Request, Response, claim_key, decode_request, decode_response,
     encode_request, encode_response,
 };
+use bamboospur_types::time_from_s;
 
 use super::commits::Load;
 use super::members::MemberGroup;
@@ -122,7 +123,7 @@
                 }
                 Load::Rate(rate) => {
                     let sent = u32::try_from(self.last_ticket).unwrap_or(u32::MAX);
-                    let due = began + Duration::from_secs_f64(f64::from(sent) / rate);
+                    let due = began + time_from_s(f64::from(sent) / rate).unwrap_or_default();
                     let wait = due.saturating_duration_since(Instant::now());
                     if wait.is_zero() {
                         self.send_claim()?;
--- a/crates/measure/examples/measure/control/commits.rs
+++ b/crates/measure/examples/measure/control/commits.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_agreement::Ticket;
+use bamboospur_types::time_from_s;
 
 use super::group::ReplicaGroup;
 
@@ -119,7 +120,7 @@
                     self.receive_result(Duration::from_millis(10));
                 }
                 Load::Rate(rate) => {
-                    let due = began + Duration::from_secs_f64(f64::from(proposed) / rate);
+                    let due = began + time_from_s(f64::from(proposed) / rate).unwrap_or_default();
                     let wait = due.saturating_duration_since(Instant::now());
                     if wait.is_zero() {
                         self.propose();
--- a/crates/measure/examples/measure/limits/trace.rs
+++ b/crates/measure/examples/measure/limits/trace.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_limits::{Amount, Rng, TeamShare, owner_of};
+use bamboospur_types::time_from_s;
 
 use super::fleet::{Fleet, router_id};
 use super::policy::{Policy, StaticDivision};
@@ -315,7 +316,7 @@
     /// Draws an exponential run time, at most six times the mean.
     fn run_time(&mut self) -> Duration {
         let seconds = -self.uniform().ln() * MEAN_RUN_TIME_S;
-        Duration::from_secs_f64(seconds.min(MEAN_RUN_TIME_S * 6.0))
+        time_from_s(seconds.min(MEAN_RUN_TIME_S * 6.0)).unwrap_or_default()
     }
 
     /// Draws a Poisson-distributed count.
--- a/crates/measure/examples/measure/soak/mod.rs
+++ b/crates/measure/examples/measure/soak/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use bamboospur_types::time_from_s;
 use serde_json::json;
 use sim::{FaultKind, Plan, Report, ViolationKind};
 
@@ -59,7 +60,7 @@
 
 pub fn run(arguments: &[String]) {
     let options = parse_options(arguments);
-    let end = Instant::now() + Duration::from_secs_f64(options.minutes * 60.0);
+    let end = Instant::now() + time_from_s(options.minutes * 60.0).unwrap_or_default();
     let mut total = Total::default();
     let mut seed = options.seed;
     while total.runs == 0 || (!options.once && Instant::now() < end) {
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -7,6 +7,7 @@
 mod crashing_engine;
 mod endless;
 mod evacuations;
+mod extremes;
 mod harness;
 mod limited;
 mod prompts;
--- a/crates/registry/src/announcement.rs
+++ b/crates/registry/src/announcement.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bamboospur_types::deserialize_time;
 use serde::{Deserialize, Serialize};
 
 use crate::{SoftwareVersion, TargetName};
@@ -49,6 +50,7 @@
     /// Number of requests that the target runs concurrently.
     pub slots: u32,
     /// Remaining time for which the target is slow after its start.
+    #[serde(deserialize_with = "deserialize_time")]
     pub warm_up: Duration,
 }
 
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use bamboospur_types::MAX_TIME;
+
 use crate::announcement::{Announcement, Phase};
 use crate::{SoftwareVersion, TargetName};
 
@@ -87,7 +89,7 @@
             } else {
                 0
             },
-            cold_until: now + announcement.warm_up,
+            cold_until: now + announcement.warm_up.min(MAX_TIME),
             silent_at: now + self.settings.silence_timeout,
             forget_at: now + self.settings.retention,
             newest: announcement,
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -37,6 +37,22 @@
     assert!(usable(&registry, now).is_empty());
 }
 
+/// Guards against a panic of the process that merges an announcement of a peer or of its disk.
+#[test]
+fn a_target_that_stays_cold_for_ages_is_merged() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    let ages = Announcement {
+        warm_up: Duration::MAX,
+        ..announcement("a", 1, 1, Phase::Ready)
+    };
+    assert_eq!(registry.merge(ages, now), Merge::Changed);
+    assert_eq!(registry.cold(now).count(), 1);
+    let next = registry.merge(announcement("a", 1, 2, Phase::Ready), now);
+    assert_eq!(next, Merge::Refreshed);
+    assert_eq!(registry.cold(now).count(), 0);
+}
+
 #[test]
 fn a_new_start_under_the_same_name_is_usable_again() {
     let now = Instant::now();
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The crate has no I/O and no clock, and its random numbers come from a seed.
 
+mod bounded_time;
 mod id;
 mod offer;
 mod outcome;
@@ -10,6 +11,7 @@
 mod rng;
 mod target;
 
+pub use bounded_time::{MAX_TIME, deserialize_time, time_at_rate, time_from_ms, time_from_s};
 pub use id::{ChatId, InstanceId, OfferId, PoolId, TargetId, TeamId, mix64, stable_id};
 pub use offer::{Offer, ParseOfferError};
 pub use outcome::Outcome;
