Serve configurations and requests with extreme times

What callers saw: configurations that are acknowledged make routers panic at each request, so that connections close without an answer; and requests of a route without sloMs or itlTargetMs are given up at their first target at once and sent to a second one.

Cause: times of a configuration reached mul_f64 and additions to instants with the whole range of a Duration; longer ones became 0, which closes idle connections at once. An objective of 0 was a time limit of 0.

Without an objective, attempts last until the deadline of their request.

--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -11,7 +11,7 @@
     parse_request_limit,
 };
 use bamboospur_platform::request::{AttemptMetadata, attempt_head};
-use bamboospur_types::RequestRate;
+use bamboospur_types::{MAX_TIME, RequestRate};
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt_history::Execution;
@@ -237,9 +237,13 @@
         )
     }
 
-    /// Time by which a healthy target has sent a first result.
+    /// Time by which a healthy target has sent a first result; the deadline of the request if
+    /// its route has no objective.
     fn first_result_deadline(&self) -> Instant {
         let objective = self.job.route.latency_objective;
+        if objective.is_zero() {
+            return self.job.deadline;
+        }
         self.sent_at + objective.mul_f64(FIRST_RESULT_TIMEOUT_FACTOR)
     }
 
@@ -402,11 +406,10 @@
         head: &ResponseHead,
         responder: &mut Responder<'_>,
     ) -> AttemptEnd {
-        let event_gap_timeout = self
-            .job
-            .route
-            .event_gap_objective
-            .mul_f64(EVENT_GAP_TIMEOUT_FACTOR);
+        let event_gap_timeout = match self.job.route.event_gap_objective {
+            Duration::ZERO => MAX_TIME,
+            objective => objective.mul_f64(EVENT_GAP_TIMEOUT_FACTOR),
+        };
         let first_event_by = self.first_result_deadline();
         let forwarded = forward_stream(
             self.job,
--- a/crates/node/tests/deployment/extremes.rs
+++ b/crates/node/tests/deployment/extremes.rs
@@ -94,3 +94,187 @@
     });
     assert_all_run(&mut deployment, "the reports");
 }
+
+/// Returns a configuration with another number in one of its fields.
+pub fn config_with(version: u64, key: &str, field: &str, number: &str) -> String {
+    let usual = config(version, key);
+    let limits = [
+        ("maxHeaderBytes", "16384"),
+        ("maxBodyBytes", "4194304"),
+        ("headerTimeoutMs", "3000"),
+        ("idleTimeoutMs", "15000"),
+    ];
+    let limits = limits.map(|(name, usual)| {
+        let value = if name == field { number } else { usual };
+        format!("\"{name}\":{value}")
+    });
+    let with_limits = usual.replacen('{', &format!("{{\"limits\":{{{}}},", limits.join(",")), 1);
+    let set = |name: &str, value: &str| {
+        let usual = format!("\"{name}\":{value}");
+        with_limits.replace(&usual, &format!("\"{name}\":{number}"))
+    };
+    match field {
+        "timeoutMs" => set("timeoutMs", "6000"),
+        "sloMs" | "itlTargetMs" => set(field, "1000"),
+        "maxAttempts" => set("maxAttempts", "2"),
+        "priority" => with_limits.replace("\"maxAttempts\"", &format!("\"priority\":{number},\"maxAttempts\"")),
+        "weight" => with_limits.replace(
+            "\"service\":\"s\"",
+            &format!("\"split\":[{{\"service\":\"s\",\"weight\":{number}}},{{\"service\":\"s\",\"weight\":{number}}}]"),
+        ),
+        "maxConns" | "coldPerS" => {
+            with_limits.replace("{\"name\":\"s\"}", &format!("{{\"name\":\"s\",\"{field}\":{number}}}"))
+        }
+        "slots" => with_limits.replace(
+            "{\"name\":\"engine\"}",
+            &format!("{{\"name\":\"engine\",\"engine\":{{\"slots\":{number},\"kvCapacity\":1000}}}}"),
+        ),
+        "kvCapacity" => with_limits.replace(
+            "{\"name\":\"engine\"}",
+            &format!("{{\"name\":\"engine\",\"engine\":{{\"slots\":4,\"kvCapacity\":{number}}}}}"),
+        ),
+        _ => with_limits,
+    }
+}
+
+/// Streams two events at once.
+fn serve_stream(connection: &mut RawConnection) -> Option<()> {
+    let request = connection.read_request()?;
+    let lines = "Content-Type: text/event-stream\r\n";
+    let body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    connection.write(&answer(request.id(), "200 OK", lines, body))
+}
+
+/// Guards against configurations that are acknowledged and let routers panic at each request:
+/// a time or its multiple overflowed.
+#[test]
+fn accepted_configurations_with_extreme_numbers_are_served() {
+    const FIELDS: [&str; 14] = [
+        "timeoutMs",
+        "sloMs",
+        "itlTargetMs",
+        "maxAttempts",
+        "priority",
+        "weight",
+        "maxHeaderBytes",
+        "maxBodyBytes",
+        "headerTimeoutMs",
+        "idleTimeoutMs",
+        "maxConns",
+        "coldPerS",
+        "slots",
+        "kvCapacity",
+    ];
+    let mut deployment = Deployment::start(12);
+    deployment.configure("k1");
+    let first = Target::start(deployment.host(20), "t1", Behaviour::Answer);
+    let engine = raw_target::start(deployment.host(20), serve_stream);
+    let engine = report_body(engine, "engine", "ready", "1");
+    let mut sequence = 1;
+    deployment.send_report("t2", &engine);
+    deployment.report("t1", &first, "s", "ready", sequence);
+    deployment.wait_ready();
+    let mut accepted = 0;
+    for field in FIELDS {
+        for number in LARGE {
+            deployment.version += 1;
+            let key = format!("k-{}", deployment.version);
+            let body = config_with(deployment.version, &key, field, number);
+            let status = control_call(&deployment, 1, ("PUT", "/config", &body));
+            assert!(matches!(status, 200 | 400), "{field} {number}: {status}");
+            if status != 200 {
+                continue;
+            }
+            accepted += 1;
+            sequence += 1;
+            deployment.report("t1", &first, "s", "ready", sequence);
+            deployment.send_report(
+                "t2",
+                &engine.replace("\"seq\":1", &format!("\"seq\":{sequence}")),
+            );
+            for (method, path) in [("GET", "/read/1"), ("POST", "/talk/1")] {
+                eventually(&format!("{path} is served with {field} {number}"), || {
+                    let reply = deployment.request(method, path, "id", &key);
+                    reply.is_some_and(|reply| reply.status == 200)
+                });
+            }
+        }
+    }
+    assert!(
+        accepted > 20,
+        "only {accepted} configurations were accepted"
+    );
+    assert_all_run(&mut deployment, "the configurations");
+}
+
+/// Guards against attempts that are given up at once because a route states no objective.
+#[test]
+fn a_route_without_objectives_waits_for_its_targets() {
+    let mut deployment = Deployment::start(13);
+    deployment.version += 1;
+    let body = config(deployment.version, "k1");
+    let body = body
+        .replace("\"sloMs\":1000,", "")
+        .replace("\"itlTargetMs\":1000,", "");
+    eventually("the configuration is accepted", || {
+        control_call(&deployment, 1, ("PUT", "/config", &body)) == 200
+    });
+    let runs = Arc::new(AtomicU32::new(0));
+    for name in ["t1", "t2"] {
+        let runs = Arc::clone(&runs);
+        let target = raw_target::start(deployment.host(20), move |connection| {
+            let request = connection.read_request()?;
+            runs.fetch_add(1, Ordering::SeqCst);
+            thread::sleep(Duration::from_millis(300));
+            connection.write(&answer(request.id(), "200 OK", "", "ok"))
+        });
+        let report = report_body(target, "s", "ready", "1");
+        deployment.send_report(name, &report);
+    }
+    deployment.wait_ready();
+    thread::sleep(SPREAD_TIME);
+    let reply = deployment.request("GET", "/read/1", "id-1", "k1");
+    assert_eq!(reply.expect("a reply").status, 200);
+    assert_eq!(runs.load(Ordering::SeqCst), 1);
+}
+
+/// Guards against callers whose connection is closed without an answer because of a number in
+/// their request.
+#[test]
+fn callers_with_extreme_numbers_get_an_answer() {
+    let mut deployment = Deployment::start(14);
+    deployment.configure("k1");
+    let first = Target::start(deployment.host(20), "t1", Behaviour::Answer);
+    let engine = raw_target::start(deployment.host(20), serve_stream);
+    let engine = report_body(engine, "engine", "ready", "1");
+    deployment.send_report("t2", &engine);
+    deployment.report("t1", &first, "s", "ready", 1);
+    deployment.wait_ready();
+    for number in all_numbers() {
+        let text = request_text("GET", "/read/1", "id", "k1");
+        let text = text.replace("Deadline-Ms: 6000", &format!("Deadline-Ms: {number}"));
+        let reply = call(deployment.caller_address(), &text);
+        assert!(reply.is_some(), "deadline {number}");
+        let lines = format!(
+            "Last-Event-Id: {number}\r\nX-Bamboospur-Prefix-Hash: 1:{number}\r\nContent-Length: 0"
+        );
+        let text = request_text("POST", "/talk/1", "id", "k1");
+        let text = text.replace("Content-Length: 0", &lines);
+        let reply = call(deployment.caller_address(), &text);
+        assert!(reply.is_some(), "last event {number}");
+        let text = request_text("POST", "/submit/1", "id", "k1");
+        let text = text.replace("Length: 0", &format!("Length: {number}"));
+        let mut stream = TcpStream::connect(deployment.caller_address()).expect("a connection");
+        stream.write_all(text.as_bytes()).expect("the head is sent");
+        stream
+            .shutdown(std::net::Shutdown::Write)
+            .expect("the end is sent");
+        let status = read_reply(&mut stream).map(|reply| reply.status);
+        // A request that is cut off gets no answer.
+        let is_cut = number
+            .parse()
+            .is_ok_and(|length| (1..=4 << 20).contains(&length));
+        assert!(status.is_some() || is_cut, "length {number}");
+    }
+    assert_all_run(&mut deployment, "the requests");
+}
