Take a target out of service for seconds after one answer

What callers saw: a target that answers 503 with a long Retry-After gets no request for up to an hour, and one that states a limit of 0 for ten seconds and more, also by one damaged answer.

Cause: the time that a target asks for was used as it came, up to an hour, without asking again; limits were raised to one request in ten seconds of all routers.

Why this works: one answer counts for 5 s. Then one request is sent as a trial; if it is rejected too, the next pause is a minute, and the third as long as the target asks. So at most two requests reach a target that means it, which the rule on budgets allows (a_target_that_keeps_rejecting_gets_two_requests_at_most). Limits are raised to one request in 2.9 s for each of at most two holders.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -13,6 +13,7 @@
 use crate::cold::Cold;
 use crate::health::Outcome;
 use crate::load::LoadReport;
+use crate::pause::Pause;
 use crate::pool::{CopySource, Pool, prefix_hash};
 use crate::request::{ChooseError, ChosenTarget, DispatchRequest};
 use crate::settings::DispatchSettings;
@@ -158,6 +159,9 @@
             if let Some(cold) = &mut target.cold {
                 cold.record_request(now);
             }
+            if let Some(pause) = &mut target.pause {
+                pause.record_request(now);
+            }
             self.limits.record_request(target.cache_id, now);
             if !request.prompt.is_empty() {
                 let cache = target.cache_id;
@@ -254,8 +258,8 @@
         }
     }
 
-    /// Records that a target asked for no requests for this time, of which at most
-    /// [`DispatchSettings::max_rejection_time`] counts.
+    /// Records that a target asked for no requests for this time. Until it has done so three
+    /// times in a row, a part of the time counts; see [`DispatchSettings::first_pause`].
     pub fn record_rejection(
         &mut self,
         service: &str,
@@ -263,9 +267,14 @@
         rejected_for: Duration,
         now: Instant,
     ) {
-        let until = now + rejected_for.min(self.settings.max_rejection_time);
+        let settings = self.settings;
         if let Some(target) = self.target_mut(service, &choice.name, choice.start) {
-            target.health.record_rejection(until);
+            match &mut target.pause {
+                Some(pause) if pause.is_asked_for(now) => {
+                    pause.extend(rejected_for, &settings, now);
+                }
+                pause => *pause = Some(Pause::begin(rejected_for, &settings, now)),
+            }
         }
     }
 
@@ -322,6 +331,7 @@
         if let Some(target) = self.target_mut(service, &choice.name, choice.start) {
             target.load.own = target.load.own.saturating_sub(1);
             target.health.record(outcome, &settings, now);
+            target.end_trial(outcome, choice.chosen_at, now);
         }
     }
 
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -33,8 +33,6 @@
     /// Ejections since the share of failures was last low.
     ejections: u32,
     full_until: Option<Instant>,
-    /// End of the time for which the target asked for no requests.
-    rejects_until: Option<Instant>,
     unreachable_until: Option<Instant>,
     /// Failed connections in a row.
     connect_failures: u32,
@@ -49,7 +47,6 @@
             ejected_until: None,
             ejections: 0,
             full_until: None,
-            rejects_until: None,
             unreachable_until: None,
             connect_failures: 0,
         }
@@ -98,17 +95,6 @@
         self.full_until.is_some_and(|until| now < until)
     }
 
-    /// Returns the end of the time for which the target asked for no requests, unless it is
-    /// over.
-    pub fn rejects_until(&self, now: Instant) -> Option<Instant> {
-        self.rejects_until.filter(|&until| now < until)
-    }
-
-    /// Records that the target asked for no requests until then.
-    pub fn record_rejection(&mut self, until: Instant) {
-        self.rejects_until = self.rejects_until.max(Some(until));
-    }
-
     pub fn record(&mut self, outcome: Outcome, settings: &DispatchSettings, now: Instant) {
         match outcome {
             Outcome::Answered { latency } => self.record_answer(latency, settings, now),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod dispatcher;
 mod health;
 mod load;
+mod pause;
 mod pool;
 mod request;
 mod settings;
--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -6,7 +6,7 @@
 
 use bamboospur_registry::TargetName;
 use bamboospur_target_limits::TargetLimits;
-use bamboospur_types::mix64;
+use bamboospur_types::{mix64, time_from_s};
 
 use crate::arrivals::{FleetRate, PrefixArrivals, choose_by_weight};
 use crate::cache_map::{CacheId, PrefixHash};
@@ -26,6 +26,9 @@
 /// are refused again.
 const MIN_FULL_PROMPT_WAIT: Duration = Duration::from_secs(2);
 
+/// Longest time in which a pool without capacity is expected to have some again.
+const MAX_FULL_WAIT: Duration = Duration::from_mins(1);
+
 /// Targets that get requests in place of cold ones stay below the load bound by this multiple
 /// of its square root: the load of a target varies like the number of independent arrivals.
 const LOAD_DEVIATIONS: f64 = 1.6;
@@ -230,6 +233,7 @@
         context: ChoiceContext<'_>,
     ) -> Result<Candidates<'a>, ChooseError> {
         let ChoiceContext {
+            settings,
             limits,
             router_count,
             now,
@@ -241,10 +245,10 @@
         };
         // When a target that takes no request now takes the next one.
         let accepts_at = |target: &Target| {
-            let rejects_until = target.health.rejects_until(now);
+            let paused_until = target.pause.and_then(|pause| pause.ends_at(settings, now));
             let cold_until = target.cold.and_then(|cold| cold.available_at(pace, now));
             let limited_until = limits.available_at(target.cache_id, now);
-            rejects_until.max(cold_until).max(limited_until)
+            paused_until.max(cold_until).max(limited_until)
         };
         let fits = |name: &TargetName, target: &Target| {
             let has_version = request
@@ -480,7 +484,7 @@
     }
 
     /// Returns the expected time until a target has capacity: the mean latency of the targets,
-    /// at most 60 s and at least [`MIN_FULL_WAIT`] or, for prompts, [`MIN_FULL_PROMPT_WAIT`].
+    /// at most [`MAX_FULL_WAIT`] and at least [`MIN_FULL_WAIT`] or, for prompts, [`MIN_FULL_PROMPT_WAIT`].
     fn available_in(&self, request: &DispatchRequest<'_>) -> Duration {
         let latencies = self.targets.values().map(|t| t.health.latency_s());
         let min_wait = if request.prompt.is_empty() {
@@ -488,7 +492,8 @@
         } else {
             MIN_FULL_PROMPT_WAIT
         };
-        Duration::from_secs_f64(mean(latencies).min(60.0)).max(min_wait)
+        let wait = time_from_s(mean(latencies)).unwrap_or(MAX_FULL_WAIT);
+        wait.clamp(min_wait, MAX_FULL_WAIT)
     }
 }
 
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -63,8 +63,12 @@
     pub remote_penalty: Duration,
     /// Time for which a target is avoided after it refused a request for lack of capacity.
     pub full_pause: Duration,
-    /// Longest time for which a target that asks for no requests gets none.
-    pub max_rejection_time: Duration,
+    /// Longest time for which a target gets no requests because one answer asked for none.
+    pub first_pause: Duration,
+    /// As [`Self::first_pause`], after two answers in a row.
+    pub second_pause: Duration,
+    /// As [`Self::first_pause`], after three answers in a row and more.
+    pub max_pause: Duration,
 }
 
 impl Default for DispatchSettings {
@@ -92,7 +96,9 @@
             initial_latency: Duration::from_millis(20),
             remote_penalty: Duration::from_millis(4),
             full_pause: Duration::from_millis(100),
-            max_rejection_time: Duration::from_hours(1),
+            first_pause: Duration::from_secs(5),
+            second_pause: Duration::from_mins(1),
+            max_pause: Duration::from_hours(1),
         }
     }
 }
--- a/crates/dispatch/src/target.rs
+++ b/crates/dispatch/src/target.rs
@@ -9,8 +9,9 @@
 
 use crate::cache_map::CacheId;
 use crate::cold::Cold;
-use crate::health::Health;
+use crate::health::{Health, Outcome};
 use crate::load::Load;
+use crate::pause::Pause;
 use crate::request::target_start_id;
 use crate::settings::DispatchSettings;
 
@@ -30,6 +31,8 @@
     /// Load of this router in the last report to other routers.
     pub last_reported: u32,
     pub health: Health,
+    /// Pause for which the target asked.
+    pub pause: Option<Pause>,
     /// State of a target that is or was cold.
     pub cold: Option<Cold>,
 }
@@ -48,10 +51,26 @@
             load: Load::new(),
             last_reported: 0,
             health: Health::new(settings),
+            pause: None,
             cold: None,
         }
     }
 
+    /// Records how a request ended that was sent at this time, in case it was the trial of a
+    /// paused target.
+    pub fn end_trial(&mut self, outcome: Outcome, sent_at: Instant, now: Instant) {
+        let Some(pause) = self.pause.as_mut().filter(|pause| pause.is_trial(sent_at)) else {
+            return;
+        };
+        match outcome {
+            Outcome::Answered { .. } => self.pause = None,
+            Outcome::Full => {}
+            Outcome::Unreachable | Outcome::Failed | Outcome::Neutral => {
+                pause.record_lost_trial(now);
+            }
+        }
+    }
+
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold.is_some_and(|cold| cold.is_cold(now))
     }
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -515,6 +515,59 @@
     }
 }
 
+/// Guards against a target that one answer takes out of service for long, and against requests
+/// that reach one again and again that means what it says.
+#[test]
+fn a_target_that_asks_for_no_requests_for_long_gets_single_trials() {
+    const HOUR: Duration = Duration::from_hours(1);
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut dispatcher = dispatcher(1, "records");
+    let request = plain_request(&[]);
+    let older = dispatcher.choose(&request, start).expect("the target");
+    let first = dispatcher.choose(&request, start).expect("the target");
+    let reject = |dispatcher: &mut Dispatcher, choice: &ChosenTarget, now| {
+        dispatcher.record_rejection("records", choice, HOUR, now);
+        dispatcher.finish("records", choice, Outcome::Full, now);
+    };
+    reject(&mut dispatcher, &first, start);
+    assert!(dispatcher.choose(&request, at(4)).is_err());
+    let trial = dispatcher.choose(&request, at(6)).expect("a trial");
+    // One trial at a time, and an answer to an older request says nothing of the rejection.
+    assert!(dispatcher.choose(&request, at(6)).is_err());
+    dispatcher.finish("records", &older, answered(20), at(6));
+    assert!(dispatcher.choose(&request, at(7)).is_err());
+    reject(&mut dispatcher, &trial, at(7));
+    assert!(dispatcher.choose(&request, at(60)).is_err());
+    let trial = dispatcher.choose(&request, at(68)).expect("a second trial");
+    reject(&mut dispatcher, &trial, at(68));
+    assert!(dispatcher.choose(&request, at(3_500)).is_err());
+    let trial = dispatcher
+        .choose(&request, at(2 * 3_600))
+        .expect("a request");
+    dispatcher.finish("records", &trial, answered(20), at(2 * 3_600));
+}
+
+#[test]
+fn a_trial_that_is_answered_ends_the_pause_of_a_target() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut dispatcher = dispatcher(1, "records");
+    let request = plain_request(&[]);
+    let first = dispatcher.choose(&request, start).expect("the target");
+    dispatcher.record_rejection("records", &first, Duration::from_hours(1), start);
+    dispatcher.finish("records", &first, Outcome::Full, start);
+    // A trial that is lost on its way is made again.
+    let lost = dispatcher.choose(&request, at(6)).expect("a trial");
+    dispatcher.finish("records", &lost, Outcome::Neutral, at(7));
+    assert!(dispatcher.choose(&request, at(8)).is_err());
+    let trial = dispatcher.choose(&request, at(13)).expect("a trial");
+    dispatcher.finish("records", &trial, answered(20), at(13));
+    for _ in 0..3 {
+        dispatcher.choose(&request, at(13)).expect("the target");
+    }
+}
+
 const LIMIT: RequestRate = RequestRate::from_milli_per_s(1_000);
 
 /// Sends a request to each target until all have stated a limit for a fleet of one router.
--- a/crates/node/tests/deployment/extremes.rs
+++ b/crates/node/tests/deployment/extremes.rs
@@ -278,3 +278,103 @@
     }
     assert_all_run(&mut deployment, "the requests");
 }
+
+/// Guards against a target that one answer takes out of service for minutes.
+#[test]
+fn one_answer_takes_a_target_out_of_service_for_seconds_only() {
+    const ANSWERS: [(&str, &str); 9] = [
+        ("503 x", "X-Bamboospur-Not-Executed: 1\r\nRetry-After: 3600"),
+        ("503 x", "X-Bamboospur-Not-Executed: 1\r\nRetry-After: 1e22"),
+        (
+            "503 x",
+            "X-Bamboospur-Not-Executed: 1\r\nRetry-After: -1e22",
+        ),
+        ("200 OK", "Server-Limit: 0"),
+        ("200 OK", "Server-Limit: 1e-300"),
+        ("200 OK", "Server-Limit: 1e300"),
+        (
+            "200 OK",
+            "X-Bamboospur-Replica-Load: 4294967295,4294967295,4294967295",
+        ),
+        ("200 OK", "Keep-Alive: timeout=18446744073709551615"),
+        ("500 x", "Retry-After: 3600"),
+    ];
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let mut deployment = Deployment::start(15);
+    deployment.configure("k1");
+    let target = raw_target::start(deployment.host(20), |connection| {
+        let request = connection.read_request()?;
+        let wanted = request
+            .id()
+            .strip_prefix("odd-")
+            .and_then(|n| n.parse::<usize>().ok());
+        let (status, line) = wanted.map_or(("200 OK", "X: 1"), |index| ANSWERS[index]);
+        connection.write(&answer(request.id(), status, &format!("{line}\r\n"), "ok"))
+    });
+    let mut sequence = 0;
+    let mut report = |deployment: &Deployment| {
+        sequence += 1;
+        let report = report_body(target, "s", "ready", &sequence.to_string());
+        deployment.send_report("t1", &report);
+    };
+    report(&deployment);
+    deployment.wait_ready();
+    thread::sleep(SPREAD_TIME);
+    for (index, (_, line)) in ANSWERS.iter().enumerate() {
+        report(&deployment);
+        let odd = deployment.request("GET", "/read/1", &format!("odd-{index}"), "k1");
+        assert!(odd.is_some(), "{line}");
+        let answered_at = Instant::now();
+        loop {
+            let number = NEXT.fetch_add(1, Ordering::SeqCst);
+            let reply = deployment.request("GET", "/read/1", &format!("id-{number}"), "k1");
+            if reply.is_some_and(|reply| reply.status == 200) {
+                break;
+            }
+            let waited = answered_at.elapsed();
+            assert!(
+                waited < MAX_OUT_OF_SERVICE,
+                "{line}: out of service for {waited:?}"
+            );
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+}
+
+/// Guards against requests that reach a target although it has asked for none, again and again.
+#[test]
+fn a_target_that_keeps_rejecting_gets_two_requests_at_most() {
+    /// The target asks for no requests for a minute.
+    const WATCHED: Duration = Duration::from_secs(14);
+    const SLACK: Duration = Duration::from_millis(500);
+    let mut deployment = Deployment::start(16);
+    deployment.configure("k1");
+    let rejecting = Target::start(deployment.host(20), "t1", Behaviour::RejectFor("60"));
+    deployment.report("t1", &rejecting, "s", "ready", 1);
+    deployment.wait_ready();
+    let first = deployment.request("GET", "/read/1", "id-0", "k1");
+    assert_eq!(first.expect("a reply").status, 503);
+    thread::sleep(SLACK);
+    let before = rejecting.runs();
+    let end = Instant::now() + WATCHED;
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
+        if number % 20 == 0 {
+            deployment.report("t1", &rejecting, "s", "ready", 1 + number / 20);
+        }
+        let addresses = [deployment.caller_address(); 4];
+        let callers = addresses.into_iter().enumerate().map(|(caller, address)| {
+            let text = request_text("GET", "/read/1", &format!("id-{number}-{caller}"), "k1");
+            thread::spawn(move || call(address, &text))
+        });
+        let callers: Vec<_> = callers.collect();
+        for caller in callers {
+            let reply = caller.join().expect("a caller").expect("a reply");
+            assert_eq!(reply.status, 503, "{}", reply.head);
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    let requests = rejecting.runs() - before;
+    assert!(requests <= 2, "{requests} requests");
+}
--- a/crates/target_limits/src/member.rs
+++ b/crates/target_limits/src/member.rs
@@ -33,7 +33,7 @@
             share_lifetime: Duration::from_mins(1),
             retention: Duration::from_mins(5),
             check_interval: Duration::from_secs(2),
-            min_rate: RequestRate::from_milli_per_s(100),
+            min_rate: RequestRate::from_milli_per_s(350),
             max_limits: 4_096,
         }
     }
--- a/crates/target_limits/tests/limits.rs
+++ b/crates/target_limits/tests/limits.rs
@@ -6,7 +6,7 @@
 use bamboospur_target_limits::{
     LimitHub, LimitHubSettings, LimitShare, StatedLimit, TargetLimits, TargetLimitsSettings,
 };
-use bamboospur_types::{InstanceId, RequestRate, Rng};
+use bamboospur_types::{InstanceId, RequestRate, Rng, time_from_s};
 
 const WINDOW: Duration = Duration::from_secs(4);
 /// Time from a statement until all routers know of it.
@@ -202,11 +202,11 @@
     // Until a target has answered once, no router can know its limit.
     let per_target_s =
         count(usize::try_from(fleet.targets).expect("a count")) / fleet.requests_per_s;
-    fleet.run(SPREAD_TIME + Duration::from_secs_f64(4.0 * per_target_s));
+    fleet.run(SPREAD_TIME + time(4.0 * per_target_s));
     let from = fleet.now;
     // About twenty requests at each target, for a mean that says something.
     let time_s = (20_000.0 / f64::from(milli_per_s)).clamp(20.0, 100.0);
-    fleet.run(Duration::from_secs_f64(time_s));
+    fleet.run(time(time_s));
     let (most, mean) = fleet.most_and_mean(from);
     let limit = f64::from(milli_per_s) / 1_000.0;
     println!(
@@ -293,6 +293,26 @@
     }
 }
 
+/// Guards against one answer that takes a target out of service for minutes: it states a limit of
+/// nothing, by mistake or because its bytes are damaged.
+#[test]
+fn a_limit_of_nothing_leaves_a_request_every_six_seconds() {
+    let start = Instant::now();
+    for routers in [1, 2] {
+        let mut members: Vec<TargetLimits> = (0..routers)
+            .map(|seed| TargetLimits::new(TargetLimitsSettings::default(), seed))
+            .collect();
+        let rate = RequestRate::from_milli_per_s(0);
+        for member in &mut members {
+            member.set_router_count(u32::try_from(routers).expect("few"));
+            member.record_answer(7, Some(rate), start, start);
+        }
+        let later = start + Duration::from_secs(6);
+        let may_send = |member: &TargetLimits| member.available_at(7, later).is_none();
+        assert!(members.iter().all(may_send), "{routers} routers");
+    }
+}
+
 /// Routers that held on to a limit would leave a sound target unused.
 #[test]
 fn the_end_of_a_limit_is_noticed() {
@@ -302,7 +322,7 @@
         fleet.set_limit(Some(milli_per_s));
         fleet.run(Duration::from_secs(10));
         fleet.set_limit(None);
-        // Routers send at least a request every ten seconds together.
+        // Routers send at least a request every six seconds together.
         fleet.run(Duration::from_secs(24));
         let from = fleet.now;
         fleet.run(Duration::from_secs(5));
@@ -335,3 +355,7 @@
     router.expire(start + Duration::from_mins(6));
     assert!(router.is_empty());
 }
+
+fn time(seconds: f64) -> Duration {
+    time_from_s(seconds).expect("a time")
+}
