End a process one of whose parts has ended

What callers saw: a control instance whose state task had panicked went on to accept calls and rejected or dropped them all; its links were closed as soon as they were up, and the platform did not start it again.

Cause: a panic ends only its task or thread, and nobody waited for the tasks that own the state, the listeners, the links and the disk, on both interfaces.

Why this works: these parts hold a guard. When one is dropped, the process stops as on a signal, with its requests in progress finished, and exits with a failure, to be started again. Panics have a log line.

--- a/crates/fleet/src/calls.rs
+++ b/crates/fleet/src/calls.rs
@@ -14,11 +14,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
-use tokio::task::spawn_local;
 use tokio::time::timeout;
 use tracing::{info, warn};
 
-use crate::process::accept;
+use crate::process::{accept, spawn_detached};
 
 /// Time limit for the answer to a call. Operators and targets try another instance
 /// after one second.
@@ -90,7 +89,7 @@
     let handle = Rc::new(handle);
     loop {
         let stream = accept(&listener, who).await;
-        spawn_local(serve_connection(stream, limits, Rc::clone(&handle)));
+        spawn_detached(serve_connection(stream, limits, Rc::clone(&handle)));
     }
 }
 
--- a/crates/fleet/src/control/disk.rs
+++ b/crates/fleet/src/control/disk.rs
@@ -12,6 +12,7 @@
 use tracing::{error, info, warn};
 
 use super::event::Event;
+use crate::process::Essential;
 
 /// Pause before each attempt to reopen the data folder after a failure.
 const REOPEN_PAUSE: Duration = Duration::from_millis(500);
@@ -79,10 +80,12 @@
     });
     let (writes, receiver) = channel();
     let path = path.to_owned();
+    let guard = Essential::new("disk");
     let spawned = thread::Builder::new()
         .name("disk".to_owned())
         .spawn(move || {
             run_disk_thread(&path, Some((folder, log)), &receiver, &events);
+            guard.release();
         });
     spawned.map_err(|error| format!("no thread for the disk: {error}"))?;
     Ok(OpenedFolder {
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -25,13 +25,12 @@
 use bamboospur_platform::settings::ProcessSettings;
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::sync::oneshot;
-use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tracing::info;
 
 use crate::exposition;
 use crate::link;
-use crate::process;
+use crate::process::{self, spawn_essential};
 use crate::settings_file::SettingsFile;
 use crate::signals::Signals;
 use event::Event;
@@ -86,9 +85,9 @@
         first_start = settings.first_start,
         "control instance started"
     );
-    spawn_local(calls::serve(calls, events.clone()));
-    spawn_local(link::serve(links, events.clone(), Event::Accepted));
-    spawn_local(host.run(receiver));
+    spawn_essential("calls", calls::serve(calls, events.clone()));
+    spawn_essential("links", link::serve(links, events.clone(), Event::Accepted));
+    spawn_essential("host", host.run(receiver));
 
     if let Some(port) = control_settings.metrics_port {
         let events = events.clone();
@@ -99,11 +98,12 @@
         // The host receives events until the process ends.
         let _sent = events.send(Event::Seeds(settings.seeds.clone())).await;
     };
-    process::until_stopped(&mut file, &mut signals, forward_seeds).await;
+    let stopped = process::until_stopped(&mut file, &mut signals, forward_seeds).await;
     info!("control instance stopping");
-    let _sent = events.send(Event::Stop).await;
-    sleep(STOP_DELAY).await;
-    Ok(())
+    if events.send(Event::Stop).await.is_ok() {
+        sleep(STOP_DELAY).await;
+    }
+    stopped
 }
 
 /// Requests the metrics from the host; returns an empty text once the host has ended.
--- a/crates/fleet/src/exposition.rs
+++ b/crates/fleet/src/exposition.rs
@@ -7,10 +7,9 @@
 use bamboospur_http1::server::{ReadLimits, ServerConnection, build_response_head};
 use bamboospur_http1::socket;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
 use tracing::{info, warn};
 
-use crate::process;
+use crate::process::{self, spawn_detached};
 
 const METRICS_PATH: &str = "/metrics";
 /// Limits on requests for metrics, which have no body.
@@ -31,7 +30,7 @@
     match socket::listen(address) {
         Ok(listener) => {
             info!(%address, "serving metrics");
-            spawn_local(accept_connections(listener, Rc::new(text)));
+            spawn_detached(accept_connections(listener, Rc::new(text)));
         }
         Err(error) => {
             warn!(
@@ -49,7 +48,7 @@
 {
     loop {
         let stream = process::accept(&listener, "metrics").await;
-        spawn_local(serve_connection(stream, Rc::clone(&text)));
+        spawn_detached(serve_connection(stream, Rc::clone(&text)));
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,7 +17,7 @@
 mod loads;
 pub mod log;
 mod outbox;
-mod process;
+pub mod process;
 pub mod router;
 pub mod settings_file;
 pub mod signals;
--- a/crates/fleet/src/link/accept.rs
+++ b/crates/fleet/src/link/accept.rs
@@ -8,14 +8,13 @@
 use bamboospur_http1::socket;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
-use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout};
 use tracing::{info, warn};
 
 use super::codec::{FrameError, FrameReader};
 use super::frame::{Frame, Hello};
 use super::traffic;
-use crate::process::accept;
+use crate::process::{accept, spawn_detached};
 
 /// Number of an accepted link, unique within the process.
 pub type LinkId = u64;
@@ -79,7 +78,7 @@
     loop {
         let stream = accept(&listener, "links").await;
         next_link += 1;
-        spawn_local(run_link(stream, next_link, events.clone(), convert));
+        spawn_detached(run_link(stream, next_link, events.clone(), convert));
     }
 }
 
--- a/crates/fleet/src/link/dial.rs
+++ b/crates/fleet/src/link/dial.rs
@@ -7,12 +7,12 @@
 use bamboospur_http1::socket;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
-use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::codec::{FrameError, FrameReader, encode};
 use super::frame::{Frame, Hello};
 use super::traffic;
+use crate::process::{Essential, spawn_detached};
 
 /// Time limit for a connection attempt. Links have a delay of a few ms, so an attempt
 /// that takes longer does not succeed.
@@ -62,37 +62,50 @@
     convert: fn(DialEvent) -> E,
 ) -> DialedLink {
     let (frames, receiver) = channel(MAX_QUEUED_FRAMES);
-    spawn_local(async move {
-        let mut receiver = receiver;
-        while !receiver.is_closed() {
-            if let Some(stream) = connect(address).await {
-                while receiver.try_recv().is_ok() {}
-                if events.send(convert(DialEvent::Up(address))).await.is_err() {
-                    return;
-                }
-                let link = Link {
-                    address,
-                    stream: &stream,
-                    events: &events,
-                    convert,
-                };
-                let Err(error) = link.run(hello.clone(), &mut receiver).await else {
-                    return;
-                };
-                if events
-                    .send(convert(DialEvent::Down(address, error)))
-                    .await
-                    .is_err()
-                {
-                    return;
-                }
-            }
-            sleep(REDIAL_PAUSE).await;
-        }
+    spawn_detached(async move {
+        // A link whose task has panicked would never be dialled again.
+        let guard = Essential::new("dialled link");
+        keep_link(address, hello, receiver, events, convert).await;
+        guard.release();
     });
     DialedLink { frames }
 }
 
+/// Keeps a link until its handle or the receiver of events is dropped.
+async fn keep_link<E: 'static>(
+    address: SocketAddr,
+    hello: Hello,
+    mut receiver: Receiver<Frame>,
+    events: Sender<E>,
+    convert: fn(DialEvent) -> E,
+) {
+    while !receiver.is_closed() {
+        if let Some(stream) = connect(address).await {
+            while receiver.try_recv().is_ok() {}
+            if events.send(convert(DialEvent::Up(address))).await.is_err() {
+                return;
+            }
+            let link = Link {
+                address,
+                stream: &stream,
+                events: &events,
+                convert,
+            };
+            let Err(error) = link.run(hello.clone(), &mut receiver).await else {
+                return;
+            };
+            if events
+                .send(convert(DialEvent::Down(address, error)))
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+        sleep(REDIAL_PAUSE).await;
+    }
+}
+
 async fn connect(address: SocketAddr) -> Option<TcpStream> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
--- a/crates/fleet/src/log.rs
+++ b/crates/fleet/src/log.rs
@@ -5,12 +5,14 @@
 //! line with their number after the next batch.
 
 use std::io::{self, Write};
+use std::panic;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, OnceLock};
 use std::thread;
 use std::time::Duration;
 
+use tracing::error;
 use tracing_subscriber::fmt::MakeWriter;
 
 /// Lines that can wait for the output; further ones are dropped.
@@ -53,6 +55,15 @@
     }
 }
 
+/// Writes a log line for each panic, besides the text that goes to standard error.
+pub fn log_panics() {
+    let print = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        error!(panic = %info, "panic; the task or thread ends");
+        print(info);
+    }));
+}
+
 fn write_lines(receiver: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
     let mut reported = 0;
     while let Ok(first) = receiver.recv() {
--- a/crates/fleet/src/router/crashes.rs
+++ b/crates/fleet/src/router/crashes.rs
@@ -15,11 +15,11 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
 use super::state::Router;
+use crate::process::spawn_detached;
 
 /// A target that has been answering for this time is not crashed by the request: crashing
 /// ones end it when it begins to answer.
@@ -167,7 +167,7 @@
     }
     let (router, address, start) = (Rc::clone(router), choice.address, choice.start);
     let name = choice.name.clone();
-    spawn_local(async move {
+    spawn_detached(async move {
         sleep(CLOSE_TIME).await;
         let has_ended = has_ended(address).await;
         let crashes = &router.crashes;
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -19,7 +19,6 @@
 use bamboospur_types::stable_id;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
-use tokio::task::spawn_local;
 use tokio::time::{interval, sleep_until};
 
 use super::config_requests::ConfigRequests;
@@ -33,6 +32,7 @@
 use crate::link::{self, AcceptEvent, DialEvent, DialedLink, Hello, Role, RouterLocation};
 use crate::loads::{MIN_LOADS_INTERVAL, loads_interval};
 use crate::outbox::Outbox;
+use crate::process::spawn_essential;
 
 /// Capacity of the event queue; links wait while the queue is full.
 const MAX_QUEUED_EVENTS: usize = 256;
@@ -112,9 +112,12 @@
         origin_queries: OriginQueries::default(),
     };
     follower.add_controls(&settings.seeds);
-    spawn_local(link::serve(links, events.clone(), Event::Accepted));
-    spawn_local(reports::serve(reports, events.clone(), Event::Target));
-    spawn_local(follower.run(receiver, origin_queries));
+    spawn_essential("links", link::serve(links, events.clone(), Event::Accepted));
+    spawn_essential(
+        "reports",
+        reports::serve(reports, events.clone(), Event::Target),
+    );
+    spawn_essential("follower", follower.run(receiver, origin_queries));
     SeedUpdater(events)
 }
 
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -57,13 +57,12 @@
 
 use bamboospur_http1::socket;
 use bamboospur_platform::settings::ProcessSettings;
-use tokio::task::spawn_local;
 use tokio::time::{Instant, interval, sleep};
 use tracing::info;
 
 use crate::exposition;
 use crate::link::Traffic;
-use crate::process;
+use crate::process::{self, spawn_essential};
 use crate::settings_file::SettingsFile;
 use crate::signals::Signals;
 use state::Router;
@@ -120,8 +119,14 @@
         reports,
         origin_queries,
     );
-    spawn_local(serve::serve_callers(callers_listener, Rc::clone(&router)));
-    spawn_local(serve::serve_readiness(ready_listener, Rc::clone(&router)));
+    spawn_essential(
+        "callers",
+        serve::serve_callers(callers_listener, Rc::clone(&router)),
+    );
+    spawn_essential(
+        "readiness",
+        serve::serve_readiness(ready_listener, Rc::clone(&router)),
+    );
 
     if let Some(port) = metrics_port {
         let router = Rc::clone(&router);
@@ -130,11 +135,11 @@
         });
     }
 
-    spawn_local(sweep(Rc::clone(&router)));
+    spawn_essential("sweep", sweep(Rc::clone(&router)));
     let changed = async |settings: &ProcessSettings| seeds.update(&settings.seeds).await;
-    process::until_stopped(&mut file, &mut signals, changed).await;
+    let stopped = process::until_stopped(&mut file, &mut signals, changed).await;
     drain(&router, settings.bounds.stop_grace).await;
-    Ok(())
+    stopped
 }
 
 async fn sweep(router: Rc<Router>) {
--- a/crates/fleet/src/router/path_checks.rs
+++ b/crates/fleet/src/router/path_checks.rs
@@ -12,11 +12,11 @@
 
 use bamboospur_dispatch::ChosenTarget;
 use tokio::net::TcpStream;
-use tokio::task::spawn_local;
 use tokio::time::timeout;
 use tracing::info;
 
 use super::state::Router;
+use crate::process::spawn_detached;
 
 /// Time without a byte of the expected answer after which the target is checked.
 const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(250);
@@ -72,7 +72,7 @@
         return;
     }
     let (router, service, choice) = (Rc::clone(router), service.to_owned(), choice.clone());
-    spawn_local(async move {
+    spawn_detached(async move {
         // A refused connection is an answer; what it means is found out elsewhere.
         if timeout(CHECK_TIMEOUT, TcpStream::connect(address))
             .await
--- a/crates/fleet/src/router/serve.rs
+++ b/crates/fleet/src/router/serve.rs
@@ -1,5 +1,6 @@
 //! Connections of callers, and the readiness endpoint.
 
+use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,14 +11,13 @@
 use bamboospur_platform::calls::READY_PATH;
 use bamboospur_types::ResultCode;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 use tracing::{info, warn};
 
 use super::forward::{forward, result_answer};
 use super::state::Router;
 use super::trace::Trace;
-use crate::process::accept;
+use crate::process::{accept, spawn_detached};
 
 /// A connection is closed when the caller acknowledges no data for this time.
 const ACK_TIMEOUT: Duration = Duration::from_secs(8);
@@ -34,15 +34,17 @@
     idle_timeout: Duration::from_secs(10),
 };
 
-/// Accepts connections of callers until the router closes its idle connections.
+/// Accepts connections of callers until the router closes its idle connections; never returns.
 pub async fn serve_callers(listener: TcpListener, router: Rc<Router>) {
     loop {
         let stream = tokio::select! {
             stream = accept(&listener, "callers") => stream,
-            () = router.closing() => return,
+            () = router.closing() => break,
         };
-        spawn_local(serve_connection(stream, Rc::clone(&router)));
+        spawn_detached(serve_connection(stream, Rc::clone(&router)));
     }
+    drop(listener);
+    pending::<()>().await;
 }
 
 async fn serve_connection(stream: TcpStream, router: Rc<Router>) {
@@ -132,7 +134,7 @@
 pub async fn serve_readiness(listener: TcpListener, router: Rc<Router>) {
     loop {
         let stream = accept(&listener, "readiness").await;
-        spawn_local(serve_readiness_connection(stream, Rc::clone(&router)));
+        spawn_detached(serve_readiness_connection(stream, Rc::clone(&router)));
     }
 }
 
--- a/crates/node/src/actors/orders.rs
+++ b/crates/node/src/actors/orders.rs
@@ -25,6 +25,7 @@
 use super::control::Control;
 use super::control_messages::ControlMessage;
 use super::members::{EngineRecord, MembersMessage};
+use crate::essential;
 use crate::mailbox::{Mailbox, MainLoopMessage, ReplySender};
 
 /// Time between two rounds of reports, without the part for each engine.
@@ -191,10 +192,8 @@
             ended: Arc::default(),
             busy: Arc::default(),
         };
-        let builder = thread::Builder::new().name("orders".to_owned());
-        let started = builder.spawn(move || worker.run());
-        started.map_err(|error| format!("no thread for orders: {error}"))?;
-        Ok(())
+        let started = essential::spawn("orders", move || worker.run());
+        started.map_err(|error| format!("no thread for orders: {error}"))
     }
 
     fn run(&self) {
--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -2,7 +2,6 @@
 
 use std::path::Path;
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::thread;
 
 use bamboospur_agreement::{DiskId, Members, Persist, PersistedState};
 use bamboospur_control::MemberInput;
@@ -11,6 +10,7 @@
 use tracing::{error, warn};
 
 use crate::actors::ControlMessage;
+use crate::essential;
 use crate::mailbox::{Mailbox, MainLoopMessage};
 
 /// Disk identity of a replica that keeps its state in memory only.
@@ -91,8 +91,7 @@
     let id = folder.disk_id();
     let (sender, receiver) = channel();
     let mailbox = mailbox.clone();
-    let builder = thread::Builder::new().name("disk".to_owned());
-    let spawned = builder.spawn(move || {
+    let spawned = essential::spawn("disk", move || {
         // Keeps the folder locked until the thread ends.
         let _folder = folder;
         run(&mut log, &receiver, &mailbox);
--- a/crates/node/src/edge/server.rs
+++ b/crates/node/src/edge/server.rs
@@ -8,14 +8,16 @@
 use std::time::Duration;
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::LocalSet;
 use tokio::time::sleep;
 use tracing::{error, warn};
 
+use bamboospur_fleet::process::spawn_detached;
 use bamboospur_http1::socket;
 
 use super::connection;
 use super::incoming::IncomingRequest;
+use crate::essential;
 
 /// Stack size of a request's thread: 2,000 streams take less than 512 MiB of
 /// address space, and far less memory.
@@ -82,11 +84,9 @@
         });
         let (closed, closing) = watch::channel(false);
         let serving = Arc::clone(&shared);
-        thread::Builder::new()
-            .name("edge".to_owned())
-            .spawn(move || {
-                LocalSet::new().block_on(&runtime, serve(serving, listener, closing));
-            })?;
+        essential::spawn("edge", move || {
+            LocalSet::new().block_on(&runtime, serve(serving, listener, closing));
+        })?;
         Ok(Self {
             shared,
             address,
@@ -156,7 +156,7 @@
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let shared = Arc::clone(shared);
-                spawn_local(async move {
+                spawn_detached(async move {
                     connection::serve(shared, stream, Some(peer)).await;
                     drop(permit);
                 });
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dev;
 pub mod disk;
 pub mod edge;
+mod essential;
 pub mod file;
 pub mod log;
 pub mod mailbox;
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -3,7 +3,8 @@
 use tracing_subscriber::EnvFilter;
 
 /// Excludes logs of third-party libraries, because some of them print request headers.
-const DEFAULT_FILTER: &str = "off,bamboospur=info,bamboospur_node=info,bamboospur_upstream=info";
+const DEFAULT_FILTER: &str =
+    "off,bamboospur=info,bamboospur_fleet=info,bamboospur_node=info,bamboospur_upstream=info";
 
 /// Starts logging to standard error, one JSON object per line. The environment
 /// variable `BAMBOOSPUR_LOG` overrides the default filter.
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -7,7 +7,7 @@
 use bamboospur_node::settings::NodeSettings;
 use bamboospur_node::{file, log, run};
 
-const EXIT_START_FAILED: u8 = 1;
+const EXIT_FAILED: u8 = 1;
 const EXIT_BAD_SETTINGS: u8 = 2;
 
 fn main() -> ExitCode {
@@ -28,18 +28,20 @@
         return ExitCode::SUCCESS;
     }
     log::start();
+    bamboospur_fleet::log::log_panics();
     match run::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            tracing::error!(message, "the node did not start");
+            tracing::error!(message, "the node cannot go on");
             eprintln!("bamboospur: {message}");
-            ExitCode::from(EXIT_START_FAILED)
+            ExitCode::from(EXIT_FAILED)
         }
     }
 }
 
 fn run_role(role: Role) -> ExitCode {
     bamboospur_fleet::log::start();
+    bamboospur_fleet::log::log_panics();
     let ended = match role {
         Role::Router(role) => bamboospur_fleet::router::run(role.metrics),
         Role::Control(role) => bamboospur_fleet::control::run(role.into()),
@@ -47,9 +49,9 @@
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            tracing::error!(message, "the process did not start");
+            tracing::error!(message, "the process cannot go on");
             eprintln!("bamboospur: {message}");
-            ExitCode::from(EXIT_START_FAILED)
+            ExitCode::from(EXIT_FAILED)
         }
     }
 }
@@ -71,7 +73,7 @@
         None if args.dev => NodeSettings::default(),
         None => {
             eprintln!("bamboospur: give a settings file with --config FILE, or use --dev");
-            return Err(ExitCode::from(EXIT_START_FAILED));
+            return Err(ExitCode::from(EXIT_FAILED));
         }
     };
     settings.dev = args.dev;
--- a/crates/node/src/peers/dial.rs
+++ b/crates/node/src/peers/dial.rs
@@ -17,6 +17,7 @@
 
 use super::ControlAddress;
 use super::link::{self, Shared};
+use crate::essential;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -44,8 +45,7 @@
 
 fn spawn(shared: &Arc<Shared>, run: impl FnOnce(&Shared) + Send + 'static) {
     let shared = Arc::clone(shared);
-    let builder = thread::Builder::new().name("link-out".to_owned());
-    if let Err(error) = builder.spawn(move || run(&shared)) {
+    if let Err(error) = essential::spawn("link-out", move || run(&shared)) {
         error!(%error, "starting the thread of an outgoing link failed; the link is not opened");
     }
 }
--- a/crates/node/src/peers/listen.rs
+++ b/crates/node/src/peers/listen.rs
@@ -11,6 +11,7 @@
 use tracing::{debug, error};
 
 use super::link::{self, Shared};
+use crate::essential;
 
 /// Most connections open at once: one from each of 420 instances, with room for
 /// instances that are being replaced and for connections from outside the fleet.
@@ -34,20 +35,17 @@
     let listener: TcpListener = socket.into();
     let shared = Arc::clone(shared);
     let open_count = Arc::new(AtomicUsize::new(0));
-    thread::Builder::new()
-        .name("links".to_owned())
-        .spawn(move || {
-            loop {
-                match listener.accept() {
-                    Ok((stream, address)) => serve(stream, address, &shared, &open_count),
-                    Err(error) => {
-                        error!(%error, "accepting a connection failed; trying again after a delay");
-                        thread::sleep(ACCEPT_RETRY_DELAY);
-                    }
+    essential::spawn("links", move || {
+        loop {
+            match listener.accept() {
+                Ok((stream, address)) => serve(stream, address, &shared, &open_count),
+                Err(error) => {
+                    error!(%error, "accepting a connection failed; trying again after a delay");
+                    thread::sleep(ACCEPT_RETRY_DELAY);
                 }
             }
-        })?;
-    Ok(())
+        }
+    })
 }
 
 fn serve(
--- a/crates/node/src/peers/udp.rs
+++ b/crates/node/src/peers/udp.rs
@@ -4,7 +4,6 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::thread;
 
 use bamboospur_membership::MembershipInput;
 use bamboospur_types::InstanceId;
@@ -18,6 +17,7 @@
 
 use super::Traffic;
 use crate::actors::{MembersMessage, RouterMessage};
+use crate::essential;
 use crate::mailbox::{Mailbox, MainLoopMessage};
 
 /// Capacity of the queue of the sending thread. At 1,200 bytes a packet, a full
@@ -59,13 +59,13 @@
     let sealer = Sealer::new(&settings.key, settings.own_id, settings.incarnation);
     let (sender, queue) = sync_channel(MAX_QUEUED_PACKETS);
     let (mailbox, receive_traffic) = (mailbox.clone(), Arc::clone(traffic));
-    thread::Builder::new()
-        .name("udp-in".to_owned())
-        .spawn(move || run_receiver(&receive_socket, opener, &mailbox, &receive_traffic))?;
+    essential::spawn("udp-in", move || {
+        run_receiver(&receive_socket, opener, &mailbox, &receive_traffic);
+    })?;
     let send_traffic = Arc::clone(traffic);
-    thread::Builder::new()
-        .name("udp-out".to_owned())
-        .spawn(move || run_sender(&send_socket, sealer, &queue, &send_traffic))?;
+    essential::spawn("udp-out", move || {
+        run_sender(&send_socket, sealer, &queue, &send_traffic);
+    })?;
     Ok(sender)
 }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -19,6 +19,7 @@
 use crate::dev::{self, StandIns};
 use crate::disk;
 use crate::edge::{HttpServer, HttpServerSettings, IncomingRequest};
+use crate::essential;
 use crate::mailbox::{self, Mailbox, MainLoopMessage};
 use crate::mainloop::{self, LoopStart};
 use crate::operators;
@@ -71,7 +72,7 @@
     let signalled_node = Arc::clone(&node);
     let signals = Signals::new([SIGTERM, SIGINT]);
     let mut signals = signals.map_err(|error| format!("signals cannot be caught: {error}"))?;
-    thread::spawn(move || {
+    let stopper = move || {
         if signals.forever().next().is_some() {
             shut_down(&signalled_node, &edges);
             // The stand-ins deregister through the operators' port, which must
@@ -85,9 +86,13 @@
             thread::sleep(POLL_INTERVAL);
             signalled_node.mailbox.send(MainLoopMessage::Stop);
         }
-    });
+    };
+    essential::spawn("signals", stopper).map_err(|error| format!("no thread: {error}"))?;
     mainloop::run(start, mailbox, &inbox);
     info!("the node has ended");
+    if essential::has_failed() {
+        return Err("a thread has ended by a panic; see the log, and start the node again".into());
+    }
     Ok(())
 }
 
