Answer the requests that a stopping router cannot finish

What callers saw: in a planned stop, requests that do not end in the grace period were cut without an answer, also those that may not be repeated (LOST); and a connection whose request was from before the signal stayed open, and its next request was taken late.

Cause: the router exited with requests in progress. Whether an answer closes its connection was decided when its request began, and a connection read its next request before it asked whether it is to close.

Why this works: half a second before the end of the grace period the callers of requests in progress are told whether these can have run. Answers decide about their connection when they begin, and a connection that closes rejects a request that has arrived.

--- a/crates/fleet/src/router/attempt_history.rs
+++ b/crates/fleet/src/router/attempt_history.rs
@@ -72,6 +72,16 @@
         self.runs == 0
     }
 
+    /// Returns whether any attempt may have run the request.
+    #[must_use]
+    pub const fn execution(&self) -> Execution {
+        if self.proves_not_run() {
+            Execution::NotRun
+        } else {
+            Execution::MayHaveRun
+        }
+    }
+
     const fn allows_runs(&self, runs: u32) -> bool {
         runs == 0 || (self.limits.repeatable && runs < self.limits.max_runs)
     }
--- a/crates/fleet/src/router/forward.rs
+++ b/crates/fleet/src/router/forward.rs
@@ -14,7 +14,7 @@
 
 use super::admit::{Admitted, Refusal, admit};
 use super::attempt::{Answer, Attempt, AttemptEnd};
-use super::attempt_history::{AttemptHistory, AttemptLimits};
+use super::attempt_history::{AttemptHistory, AttemptLimits, Execution};
 use super::crashes::{SOUND_AFTER, check_target};
 use super::event_stream::StreamProgress;
 use super::rejections::Rejections;
@@ -321,6 +321,7 @@
     ) -> AttemptEnd {
         let active = ActiveAttempt::new(self.router, &self.service.name, choice.clone());
         self.stated_limit = None;
+        trace.execution = Execution::MayHaveRun;
         let end = Attempt::new(self, active).run(responder).await;
         trace.record_attempt(choice, &end, self.stated_limit, &self.prompt);
         self.tried.push(choice.name.clone());
@@ -328,6 +329,7 @@
             self.second_choices.push(choice.name.clone());
         }
         self.history.record(end.execution());
+        trace.execution = self.history.execution();
         self.check_target(choice, &end);
         end
     }
@@ -479,7 +481,8 @@
     }
 }
 
-async fn refuse(
+/// Sends the router's own answer for a result code.
+pub async fn refuse(
     responder: &mut Responder<'_>,
     code: ResultCode,
     pause: Option<Duration>,
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -70,8 +70,10 @@
 /// Time until a balancer stops sending new connections to a stopping router: the
 /// balancer needs two failed readiness checks, a second apart.
 const BALANCER_DETECTION_TIME: Duration = Duration::from_millis(2_600);
-/// Part of the grace period reserved for the exit of the process itself.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Part of the grace period reserved for the last answers and the exit of the process itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Time for the last answers, to requests that are ended because the grace period is over.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Time between two checks of a stopping router for requests in progress.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two removals of unusable idle connections and expired departures.
@@ -152,7 +154,7 @@
 
 /// Finishes the requests in progress and serves new ones until the balancer has
 /// had time to notice the stop. Returns when no request is left or at the end of
-/// the grace period.
+/// the grace period, when the callers of the others are told whether they may have run.
 async fn drain(router: &Router, grace: Duration) {
     let started = Instant::now();
     router.start_draining();
@@ -163,8 +165,21 @@
     let end = started + grace.saturating_sub(EXIT_MARGIN);
     sleep(BALANCER_DETECTION_TIME).await;
     router.close_idle();
-    while Instant::now() < end && router.active() > 0 {
-        sleep(DRAIN_POLL_INTERVAL).await;
+    wait_for_requests(router, end).await;
+    if router.active() > 0 {
+        info!(
+            active = router.active(),
+            "the time to stop is over; ending the requests in progress"
+        );
+        router.end_requests();
+        wait_for_requests(router, end + LAST_ANSWER_TIME).await;
     }
     info!(active = router.active(), "router stopped");
 }
+
+/// Waits until no request is in progress, at most until `deadline`.
+async fn wait_for_requests(router: &Router, deadline: Instant) {
+    while Instant::now() < deadline && router.active() > 0 {
+        sleep(DRAIN_POLL_INTERVAL).await;
+    }
+}
--- a/crates/fleet/src/router/serve.rs
+++ b/crates/fleet/src/router/serve.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use bamboospur_http1::server::{
-    ReadError, ReadLimits, Request, Responder, ServerConnection, build_response_head,
+    ReadError, ReadLimits, Request, Responder, ResponseProgress, ServerConnection,
+    build_response_head,
 };
 use bamboospur_http1::socket;
 use bamboospur_platform::calls::READY_PATH;
@@ -14,7 +15,8 @@
 use tokio::time::{Instant, timeout};
 use tracing::{info, warn};
 
-use super::forward::{forward, result_answer};
+use super::attempt_history::Execution;
+use super::forward::{forward, refuse, result_answer};
 use super::state::Router;
 use super::trace::Trace;
 use crate::process::{accept, spawn_detached};
@@ -26,6 +28,10 @@
 /// Time for which input is still read and discarded after a request was refused;
 /// closing at once would reset the connection and could lose the refusal.
 const LINGERING_CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which a request is still read from a connection that is about to be closed.
+const LAST_READ_TIME: Duration = Duration::from_millis(100);
+/// `Retry-After` of a router that stops: another router serves the request at once.
+const STOPPED_RETRY_AFTER: Duration = Duration::from_millis(40);
 /// Limits on requests of the platform to the readiness endpoint.
 const READY_LIMITS: ReadLimits = ReadLimits {
     head_bytes: 4 * 1024,
@@ -57,8 +63,8 @@
         let limits = read_limits(&router);
         let read = tokio::select! {
             biased;
+            () = router.closing() => return refuse_last_request(&mut connection, &limits).await,
             read = connection.read_request(&limits) => read,
-            () = router.closing() => return,
         };
         match read {
             Ok(request) => {
@@ -70,7 +76,7 @@
             Err(end) => {
                 let (mut responder, _) = connection.split();
                 responder.close_after();
-                refuse(&mut responder, end).await;
+                refuse_unread(&mut responder, end).await;
                 // Ends when the caller closes the connection or the time is over.
                 let _closed = timeout(LINGERING_CLOSE_TIMEOUT, connection.discard()).await;
                 return;
@@ -88,14 +94,17 @@
     let _active = router.begin_request();
     let (mut responder, mut watch) = connection.split();
     responder.adapt_to_request(&request.head);
-    if router.is_draining() {
-        responder.close_after();
-    }
+    responder.close_after_if(router.draining());
     let mut trace = Trace::new(request);
-    let code = tokio::select! {
+    let served = tokio::select! {
         biased;
-        code = forward(router, request, &mut responder, &mut trace) => code,
-        () = watch.wait_for_close(MAX_PIPELINED_BYTES) => ResultCode::CallerGone,
+        code = forward(router, request, &mut responder, &mut trace) => Some(code),
+        () = watch.wait_for_close(MAX_PIPELINED_BYTES) => Some(ResultCode::CallerGone),
+        () = router.ending() => None,
+    };
+    let code = match served {
+        Some(code) => code,
+        None => end_request(&mut responder, trace.execution).await,
     };
     let took = Instant::now() - request.arrived;
     router.metrics.borrow_mut().record_request(code, took);
@@ -103,7 +112,45 @@
     responder.can_keep_alive()
 }
 
-async fn refuse(responder: &mut Responder<'_>, end: ReadError) {
+/// Ends a request in progress because the process is about to end.
+async fn end_request(responder: &mut Responder<'_>, execution: Execution) -> ResultCode {
+    if responder.progress() != ResponseProgress::Nothing {
+        // The caller detects the failure by the missing end of the body.
+        return ResultCode::StreamBroken;
+    }
+    match execution {
+        Execution::NotRun => {
+            refuse(
+                responder,
+                ResultCode::ShuttingDown,
+                Some(STOPPED_RETRY_AFTER),
+            )
+            .await
+        }
+        Execution::MayHaveRun => refuse(responder, ResultCode::DeadlineExceeded, None).await,
+    }
+}
+
+/// Rejects a request that arrives while the connection is about to be closed. The caller is told
+/// that it did not run; a closed connection would leave that open.
+async fn refuse_last_request(connection: &mut ServerConnection, limits: &ReadLimits) {
+    let Ok(Ok(request)) = timeout(LAST_READ_TIME, connection.read_request(limits)).await else {
+        return;
+    };
+    let (mut responder, _) = connection.split();
+    responder.adapt_to_request(&request.head);
+    responder.close_after();
+    let mut trace = Trace::new(&request);
+    "the router is stopping".clone_into(&mut trace.detail);
+    let code = refuse(
+        &mut responder,
+        ResultCode::ShuttingDown,
+        Some(STOPPED_RETRY_AFTER),
+    );
+    trace.log(code.await, Instant::now() - request.arrived);
+}
+
+async fn refuse_unread(responder: &mut Responder<'_>, end: ReadError) {
     let (status, code) = match end {
         ReadError::HeadTooLarge => (431, ResultCode::TooLarge),
         ReadError::BodyTooLarge => (413, ResultCode::TooLarge),
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -87,6 +87,8 @@
     has_pending_targets: Cell<bool>,
     draining: Cell<bool>,
     closing: watch::Sender<bool>,
+    /// Whether the requests in progress are to end.
+    ending: watch::Sender<bool>,
     /// Number of requests in progress.
     active: Cell<usize>,
 }
@@ -131,6 +133,7 @@
             has_pending_targets: Cell::new(false),
             draining: Cell::new(false),
             closing: watch::Sender::new(false),
+            ending: watch::Sender::new(false),
             active: Cell::new(0),
         };
         (router, queries)
@@ -164,8 +167,9 @@
         self.handle_lease_change();
     }
 
-    pub fn is_draining(&self) -> bool {
-        self.draining.get()
+    /// Returns the flag that says whether connections are closed after their answer.
+    pub const fn draining(&self) -> &Cell<bool> {
+        &self.draining
     }
 
     pub fn start_draining(&self) {
@@ -184,6 +188,18 @@
         let _closed = closing.wait_for(|&closing| closing).await;
     }
 
+    /// Ends the requests in progress, because the process is about to end.
+    pub fn end_requests(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// Waits until [`Self::end_requests`] is called.
+    pub async fn ending(&self) {
+        let mut ending = self.ending.subscribe();
+        // The sender lives as long as the router.
+        let _ended = ending.wait_for(|&ending| ending).await;
+    }
+
     /// Returns the number of requests in progress.
     pub fn active(&self) -> usize {
         self.active.get()
--- a/crates/fleet/src/router/trace.rs
+++ b/crates/fleet/src/router/trace.rs
@@ -9,6 +9,7 @@
 use tracing::info;
 
 use super::attempt::AttemptEnd;
+use super::attempt_history::Execution;
 
 /// Data of a request for its log line.
 #[derive(Debug)]
@@ -25,6 +26,8 @@
     /// Parts of the prompt, if an answer broke off; otherwise empty.
     prompt: String,
     pub detail: String,
+    /// Whether a target may have run the request, the attempt in progress included.
+    pub execution: Execution,
 }
 
 impl Trace {
@@ -45,6 +48,7 @@
             attempts: Vec::new(),
             prompt: String::new(),
             detail: String::new(),
+            execution: Execution::NotRun,
         }
     }
 
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -1,5 +1,6 @@
 //! Server side: reads requests from callers and writes responses.
 
+use std::cell::Cell;
 use std::io;
 use std::time::Duration;
 
@@ -207,6 +208,7 @@
             keep_alive: true,
             supports_chunks: true,
             has_body: true,
+            closing: None,
         };
         let watch = CloseWatch {
             stream: &self.stream,
@@ -254,14 +256,21 @@
     keep_alive: bool,
     supports_chunks: bool,
     has_body: bool,
+    /// Whether the connection is to be closed, as far as that is known before the response.
+    closing: Option<&'a Cell<bool>>,
 }
 
-impl Responder<'_> {
+impl<'a> Responder<'a> {
     /// Makes the response carry `Connection: close`.
     pub fn close_after(&mut self) {
         self.keep_alive = false;
     }
 
+    /// Makes the response carry `Connection: close` if `closing` is true when it begins.
+    pub fn close_after_if(&mut self, closing: &'a Cell<bool>) {
+        self.closing = Some(closing);
+    }
+
     /// Adapts the response to a request: no body for `HEAD`, no chunked coding for
     /// HTTP/1.0, and `Connection: close` when the caller does not keep the connection.
     pub fn adapt_to_request(&mut self, request: &RequestHead) {
@@ -288,7 +297,7 @@
     ///
     /// Returns the error of the socket, and an error if a response has begun.
     pub async fn write_response(&mut self, head: &ResponseHead, body: &[u8]) -> io::Result<()> {
-        self.check_not_begun()?;
+        self.begin()?;
         let mut out = head.to_bytes();
         self.write_connection(&mut out);
         if !matches!(head.status, 204 | 304) {
@@ -312,7 +321,7 @@
     ///
     /// Returns the error of the socket, and an error if a response has begun.
     pub async fn write_head(&mut self, head: &ResponseHead, framing: Framing) -> io::Result<()> {
-        self.check_not_begun()?;
+        self.begin()?;
         let framing = match framing {
             Framing::Length(_) => framing,
             _ if self.supports_chunks => Framing::Chunked,
@@ -363,10 +372,13 @@
         Ok(())
     }
 
-    /// A second head would be taken for a part of the first response.
-    fn check_not_begun(&self) -> io::Result<()> {
+    /// Fails if a response has begun: a second head would be taken for a part of it.
+    fn begin(&mut self) -> io::Result<()> {
         match self.progress {
-            ResponseProgress::Nothing => Ok(()),
+            ResponseProgress::Nothing => {
+                self.keep_alive &= !self.closing.is_some_and(Cell::get);
+                Ok(())
+            }
             ResponseProgress::Part(_) | ResponseProgress::Whole => Err(io::Error::other(
                 "a response has begun on the connection; no other one is written",
             )),
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -17,6 +17,7 @@
 mod rejoined;
 mod relays;
 mod soak;
+mod stopping;
 mod stream_soak;
 mod target;
 mod unframed;
