Limit the numbers of settings and targets on the own interface

What callers saw: a node with large limits in its settings file panics at its start, and a target that rejects a request with Retry-After can tell callers to return after any time.

Evidence: the tests extreme_limits_are_refused and the_pause_that_a_target_asks_for_is_limited_for_callers, new with this change.

--- a/crates/node/src/file.rs
+++ b/crates/node/src/file.rs
@@ -11,6 +11,11 @@
 use crate::peers::ControlAddress;
 use crate::settings::{NodeSettings, SeedAddress};
 
+/// Most connections, requests or stand-in targets.
+const MAX_COUNT: usize = 1_000_000;
+/// Longest time limit; a longer one is most likely in the wrong unit.
+const MAX_WAIT: Duration = Duration::from_hours(24);
+
 /// An error in a settings file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
@@ -151,10 +156,10 @@
         "addresses.operators" => settings.addresses.operators = address(value)?,
         "addresses.fleet" => settings.addresses.fleet = address(value)?,
         "metrics.statsd" => settings.statsd = Some(address(value)?),
-        "dev.engines" => settings.standins.engines = whole_number(value)?,
-        "dev.records" => settings.standins.records = whole_number(value)?,
-        "limits.connections" => limits.connections = positive_number(value)?,
-        "limits.requests" => limits.requests = positive_number(value)?,
+        "dev.engines" => settings.standins.engines = count(value, 0)?,
+        "dev.records" => settings.standins.records = count(value, 0)?,
+        "limits.connections" => limits.connections = count(value, 1)?,
+        "limits.requests" => limits.requests = count(value, 1)?,
         "limits.body_bytes" => limits.body_bytes = positive_number(value)?,
         "limits.answer_bytes" => limits.answer_bytes = positive_number(value)?,
         "limits.head_timeout_ms" => limits.head_timeout = milliseconds(value)?,
@@ -239,7 +244,19 @@
     number.ok_or_else(|| "must be a whole number above 0".to_owned())
 }
 
+/// Reads a number of connections, requests or processes.
+fn count(value: &DeValue<'_>, least: usize) -> Result<usize, String> {
+    let number = whole_number(value).ok();
+    let number = number.filter(|number| (least..=MAX_COUNT).contains(number));
+    number.ok_or_else(|| format!("must be a whole number from {least} to {MAX_COUNT}"))
+}
+
 fn milliseconds(value: &DeValue<'_>) -> Result<Duration, String> {
     let millis = positive_number(value).map_err(|error| format!("{error}, in milliseconds"))?;
-    Ok(Duration::from_millis(millis as u64))
+    let time = Duration::from_millis(millis as u64);
+    if time > MAX_WAIT {
+        let longest_ms = MAX_WAIT.as_millis();
+        return Err(format!("must be at most {longest_ms} milliseconds, a day"));
+    }
+    Ok(time)
 }
--- a/crates/node/src/request/target.rs
+++ b/crates/node/src/request/target.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_retries::AttemptOutcome;
-use bamboospur_types::{RequestRate, TargetKind};
+use bamboospur_types::{RequestRate, TargetKind, time_from_s};
 use bamboospur_upstream::{
     Answer, Call, CancelHandle, Event, EventStream, Failure, FailureKind, ReadTimeouts,
     RequestIdEcho,
@@ -21,6 +21,8 @@
 
 /// Limit for the call that cancels a request at an engine.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time after which a caller is told to return because a target rejected its request.
+const MAX_TARGET_PAUSE: Duration = Duration::from_secs(5);
 /// Statuses by which a target, or a proxy in front of it, reports a failure.
 const FAILED_STATUSES: [u16; 4] = [429, 502, 503, 504];
 const OK: u16 = 200;
@@ -288,9 +290,12 @@
     }
 }
 
+/// Returns for how long the target wants no further requests. Other targets may have room
+/// sooner, so callers are told [`MAX_TARGET_PAUSE`] at most.
 fn retry_after(answer: &Answer) -> Option<Duration> {
     let value = answer.headers.get("retry-after")?.to_str().ok()?;
-    value.parse().ok().map(Duration::from_secs)
+    let pause = time_from_s(value.trim().parse().ok()?)?;
+    Some(pause.min(MAX_TARGET_PAUSE))
 }
 
 /// Tells an engine to stop processing a request whose answer is no longer needed.
--- a/crates/node/tests/bad_input.rs
+++ b/crates/node/tests/bad_input.rs
@@ -305,3 +305,84 @@
         assert!(!seen.head.contains("crumb"), "{seen:?}");
     }
 }
+
+/// Guards against numbers of targets, callers and operators that stop a thread of the node.
+#[test]
+fn extreme_numbers_do_not_stop_the_node() {
+    const NUMBERS: [&str; 12] = [
+        "0",
+        "-1",
+        "0.5",
+        "4294967295",
+        "4294967296",
+        "9223372036854775807",
+        "18446744073709551615",
+        "1e20",
+        "1e22",
+        "1e300",
+        "1e-300",
+        "-1e22",
+    ];
+    let node = Node::start();
+    let engine = node.add_engine(&[]);
+    let caller = node.caller();
+    let operator = Caller::new(node.operators);
+    for number in NUMBERS {
+        let late = caller.clone().with_header("bamboospur-deadline-ms", number);
+        assert_ne!(late.post(CHAT, HELLO).status, 0, "deadline {number}");
+        let long = HELLO.replacen('{', &format!("{{\"max_tokens\":{number},"), 1);
+        assert_ne!(caller.post(CHAT, &long).status, 0, "max_tokens {number}");
+        for field in ["incarnation", "capacity_tokens", "capacity_requests"] {
+            let fields = ["incarnation", "capacity_tokens", "capacity_requests"];
+            let fields = fields.map(|name| {
+                let value = if name == field { number } else { "1" };
+                format!("\"{name}\":{value}")
+            });
+            let record = format!(
+                "{{\"name\":\"{field}-{number}\",\"address\":\"127.0.0.1:9\",\
+                 \"data_centre\":\"dev\",\"pool\":\"unused\",\"kind\":\"service\",\
+                 \"offers\":[],\"checks_fencing\":false,{}}}",
+                fields.join(",")
+            );
+            let answer = operator.post("/targets/announce", &record);
+            assert_ne!(answer.status, 0, "{field} {number}");
+        }
+        for field in ["sequence", "load_tokens", "load_requests"] {
+            let beat = format!(
+                "{{\"name\":\"{}\",\"incarnation\":1,\"state\":\"ready\",\"sequence\":1,\
+                 \"{field}\":{number}}}",
+                "other"
+            );
+            let answer = operator.post("/targets/heartbeat", &beat);
+            assert_ne!(answer.status, 0, "{field} {number}");
+        }
+    }
+    caller
+        .post(CHAT, HELLO)
+        .assert_outcome("answered", Code::Ok);
+    assert!(engine.runs() > 0);
+    assert!(!node.log().contains("panic"), "{}", node.log());
+}
+
+/// Guards against callers that are told to return after years because one target said so.
+#[test]
+fn the_pause_that_a_target_asks_for_is_limited_for_callers() {
+    let node = Node::start();
+    let engine = node.add_engine(&[]);
+    for seconds in ["3600", "18446744073709551615", "1e300"] {
+        // New requests fill the retry budget.
+        for _ in 0..30 {
+            node.caller().send_chat();
+        }
+        for _ in 0..3 {
+            engine.push_action(TargetAction::RefuseFor(seconds));
+        }
+        let answer = node.caller().send_chat();
+        answer.assert_outcome("not-run", Code::TargetRefused);
+        let pause: u64 = answer.header("retry-after").parse().expect("a number");
+        assert!(pause <= 5, "{seconds}: {answer:?}");
+        eventually("the target answers", || {
+            node.caller().send_chat().status == 200
+        });
+    }
+}
--- a/crates/node/tests/settings_file.rs
+++ b/crates/node/tests/settings_file.rs
@@ -119,3 +119,21 @@
     assert!(String::from_utf8_lossy(&version.stdout).starts_with("bamboospur "));
     assert_eq!(run(&[]).status.code(), Some(1));
 }
+
+/// Guards against settings that let the node panic at its start or at its first request.
+#[test]
+fn extreme_limits_are_refused() {
+    for (key, value) in [
+        ("connections", "9223372036854775807"),
+        ("requests", "18446744073709551615"),
+        ("deadline_ms", "18446744073709551615"),
+        ("drain_ms", "86400001"),
+        ("stall_ms", "9223372036854775807"),
+    ] {
+        let problems = file::read(&format!("[limits]\n{key} = {value}\n"));
+        let problems = problems.expect_err("bad settings");
+        assert_eq!(problems[0].line, 2, "{key}: {problems:?}");
+    }
+    let longest = file::read("[limits]\ndeadline_ms = 86400000\n").expect("valid settings");
+    assert_eq!(longest.limits.deadline, Duration::from_hours(24));
+}
--- a/crates/node/tests/support/target.rs
+++ b/crates/node/tests/support/target.rs
@@ -23,6 +23,10 @@
     NoAnswer,
     /// Closes the connection in the middle of the head.
     CloseInHead,
+    /// Closes the connection after this many bytes of a complete answer.
+    CloseAfterBytes(usize),
+    /// Refuses with status 503 without running the request, and states this `Retry-After`.
+    RefuseFor(&'static str),
     /// Closes the connection before the end of a body with `content-length`.
     CloseInBody,
     /// Closes the connection before the last chunk of a chunked body.
@@ -274,6 +278,10 @@
             let extra = format!("{proof}content-length: 2");
             write(stream, &(head(status, &id, &extra) + "{}"));
         }
+        TargetAction::RefuseFor(seconds) => {
+            let extra = format!("x-not-run: true\r\nretry-after: {seconds}\r\ncontent-length: 2");
+            write(stream, &(head(503, &id, &extra) + "{}"));
+        }
         TargetAction::RestartStream => write_event_range(stream, &id, 1, EVENT_COUNT, true),
         TargetAction::SkipEvent => {
             let after = request.header("last-event-id").and_then(|v| v.parse().ok());
@@ -312,6 +320,18 @@
     let length = body.len();
     match action {
         TargetAction::CloseInHead => write(stream, "HTTP/1.1 200 OK\r\ncontent-le"),
+        TargetAction::CloseAfterBytes(count) => {
+            let whole = if request.body.contains("\"stream\":true") {
+                let events = (1..=EVENT_COUNT).map(|number| chunk(&event(number)));
+                stream_head(id)
+                    + &events.collect::<String>()
+                    + &chunk("data: [DONE]\n\n")
+                    + "0\r\n\r\n"
+            } else {
+                head(200, id, &format!("content-length: {length}")) + body
+            };
+            write(stream, &whole[..count.min(whole.len() - 1)]);
+        }
         TargetAction::CloseInBody => {
             let head = head(200, id, &format!("content-length: {}", length + 10));
             write(stream, &(head + body));
