Test cut answers, releases beside a router that stands still, and foreign writers

Soaks have a writer of odd reports, invalid configurations and extreme ones, and read the configuration back at all control instances. The test of endless answers used the addresses of other tests.

--- a/crates/node/tests/deployment/answers.rs
+++ b/crates/node/tests/deployment/answers.rs
@@ -111,6 +111,63 @@
     assert!(is_broken_off(&reply), "{}", reply.body);
 }
 
+/// Guards against an answer that ends inside its head or body and looks whole.
+#[test]
+fn an_answer_that_is_cut_at_any_byte_does_not_look_whole() {
+    fn serve(connection: &mut RawConnection, whole: impl Fn(&str) -> String) -> Option<()> {
+        let request = connection.read_request()?;
+        let whole = whole(request.id());
+        let (_, cut) = request.id().rsplit_once('-')?;
+        let cut = cut.parse().ok().filter(|&cut| cut < whole.len())?;
+        connection.write(&whole[..cut])?;
+        None
+    }
+    fn plain(id: &str) -> String {
+        answer(id, "200 OK", "", "a whole body")
+    }
+    fn events(id: &str) -> String {
+        let head = answer(id, "200 OK", EVENT_STREAM, "");
+        let head = head.replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        let events = (1..=3).map(|event| format!("id: {event}\ndata: own\n\n"));
+        let chunks = events.map(|event| format!("{:x}\r\n{event}\r\n", event.len()));
+        head + &chunks.collect::<String>() + "0\r\n\r\n"
+    }
+    let kinds: [(u8, &str, &str, Serve, usize); 2] = [
+        (
+            9,
+            "lossy",
+            "/submit/1",
+            |c| serve(c, plain),
+            plain("cut-000").len(),
+        ),
+        (
+            10,
+            "engine",
+            "/chat/1",
+            |c| serve(c, events),
+            events("cut-000").len(),
+        ),
+    ];
+    for (network, service, path, serve, length) in kinds {
+        let deployment = deployment_with(network, service, &[serve]);
+        for cut in 0..length {
+            let reply = deployment.request("POST", path, &format!("cut-{cut:03}"), "k1");
+            let Some(reply) = reply else { continue };
+            let is_whole = match service {
+                "engine" => reply.status == 200 && reply.body.ends_with("0\r\n\r\n"),
+                _ => reply.status == 200,
+            };
+            assert!(
+                !is_whole,
+                "{path} cut at {cut}: {}\r\n\r\n{}",
+                reply.head, reply.body
+            );
+            let may_have_run = !matches!(reply.status, 408 | 421 | 429 | 503);
+            assert!(may_have_run, "{path} cut at {cut}: {}", reply.head);
+        }
+    }
+}
+
 /// Guards against bytes of a further answer that a caller gets as an event of its stream.
 #[test]
 fn a_further_answer_is_no_event_of_a_stream() {
--- a/crates/node/tests/deployment/endless.rs
+++ b/crates/node/tests/deployment/endless.rs
@@ -205,8 +205,8 @@
 #[test]
 fn bytes_without_end_that_are_no_answer_are_read_up_to_a_limit() {
     let mut failed = Vec::new();
-    for (index, form) in (0_u8..).zip(forms()) {
-        let mut deployment = Deployment::start(80 + index);
+    for form in forms() {
+        let mut deployment = Deployment::start(19);
         deployment.configure("k1");
         let form = Arc::new(form);
         let (address, written) = start_target(deployment.host(20), Arc::clone(&form));
--- a/crates/node/tests/deployment/harness.rs
+++ b/crates/node/tests/deployment/harness.rs
@@ -17,6 +17,8 @@
 pub const CALLER_PORT: u16 = 9102;
 pub const READY_PORT: u16 = 9103;
 const LINK_PORT: u16 = 9110;
+/// Second port of the range, where routers take reports of targets.
+pub const REPORT_PORT: u16 = LINK_PORT + 1;
 /// Longest wait for a state that the processes reach without further input.
 const STATE_TIMEOUT: Duration = Duration::from_secs(15);
 
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -8,6 +8,7 @@
 mod endless;
 mod evacuations;
 mod extremes;
+mod foreign;
 mod harness;
 mod limited;
 mod prompts;
--- a/crates/node/tests/deployment/soak.rs
+++ b/crates/node/tests/deployment/soak.rs
@@ -2,8 +2,10 @@
 //!
 //! Processes are killed, terminated, suspended and restarted, control instances lose
 //! their disks, and connections to targets are delayed, held back in one or both
-//! directions, and closed. The checks use what callers and targets received. With
-//! even seeds, one router relays to the others and targets report to routers.
+//! directions, and closed. Another writer sends odd reports, and operators send
+//! configurations with extreme numbers and invalid ones. The checks use what callers,
+//! targets and operators received. With even seeds, one router relays to the others and
+//! targets report to routers.
 //! `SOAK_SEED`, `SOAK_SECONDS` and `SOAK_ROUTERS` change the seed, length and size of
 //! the run.
 
@@ -17,9 +19,10 @@
 use bamboospur_types::Rng;
 use rustix::process::Signal;
 
+use super::foreign;
 use super::harness::{
-    Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, SINGLE_RELAY_OPTIONS, Target, call, config,
-    eventually, json_call, next_report_address, report_body, request_text,
+    Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, REPORT_PORT, SINGLE_RELAY_OPTIONS, Target,
+    call, eventually, json_call, next_report_address, report_body, request_text,
 };
 use super::proxy::{Mode, Proxy};
 
@@ -41,7 +44,7 @@
     statuses: Mutex<BTreeMap<String, u16>>,
     violations: Mutex<Vec<String>>,
     served: AtomicU64,
-    done: AtomicBool,
+    done: Arc<AtomicBool>,
 }
 
 impl CallerObservations {
@@ -197,19 +200,23 @@
         let mut version = first;
         while !observations.done.load(Ordering::SeqCst) {
             version += 1 + rng.below(3);
-            let put = json_call(
-                controls[rng.index(3)],
-                "PUT",
-                "/config",
-                &config(version, "k1"),
-            );
+            if rng.below(4) == 0 {
+                let invalid = foreign::invalid_config(version, "k1", &mut rng);
+                let put = json_call(controls[rng.index(3)], "PUT", "/config", &invalid);
+                if put.is_some_and(|reply| reply.status == 200) {
+                    observations.add_violation(format!("invalid configuration taken: {invalid}"));
+                }
+                version += 1;
+            }
+            let valid = foreign::extreme_config(version, "k1", &mut rng);
+            let put = json_call(controls[rng.index(3)], "PUT", "/config", &valid);
             match put.map(|reply| reply.status) {
                 Some(200) => {
                     newest.fetch_max(version, Ordering::SeqCst);
                 }
                 Some(status) if status < 500 => {
                     observations
-                        .add_violation(format!("valid configuration {version} refused: {status}"));
+                        .add_violation(format!("valid configuration refused: {status}, {valid}"));
                 }
                 _ => {}
             }
@@ -228,9 +235,10 @@
 }
 
 fn version_of(body: &str) -> u64 {
-    let text = body.trim_start_matches("{\"version\":");
-    let digits: String = text.chars().take_while(char::is_ascii_digit).collect();
-    digits.parse().unwrap_or(0)
+    let field = body.split_once("\"version\":");
+    let digits = field.map_or("", |(_, rest)| rest);
+    let end = digits.find(|c: char| !c.is_ascii_digit());
+    digits[..end.unwrap_or(digits.len())].parse().unwrap_or(0)
 }
 
 /// Injects one random fault.
@@ -380,6 +388,11 @@
     for caller in 0..CALLER_COUNT {
         spawn_caller(seed, caller, routers.clone(), Arc::clone(&observations));
     }
+    let mut writer_addresses = controls.clone();
+    for &index in &setup.routers {
+        writer_addresses.push(setup.deployment.address(index, REPORT_PORT));
+    }
+    foreign::spawn_writer(seed, writer_addresses, Arc::clone(&observations.done));
     let mut rng = Rng::new(seed);
     let end = Instant::now() + time;
     let mut faults_injected = 0;
@@ -393,10 +406,12 @@
         observations.served.load(Ordering::SeqCst) > before + 20
     });
     let newest = accepted.load(Ordering::SeqCst);
-    eventually("the newest configuration is read back", || {
-        let read = json_call(controls[0], "GET", "/config", "");
-        read.is_some_and(|reply| reply.status == 200 && version_of(&reply.body) >= newest)
-    });
+    for &control in &controls {
+        eventually("the newest configuration is read back", || {
+            let read = json_call(control, "GET", "/config", "");
+            read.is_some_and(|reply| reply.status == 200 && version_of(&reply.body) >= newest)
+        });
+    }
     observations.done.store(true, Ordering::SeqCst);
     thread::sleep(Duration::from_secs(8));
     let violations = find_violations(&setup, &observations);
--- a/crates/node/tests/deployment/versions.rs
+++ b/crates/node/tests/deployment/versions.rs
@@ -6,6 +6,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rustix::process::Signal;
+
 use super::harness::{
     Behaviour, CALLER_PORT, Deployment, Reply, Target, call, eventually, request_text,
 };
@@ -249,3 +251,34 @@
     assert_eq!(reply.status, 503, "{}", reply.body);
     assert_eq!((first.runs(), second.runs()), (0, 0));
 }
+
+/// Guards against a router that stood still while a release replaced all targets, and then joins
+/// a stream of the new version with the old one.
+#[test]
+fn a_router_that_stood_still_during_a_release_joins_no_other_version() {
+    let mut deployment = start(8);
+    let old = engine(&deployment, 20, "t1", "v1", Behaviour::Stream);
+    wait_ready(&deployment);
+    deployment.signal("router-10", Signal::STOP);
+    let new = engine(&deployment, 21, "t2", "v2", Behaviour::Stream);
+    deployment.report("t1", &old, "engine", "draining", 2);
+    thread::sleep(SPREAD_TIME);
+    let (named, _) = begin(&deployment, "id-1", 1);
+    let (unnamed, _) = begin(&deployment, "id-2", 1);
+    deployment.kill("router-9");
+    drop((named, unnamed));
+    let before = old.runs();
+    deployment.signal("router-10", Signal::CONT);
+    // The first requests arrive before the router has heard of anything.
+    for attempt in 0..8 {
+        let reply = resume(&deployment, &format!("id-1-{attempt}"), "id-1", 1);
+        let joined = writers(&reply.body);
+        assert!(joined.iter().all(|name| *name == "t2"), "{}", reply.body);
+        let text = request_text("POST", "/talk/1", &format!("id-2-{attempt}"), "k1");
+        let text = text.replacen("Content-Length", "Last-Event-Id: 1\r\nContent-Length", 1);
+        let reply = call(deployment.address(10, CALLER_PORT), &text).expect("a reply");
+        let joined = writers(&reply.body);
+        assert!(joined.iter().all(|name| *name == "t2"), "{}", reply.body);
+    }
+    assert_eq!((old.runs(), new.runs() >= 2), (before, true));
+}
--- a/crates/node/tests/outcomes.rs
+++ b/crates/node/tests/outcomes.rs
@@ -225,3 +225,23 @@
     }
     assert!(engine.runs() <= 12, "{}", engine.runs());
 }
+
+/// Guards against an answer that ends inside its head or body and looks whole.
+#[test]
+fn an_answer_that_is_cut_at_any_byte_does_not_look_whole() {
+    // More than the head, whose length differs with the id of the request.
+    const CUTS: usize = 150;
+    let node = node();
+    let records = node.add_records(&[]);
+    for cut in 0..CUTS {
+        records.push_action(TargetAction::CloseAfterBytes(cut));
+        let caller = node.caller().with_key(&format!("cut-{cut}"));
+        let answer = caller.post_record("entry");
+        assert_eq!(answer.outcome(), "unknown", "cut at {cut}: {answer:?}");
+        // A target that fails again and again gets no requests.
+        let whole = node.caller().with_key(&format!("whole-{cut}"));
+        whole
+            .post_record("entry")
+            .assert_outcome("answered", Code::Ok);
+    }
+}
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -280,3 +280,19 @@
         assert!(took < Duration::from_secs(5), "{name}: {took:?}");
     }
 }
+
+/// Guards against a stream that is joined wrongly, or ends as if it were whole, after an answer
+/// that ends inside its head or an event.
+#[test]
+fn a_stream_that_is_cut_at_any_byte_goes_on_where_it_stopped() {
+    let node = node();
+    let engine = node.add_engine(&[]);
+    for cut in (1..420).step_by(9) {
+        // New requests fill the retry budget.
+        for _ in 0..20 {
+            node.caller().send_chat();
+        }
+        engine.push_action(TargetAction::CloseAfterBytes(cut));
+        assert_complete(&node.caller().stream_chat());
+    }
+}
