Ask where a route has led when a stream is resumed

Cause: the possible origins of a stream that was not reported were looked for among the present services of its route.

--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -33,6 +33,7 @@
 use super::peers::Peers;
 use super::prefix_queue::PrefixQueue;
 use super::prefix_store::PrefixStore;
+use super::route_history::RouteHistory;
 use super::soft::{SoftState, SoftStateSchedule};
 use crate::link::{AcceptedLinks, Frame, LinkId, Traffic};
 use crate::loads::{Loads, MIN_LOADS_INTERVAL, loads_interval};
@@ -86,6 +87,7 @@
     prefix_queue: PrefixQueue,
     /// Origins of the streams that routers reported.
     stream_origins: OriginTable,
+    route_history: RouteHistory,
     /// Parts of prompts that crash targets.
     crash_hub: Hub,
     /// Messages about crashes that wait for bandwidth.
@@ -157,6 +159,7 @@
             cached_prefixes,
             prefix_queue: PrefixQueue::new(settings.link_bytes_per_s, now),
             stream_origins: OriginTable::default(),
+            route_history: RouteHistory::default(),
             crash_hub: Hub::new(HubSettings::default()),
             crash_outbox: CrashOutbox::new(CrashOutboxSettings::HUB, now),
             limit_hub: LimitHub::new(LimitHubSettings::default()),
@@ -218,7 +221,7 @@
 
     fn run_round(&mut self, now: Instant) {
         self.pending_requests.remove_expired(now);
-        self.peers.remove_silent(now);
+        self.peers.remove_silent(&self.group.voters(), now);
         self.registry.remove_expired(now);
         self.stream_origins.remove_expired(now);
         self.crash_hub.remove_expired(now);
@@ -325,6 +328,13 @@
     /// Publishes the newest document once it changed. After a restart, one input applies
     /// many versions of the log, of which only the newest is published.
     fn publish_newest_document(&mut self) {
+        let replaced = self.group.take_replaced();
+        if replaced.has_gap {
+            self.route_history.record_gap(Instant::now());
+        }
+        for document in replaced.documents {
+            self.route_history.push(document, Instant::now());
+        }
         let document = self.group.document();
         if document.version > self.outbox.configs().version() {
             self.counters.configs += 1;
--- a/crates/fleet/src/control/host/streams.rs
+++ b/crates/fleet/src/control/host/streams.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use bamboospur_catalog::ServiceName;
 use bamboospur_group::GroupInput;
 
 use super::Host;
@@ -42,7 +43,7 @@
     /// Answers at once if the stream was reported. Which versions it can have begun at
     /// otherwise, only the leader can say for certain.
     fn handle_find_stream(&mut self, query: StreamQuery, now: Instant) {
-        let found = self.find_stream(&query, false, now);
+        let found = self.find_stream(&query, now);
         if self.is_leader() && matches!(found, FoundOrigin::NotReported(_)) {
             let request = PendingRequest::FindStream(query);
             let ticket = self.pending_requests.add(request, now);
@@ -54,9 +55,23 @@
 
     /// Answers a query after the read that it waited for. `confirmed` says whether the group
     /// has confirmed that this instance has its newest state.
-    pub(super) fn answer_find_stream(&self, query: &StreamQuery, confirmed: bool, now: Instant) {
-        let is_complete = confirmed && self.knows_software(now);
-        self.send_found_stream(query, self.find_stream(query, is_complete, now));
+    pub(super) fn answer_find_stream(
+        &mut self,
+        query: &StreamQuery,
+        confirmed: bool,
+        now: Instant,
+    ) {
+        let found = self.find_stream(query, now);
+        let is_complete =
+            confirmed && self.knows_software(now) && self.route_history.is_complete(now);
+        let found = match found {
+            FoundOrigin::NotReported(possible) => FoundOrigin::NotReported(PossibleOrigins {
+                is_complete,
+                ..possible
+            }),
+            reported @ FoundOrigin::Reported(_) => reported,
+        };
+        self.send_found_stream(query, found);
     }
 
     fn send_found_stream(&self, query: &StreamQuery, found: FoundOrigin) {
@@ -65,17 +80,20 @@
         self.send_to_link(query.link, &Frame::StreamFound { ticket, found });
     }
 
-    fn find_stream(&self, query: &StreamQuery, is_complete: bool, now: Instant) -> FoundOrigin {
+    /// Returns what this instance knows of the origin of a stream, and where else it can have
+    /// begun.
+    fn find_stream(&mut self, query: &StreamQuery, now: Instant) -> FoundOrigin {
         let reported = query
             .stream
             .and_then(|stream| self.stream_origins.find(stream));
         if let Some(origin) = reported {
             return FoundOrigin::Reported(origin.clone());
         }
+        let services =
+            self.route_history
+                .services_lately(&query.services, self.group.document(), now);
+        let services: Vec<ServiceName> = services.into_iter().collect();
         let (registry, fleet) = (&self.registry, self.group.fleet());
-        FoundOrigin::NotReported(PossibleOrigins {
-            is_complete,
-            ..PossibleOrigins::known_to(registry, fleet, &query.services, now)
-        })
+        FoundOrigin::NotReported(PossibleOrigins::known_to(registry, fleet, &services, now))
     }
 }
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod prefix_queue;
 mod prefix_store;
+mod route_history;
 mod soft;
 
 use std::time::Duration;
@@ -38,6 +39,7 @@
 pub use held_targets::HeldTargets;
 pub use prefix_queue::PrefixQueue;
 pub use prefix_store::PrefixStore;
+pub use route_history::RouteHistory;
 pub use soft::{SoftState, SoftStateSchedule};
 
 /// Events that can wait for the host. When the queue is full, senders wait.
--- a/crates/group/src/group.rs
+++ b/crates/group/src/group.rs
@@ -154,6 +154,15 @@
     pub voters: usize,
 }
 
+/// Documents that were in force before the present one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReplacedDocuments {
+    /// Documents that this instance applied, oldest first.
+    pub documents: Vec<Document>,
+    /// Whether others may have been in force that this instance has not seen.
+    pub has_gap: bool,
+}
+
 /// Operation that waits for a result from the replica. `ticket` is the host's.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum PendingOperation {
@@ -178,6 +187,7 @@
     member_change_pending: bool,
     next_member_check: Instant,
     bytes_since_snapshot: usize,
+    replaced: ReplacedDocuments,
     outputs: Vec<GroupOutput>,
 }
 
@@ -199,6 +209,7 @@
             last_ticket: 0,
             member_change_pending: false,
             bytes_since_snapshot: 0,
+            replaced: ReplacedDocuments::default(),
             outputs: Vec::new(),
         }
     }
@@ -264,6 +275,17 @@
         }
     }
 
+    /// Removes and returns the documents that newer ones have replaced since the last call.
+    pub fn take_replaced(&mut self) -> ReplacedDocuments {
+        std::mem::take(&mut self.replaced)
+    }
+
+    /// Returns the voters in the members known to this instance.
+    #[must_use]
+    pub fn voters(&self) -> Vec<InstanceId> {
+        self.replica.status().members.voters().collect()
+    }
+
     fn tick(&mut self, now: Instant) {
         self.step_replica(Input::Tick, now);
         if now < self.next_member_check {
@@ -418,7 +440,10 @@
     /// Keeps the highest version, and of one version the content applied first.
     fn replace_if_newer(&mut self, document: Document) {
         if document.version > self.document.version {
-            self.document = document;
+            let replaced = std::mem::replace(&mut self.document, document);
+            if replaced.version > 0 {
+                self.replaced.documents.push(replaced);
+            }
         }
     }
 
@@ -428,6 +453,8 @@
         }
         match decode_snapshot(state) {
             Ok((document, fleet)) => {
+                // Others may have been in force between the two.
+                self.replaced.has_gap |= document.version > self.document.version;
                 self.replace_if_newer(document);
                 if fleet.revision() > self.fleet.revision() {
                     self.fleet = fleet;
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -26,6 +26,8 @@
 pub use change::Change;
 pub use document::{Document, DocumentVersion};
 pub use fleet_state::{DataCentre, FleetChange, FleetRevision, FleetState, ServiceSoftware};
-pub use group::{Group, GroupInput, GroupOutput, GroupStatus, Reply, Unavailable};
+pub use group::{
+    Group, GroupInput, GroupOutput, GroupStatus, ReplacedDocuments, Reply, Unavailable,
+};
 pub use patch::Patch;
 pub use settings::GroupSettings;
--- a/crates/node/tests/deployment/versions.rs
+++ b/crates/node/tests/deployment/versions.rs
@@ -9,7 +9,8 @@
 use rustix::process::Signal;
 
 use super::harness::{
-    Behaviour, CALLER_PORT, Deployment, Reply, Target, call, eventually, request_text,
+    Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, Reply, Target, call, config, eventually,
+    json_call, request_text,
 };
 use super::target::EVENTS;
 
@@ -282,3 +283,41 @@
     }
     assert_eq!((old.runs(), new.runs() >= 2), (before, true));
 }
+
+/// Guards against a stream that goes on at another service because its route has moved there, and
+/// the router that began it is gone.
+#[test]
+fn a_stream_whose_route_has_moved_is_not_joined_at_the_new_service() {
+    let mut deployment = start(21);
+    let old = engine(&deployment, 20, "t1", "v1", Behaviour::Stream);
+    let new = Target::start(deployment.host(21), "t2", Behaviour::Stream);
+    deployment.report("t2", &new, "s", "ready", 1);
+    wait_ready(&deployment);
+    let begun = begin(&deployment, "id-1", 1);
+    deployment.version += 1;
+    let moved = config(deployment.version, "k1");
+    let (before, talk) = moved.split_once("\"name\":\"talk\"").expect("the route");
+    let talk = talk.replacen("\"service\":\"engine\"", "\"service\":\"s\"", 1);
+    let moved = format!("{before}\"name\":\"talk\"{talk}");
+    eventually("the route moves", || {
+        let address = deployment.address(1, CONTROL_PORT);
+        json_call(address, "PUT", "/config", &moved).is_some_and(|reply| reply.status == 200)
+    });
+    thread::sleep(SPREAD_TIME);
+    deployment.kill("router-9");
+    drop(begun);
+    let named = resume(&deployment, "id-2", "id-1", 1);
+    let unnamed = resume_text("id-3", "id-1", 1).replacen("Resumes: id-1\r\n", "", 1);
+    let unnamed = call(deployment.address(10, CALLER_PORT), &unnamed).expect("a reply");
+    assert_eq!(
+        (named.status, unnamed.status),
+        (503, 503),
+        "{}",
+        unnamed.body
+    );
+    assert_eq!((old.runs(), new.runs()), (1, 0));
+    // A new stream begins at the new service.
+    let text = request_text("POST", "/talk/1", "id-4", "k1");
+    let fresh = call(deployment.address(10, CALLER_PORT), &text).expect("a reply");
+    assert_eq!((fresh.status, new.runs()), (200, 1), "{}", fresh.body);
+}
