--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -278,6 +278,18 @@
         }
     }
 
+    /// Records that a target has begun to answer a request, which ends its pause if the request
+    /// was the trial.
+    pub fn record_acceptance(&mut self, service: &str, choice: &ChosenTarget) {
+        if let Some(target) = self.target_mut(service, &choice.name, choice.start)
+            && target
+                .pause
+                .is_some_and(|pause| pause.is_trial(choice.chosen_at))
+        {
+            target.pause = None;
+        }
+    }
+
     /// Records the limit on its requests that a target stated in its answer to a request, or
     /// that it stated none.
     pub fn record_stated_limit(
--- a/crates/dispatch/tests/dispatch.rs
+++ b/crates/dispatch/tests/dispatch.rs
@@ -562,7 +562,8 @@
     dispatcher.finish("records", &lost, Outcome::Neutral, at(7));
     assert!(dispatcher.choose(&request, at(8)).is_err());
     let trial = dispatcher.choose(&request, at(13)).expect("a trial");
-    dispatcher.finish("records", &trial, answered(20), at(13));
+    // The answer itself can last for long.
+    dispatcher.record_acceptance("records", &trial);
     for _ in 0..3 {
         dispatcher.choose(&request, at(13)).expect("the target");
     }
--- a/crates/fleet/src/control/host/streams.rs
+++ b/crates/fleet/src/control/host/streams.rs
@@ -61,39 +61,50 @@
         confirmed: bool,
         now: Instant,
     ) {
-        let found = self.find_stream(query, now);
-        let is_complete =
-            confirmed && self.knows_software(now) && self.route_history.is_complete(now);
-        let found = match found {
-            FoundOrigin::NotReported(possible) => FoundOrigin::NotReported(PossibleOrigins {
-                is_complete,
-                ..possible
-            }),
-            reported @ FoundOrigin::Reported(_) => reported,
-        };
+        let mut found = self.find_stream(query, now);
+        if let FoundOrigin::NotReported(possible) = &mut found {
+            possible.is_complete = confirmed && self.add_earlier_origins(query, possible, now);
+        }
         self.send_found_stream(query, found);
     }
 
+    /// Adds the origins of streams that began before their route led where it leads now. Returns
+    /// whether all possible origins are known.
+    fn add_earlier_origins(
+        &mut self,
+        query: &StreamQuery,
+        possible: &mut PossibleOrigins,
+        now: Instant,
+    ) -> bool {
+        let newest = self.group.document();
+        let services = self
+            .route_history
+            .services_lately(&query.services, newest, now);
+        let Some(services) = services else {
+            return false;
+        };
+        let services: Vec<ServiceName> = services.into_iter().collect();
+        let (registry, fleet) = (&self.registry, self.group.fleet());
+        let mut all = PossibleOrigins::known_to(registry, fleet, &services, now);
+        possible.origins.append(&mut all.origins);
+        self.knows_software(now)
+    }
+
     fn send_found_stream(&self, query: &StreamQuery, found: FoundOrigin) {
         let ticket = query.ticket;
         // The router asks another instance if the answer is lost.
         self.send_to_link(query.link, &Frame::StreamFound { ticket, found });
     }
 
-    /// Returns what this instance knows of the origin of a stream, and where else it can have
-    /// begun.
-    fn find_stream(&mut self, query: &StreamQuery, now: Instant) -> FoundOrigin {
+    fn find_stream(&self, query: &StreamQuery, now: Instant) -> FoundOrigin {
         let reported = query
             .stream
             .and_then(|stream| self.stream_origins.find(stream));
         if let Some(origin) = reported {
             return FoundOrigin::Reported(origin.clone());
         }
-        let services =
-            self.route_history
-                .services_lately(&query.services, self.group.document(), now);
-        let services: Vec<ServiceName> = services.into_iter().collect();
         let (registry, fleet) = (&self.registry, self.group.fleet());
-        FoundOrigin::NotReported(PossibleOrigins::known_to(registry, fleet, &services, now))
+        let services = &query.services;
+        FoundOrigin::NotReported(PossibleOrigins::known_to(registry, fleet, services, now))
     }
 }
--- a/crates/fleet/src/control/route_history.rs
+++ b/crates/fleet/src/control/route_history.rs
@@ -17,7 +17,10 @@
 use crate::stream_origins::MAX_STREAM_AGE;
 
 /// Most bytes of configurations that are kept; more changes in a minute leave a gap.
-const MAX_BYTES: usize = 8 * 1024 * 1024;
+const MAX_BYTES: usize = 4 * 1024 * 1024;
+/// Bytes of configurations after which a query reads no further one. An instance answers nothing
+/// else meanwhile.
+const MAX_READ_BYTES: usize = 512 * 1024;
 
 /// Services that get requests, by host and path prefix of the route.
 type RouteServices = BTreeMap<(String, String), BTreeSet<ServiceName>>;
@@ -71,40 +74,57 @@
     }
 
     /// Returns the services at which a stream can have begun whose route leads to `services` now
-    /// or did so lately, as far as is known; `newest` is the configuration in force.
+    /// or did so lately; `newest` is the configuration in force. `None` if not all of them are
+    /// known yet: each call reads a part of the configurations.
     pub fn services_lately(
         &mut self,
         services: &[ServiceName],
         newest: &Document,
         now: Instant,
-    ) -> BTreeSet<ServiceName> {
+    ) -> Option<BTreeSet<ServiceName>> {
         self.remove_expired(now);
         let wanted: BTreeSet<ServiceName> = services.iter().cloned().collect();
         if self.replaced.is_empty() {
-            return wanted;
+            return self.is_complete(now).then_some(wanted);
         }
-        if self.newest.as_ref().map(|(version, _)| *version) != Some(newest.version) {
-            self.newest = Some((newest.version, self.parse(newest, now)));
-        }
-        for index in 0..self.replaced.len() {
-            if self.replaced[index].services.is_none() {
-                let document = self.replaced[index].document.clone();
-                self.replaced[index].services = Some(self.parse(&document, now));
-            }
+        let is_whole = self.read_documents(newest, now);
+        if !is_whole || !self.is_complete(now) {
+            return None;
         }
         let replaced = self.replaced.iter().filter_map(|r| r.services.as_ref());
         let all: Vec<&RouteServices> = replaced
             .chain(self.newest.as_ref().map(|(_, services)| services))
             .collect();
-        let matching = all.iter().flat_map(|routes| routes.iter());
-        let places: BTreeSet<_> = matching
+        let routes = all.iter().flat_map(|routes| routes.iter());
+        let places: BTreeSet<_> = routes
             .filter(|(_, services)| **services == wanted)
             .map(|(place, _)| place)
             .collect();
         let lately = all
             .iter()
             .flat_map(|routes| places.iter().filter_map(|place| routes.get(place)));
-        wanted.iter().chain(lately.flatten()).cloned().collect()
+        Some(wanted.iter().chain(lately.flatten()).cloned().collect())
+    }
+
+    /// Reads configurations that no query has needed yet; returns whether all are read.
+    fn read_documents(&mut self, newest: &Document, now: Instant) -> bool {
+        let mut read_bytes = 0;
+        if self.newest.as_ref().map(|(version, _)| *version) != Some(newest.version) {
+            self.newest = Some((newest.version, self.read(newest, now)));
+            read_bytes += newest.text().len();
+        }
+        for index in 0..self.replaced.len() {
+            if self.replaced[index].services.is_some() {
+                continue;
+            }
+            if read_bytes > MAX_READ_BYTES {
+                return false;
+            }
+            let document = self.replaced[index].document.clone();
+            read_bytes += document.text().len();
+            self.replaced[index].services = Some(self.read(&document, now));
+        }
+        true
     }
 
     fn remove_expired(&mut self, now: Instant) {
@@ -112,7 +132,7 @@
             .retain(|replaced| now < replaced.until + MAX_STREAM_AGE);
     }
 
-    fn parse(&mut self, document: &Document, now: Instant) -> RouteServices {
+    fn read(&mut self, document: &Document, now: Instant) -> RouteServices {
         match config::parse_catalog(document.text()) {
             Ok(catalog) => route_services(&catalog),
             Err(error) => {
--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -288,10 +288,12 @@
             let limit = parse_request_limit(&head.headers);
             self.record_limit(limit, verdict == ResponseVerdict::Ran);
         }
+        let (service, choice) = (&self.job.service.name, &self.active.choice);
+        let mut dispatcher = self.job.router.dispatcher.borrow_mut();
         if own && let Some(rejected_for) = parse_rejection_time(head) {
-            let (service, choice) = (&self.job.service.name, &self.active.choice);
-            let mut dispatcher = self.job.router.dispatcher.borrow_mut();
             dispatcher.record_rejection(service, choice, rejected_for, std::time::Instant::now());
+        } else if verdict == ResponseVerdict::Ran {
+            dispatcher.record_acceptance(service, choice);
         }
     }
 
--- a/crates/fleet/tests/route_history.rs
+++ b/crates/fleet/tests/route_history.rs
@@ -35,7 +35,7 @@
     now: Instant,
 ) -> Vec<String> {
     let services = history.services_lately(&[service.to_owned()], newest, now);
-    services.into_iter().collect()
+    services.expect("known services").into_iter().collect()
 }
 
 #[test]
@@ -104,3 +104,27 @@
     }
     assert!(!large.is_complete(start));
 }
+
+/// Guards against a control instance that answers nothing else while it reads many configurations.
+#[test]
+fn a_query_reads_a_part_of_the_configurations() {
+    let start = Instant::now();
+    let mut history = RouteHistory::default();
+    let services = share("s1", 1);
+    for version in 1..=10 {
+        let plain = document(version, &[("/a/", &services)]);
+        let mut text = plain.text().to_vec();
+        text.resize(300_000, b' ');
+        history.push(Document::new(version, &text), start);
+    }
+    let newest = document(11, &[("/a/", &services)]);
+    let mut asked = 0;
+    while history
+        .services_lately(&["s1".to_owned()], &newest, start)
+        .is_none()
+    {
+        asked += 1;
+        assert!(asked < 10, "the services never become known");
+    }
+    assert!(asked >= 4, "{asked}");
+}
