--- a/crates/dispatch/src/pool.rs
+++ b/crates/dispatch/src/pool.rs
@@ -484,7 +484,8 @@
     }
 
     /// Returns the expected time until a target has capacity: the mean latency of the targets,
-    /// at most [`MAX_FULL_WAIT`] and at least [`MIN_FULL_WAIT`] or, for prompts, [`MIN_FULL_PROMPT_WAIT`].
+    /// at most [`MAX_FULL_WAIT`] and at least [`MIN_FULL_WAIT`] or, for prompts,
+    /// [`MIN_FULL_PROMPT_WAIT`].
     fn available_in(&self, request: &DispatchRequest<'_>) -> Duration {
         let latencies = self.targets.values().map(|t| t.health.latency_s());
         let min_wait = if request.prompt.is_empty() {
