Comments: what trials count, and which numbers are no time

Cause: the count of a pause's trials was described as trials without an answer, but rejected trials count and lost ones don't. The other comment said 'none' for NaN.

Change: two doc comments, no code.

--- a/crates/dispatch/src/pause.rs
+++ b/crates/dispatch/src/pause.rs
@@ -16,7 +16,7 @@
     began_at: Instant,
     /// End of the time for which the target asked for no requests.
     asked_until: Instant,
-    /// Trials without an answer so far.
+    /// Trials so far, except those that ended without any answer.
     trials: u32,
     trial_sent_at: Option<Instant>,
 }
--- a/crates/types/src/bounded_time.rs
+++ b/crates/types/src/bounded_time.rs
@@ -12,7 +12,7 @@
 pub const MAX_TIME: Duration = Duration::from_hours(24 * 365);
 
 /// Returns the time of this many seconds, at most [`MAX_TIME`]; `None` if the number is negative
-/// or none.
+/// or NaN.
 #[must_use]
 pub fn time_from_s(seconds: f64) -> Option<Duration> {
     if seconds.is_nan() || seconds < 0.0 {
