--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -1,6 +1,7 @@
 //! Starts a small deployment with the commands of the deploy file, and stand-ins for replicas,
 //! consumers and the operator. Uses the standard library only.
-#![allow(dead_code)]
+
+#![allow(dead_code, reason = "each program uses a part")]
 
 use std::collections::BTreeMap;
 use std::fs::{self, File};
@@ -48,14 +49,19 @@
 /// Ends the script because the case could not run.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("cannot run: {why}");
-    KILLED.lock().unwrap().iter().for_each(|&id| {
+    RUNNING.lock().unwrap().iter().for_each(|&id| {
         let _ = Command::new("kill").args(["-9", &id.to_string()]).status();
     });
     std::process::exit(2);
 }
 
+/// Records a process that is to be ended when the script gives up.
+pub fn end_with_script(child: &Child) {
+    RUNNING.lock().unwrap().push(child.id());
+}
+
 /// Process ids to end when the script gives up.
-static KILLED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 pub fn has_trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |v| v != "0")
@@ -64,18 +70,11 @@
 #[derive(Debug, Clone)]
 pub struct Reply {
     pub status: u16,
-    pub head: String,
     pub body: Vec<u8>,
     /// Whether the body is complete.
     pub complete: bool,
 }
 
-impl Reply {
-    pub fn header(&self, name: &str) -> Option<String> {
-        header(&self.head, name)
-    }
-}
-
 pub fn header(head: &str, name: &str) -> Option<String> {
     head.lines().skip(1).find_map(|line| {
         let (n, v) = line.split_once(':')?;
@@ -162,7 +161,6 @@
     };
     Some(Reply {
         status,
-        head,
         body,
         complete,
     })
@@ -218,8 +216,6 @@
     pub network: [u8; 2],
     pub controls: u8,
     pub record: Arc<Record>,
-    /// Extra lines at the head of the settings.
-    pub link_mbps: f64,
 }
 
 impl Deployment {
@@ -261,7 +257,6 @@
             network,
             controls,
             record,
-            link_mbps: 1000.0,
         }
     }
 
@@ -312,7 +307,7 @@
             last = self.ports.links + 15,
             seeds = seeds.join(","),
             tolerance = class == "core",
-            mbps = self.link_mbps,
+            mbps = if class == "core" { 6.0 } else { 1000.0 },
         )
     }
 
@@ -360,7 +355,7 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap_or_else(|e| cannot_run(&format!("the program does not start: {e}")));
-        KILLED.lock().unwrap().push(child.id());
+        end_with_script(&child);
         self.record.line(&format!("start {name}"));
         self.processes.insert(name.to_owned(), child);
     }
@@ -371,16 +366,7 @@
             let _ = child.kill();
             self.record.line(&format!("SIGKILL {name}"));
             let _ = child.wait();
-            KILLED.lock().unwrap().retain(|&other| other != id);
-        }
-    }
-
-    pub fn signal(&self, name: &str, signal: &str) {
-        if let Some(child) = self.processes.get(name) {
-            let _ = Command::new("kill")
-                .args([&format!("-{signal}"), &child.id().to_string()])
-                .status();
-            self.record.line(&format!("SIG{signal} {name}"));
+            RUNNING.lock().unwrap().retain(|&other| other != id);
         }
     }
 
@@ -460,7 +446,6 @@
     pub reports: Arc<AtomicBool>,
     pub sequence: Arc<AtomicU64>,
     pub born: u64,
-    closed: Arc<AtomicBool>,
 }
 
 impl Replica {
@@ -471,7 +456,6 @@
             .local_addr()
             .unwrap_or_else(|e| cannot_run(&format!("a replica: {e}")));
         let arrivals = Arc::new(Mutex::new(Vec::new()));
-        let closed = Arc::new(AtomicBool::new(false));
         let born = std::time::SystemTime::now()
             .duration_since(std::time::UNIX_EPOCH)
             .map_or(1, |d| d.as_millis() as u64);
@@ -484,14 +468,10 @@
             reports: Arc::new(AtomicBool::new(true)),
             sequence: Arc::new(AtomicU64::new(0)),
             born,
-            closed: Arc::clone(&closed),
         };
         let name = name.to_owned();
         thread::spawn(move || {
             for stream in listener.incoming() {
-                if closed.load(Ordering::SeqCst) {
-                    return;
-                }
                 let Ok(stream) = stream else { continue };
                 let (name, arrivals, record) =
                     (name.clone(), Arc::clone(&arrivals), Arc::clone(&record));
@@ -501,11 +481,6 @@
         replica
     }
 
-    pub fn stop(&self) {
-        self.closed.store(true, Ordering::SeqCst);
-        let _ = TcpStream::connect(self.address);
-    }
-
     pub fn report_body(&self, state: &str) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         format!(
@@ -535,7 +510,6 @@
             reports: Arc::clone(&self.reports),
             sequence: Arc::clone(&self.sequence),
             born: self.born,
-            closed: Arc::clone(&self.closed),
         };
         thread::spawn(move || {
             thread::sleep(first_in);
