Acknowledge a departure once a quorum has it on disk

Cause: a control instance answered while the only copy was in its memory. News to peers and routers waits for a batch of 50 ms, and the write to the disk was not waited for. When the instance lost its disk, its last departures were known to nobody.

Change: departures and reports of draining targets go to all peers with a ticket and are answered once a quorum of the group has them on disk; with too few linked instances the call is refused at once. Peers tell the routers before they confirm. The frames exist already, and older builds answer them. A failed write of the soft state is repeated until the disk has room, with one write at a time; before, it waited for the next change.

--- a/crates/fleet/src/control/counters.rs
+++ b/crates/fleet/src/control/counters.rs
@@ -17,6 +17,8 @@
     pub elections: u64,
     /// Writes to the log that failed.
     pub disk_failures: u64,
+    /// Calls of leaving targets that were refused for lack of copies.
+    pub refused_departures: u64,
     /// Violations of invariants of the group.
     pub violations: u64,
 }
@@ -58,6 +60,7 @@
             ("configs_total", self.configs),
             ("bulk_bytes_total", self.bulk_bytes),
             ("elections_total", self.elections),
+            ("refused_departures_total", self.refused_departures),
             ("disk_failures_total", self.disk_failures),
             ("violations_total", self.violations),
             ("log_lines_dropped_total", crate::log::dropped_lines()),
--- a/crates/fleet/src/control/disk.rs
+++ b/crates/fleet/src/control/disk.rs
@@ -12,6 +12,7 @@
 use tracing::{error, info, warn};
 
 use super::event::Event;
+use super::soft::WriteNumber;
 use crate::process::Essential;
 
 /// Pause before each attempt to reopen the data folder after a failure.
@@ -29,9 +30,13 @@
 pub enum Write {
     /// Changes to the replicated log.
     Log(Persist),
-    /// Encoded soft state, which replaces the stored one. No event reports its
-    /// completion.
-    SoftState(Vec<u8>),
+    /// Soft state, which replaces the stored one.
+    SoftState {
+        /// Number of the write.
+        number: WriteNumber,
+        /// Encoded soft state.
+        blob: Vec<u8>,
+    },
 }
 
 /// Content of the data folder at the start, and the queue of the disk thread.
@@ -138,17 +143,21 @@
             return;
         };
         let writes = std::iter::once(first).chain(receiver.try_iter());
-        let event = match write_batch(folder, log, writes) {
-            Ok(Some(sequence)) => Event::Synced { sequence },
-            Ok(None) => continue,
-            Err(error) => {
-                error!(%error, "failed to write to the data folder; reopening it");
-                open = None;
-                Event::DiskFailed
+        let batch = Batch::from_writes(writes);
+        let completed = write_log(log, &batch.log).unwrap_or_else(|error| {
+            error!(%error, "failed to write to the data folder; reopening it");
+            Some(Event::DiskFailed)
+        });
+        let has_failed = matches!(completed, Some(Event::DiskFailed));
+        let soft = batch.soft.filter(|_| !has_failed);
+        let stored = soft.map(|(number, blob)| store_soft_state(folder, number, &blob));
+        for event in completed.into_iter().chain(stored) {
+            if events.blocking_send(event).is_err() {
+                return;
             }
-        };
-        if events.blocking_send(event).is_err() {
-            return;
+        }
+        if has_failed {
+            open = None;
         }
     }
 }
@@ -177,35 +186,51 @@
     }
 }
 
-/// Writes and syncs a batch. Returns the sequence number of the last write to the log,
-/// or `None` if the batch has none. Of several soft states only the last is stored.
-fn write_batch(
-    folder: &DataFolder,
-    log: &mut Log,
-    writes: impl Iterator<Item = Write>,
-) -> Result<Option<u64>, StorageError> {
-    let mut soft = None;
-    let mut has_log = false;
-    for write in writes {
-        match write {
-            Write::Log(persist) => {
-                log.write(&persist)?;
-                has_log = true;
+/// Writes that wait for the disk thread. Of several soft states only the last is stored.
+#[derive(Default)]
+struct Batch {
+    log: Vec<Persist>,
+    soft: Option<(WriteNumber, Vec<u8>)>,
+}
+
+impl Batch {
+    fn from_writes(writes: impl Iterator<Item = Write>) -> Self {
+        let mut batch = Self::default();
+        for write in writes {
+            match write {
+                Write::Log(persist) => batch.log.push(persist),
+                Write::SoftState { number, blob } => batch.soft = Some((number, blob)),
             }
-            Write::SoftState(blob) => soft = Some(blob),
         }
+        batch
     }
-    let mut synced = None;
-    if has_log {
-        let report = log.sync()?;
-        if report.is_slow {
-            let took_ms = u64::try_from(report.duration.as_millis()).unwrap_or(u64::MAX);
-            warn!(took_ms, "slow sync of the log");
-        }
-        synced = Some(report.sequence);
+}
+
+/// Writes and syncs changes to the log. Returns the event that reports it, `None` without
+/// changes.
+fn write_log(log: &mut Log, changes: &[Persist]) -> Result<Option<Event>, StorageError> {
+    if changes.is_empty() {
+        return Ok(None);
+    }
+    for persist in changes {
+        log.write(persist)?;
+    }
+    let report = log.sync()?;
+    if report.is_slow {
+        let took_ms = u64::try_from(report.duration.as_millis()).unwrap_or(u64::MAX);
+        warn!(took_ms, "slow sync of the log");
     }
-    if let Some(Err(error)) = soft.map(|blob| folder.blob(SOFT_STATE_BLOB).save(&blob)) {
-        warn!(%error, "failed to store the soft state; the stored one stays");
+    Ok(Some(Event::Synced {
+        sequence: report.sequence,
+    }))
+}
+
+fn store_soft_state(folder: &DataFolder, number: WriteNumber, blob: &[u8]) -> Event {
+    match folder.blob(SOFT_STATE_BLOB).save(blob) {
+        Ok(()) => Event::SoftStateStored { number },
+        Err(error) => {
+            warn!(%error, "failed to store the soft state; the stored one stays until the next try");
+            Event::SoftStateFailed
+        }
     }
-    Ok(synced)
 }
--- a/crates/fleet/src/control/event.rs
+++ b/crates/fleet/src/control/event.rs
@@ -6,6 +6,7 @@
 use bamboospur_group::{DataCentre, Document};
 use tokio::sync::oneshot;
 
+use super::soft::WriteNumber;
 use crate::calls::TargetCall;
 use crate::link::{AcceptEvent, DialEvent};
 
@@ -56,7 +57,14 @@
         /// Sequence number of the last write.
         sequence: u64,
     },
-    /// A write to the log failed.
+    /// A write of the soft state is on disk.
+    SoftStateStored {
+        /// Number of the write.
+        number: WriteNumber,
+    },
+    /// A write of the soft state failed.
+    SoftStateFailed,
+    /// A write to the log failed. Writes of the soft state that wait are dropped.
     DiskFailed,
     /// The data folder was opened again after a failure, with this content of the log.
     DiskReopened(Box<PersistedState>),
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -24,7 +24,9 @@
 use tracing::{error, info, warn};
 
 use self::fleet::FleetTracking;
+use self::targets::ReportReply;
 use super::counters::{Counters, Gauges};
+use super::departures::Departures;
 use super::disk::{self, Write};
 use super::event::Event;
 use super::fanout::{Fanout, FanoutSettings};
@@ -34,7 +36,7 @@
 use super::prefix_queue::PrefixQueue;
 use super::prefix_store::PrefixStore;
 use super::route_history::RouteHistory;
-use super::soft::{SoftState, SoftStateSchedule};
+use super::soft::{SoftState, SoftStateWrites};
 use crate::link::{AcceptedLinks, Frame, LinkId, Traffic};
 use crate::loads::{Loads, MIN_LOADS_INTERVAL, loads_interval};
 use crate::outbox::Outbox;
@@ -60,7 +62,9 @@
     registry: Registry,
     fleet: FleetTracking,
     writes: std::sync::mpsc::Sender<Write>,
-    soft_schedule: SoftStateSchedule,
+    soft_writes: SoftStateWrites,
+    /// Departures of targets that are not acknowledged yet.
+    departures: Departures<ReportReply>,
     peers: Peers,
     links: AcceptedLinks,
     pending_requests: PendingRequests,
@@ -122,12 +126,7 @@
         let group_settings = group_settings(opened.id);
         let silence_timeout = settings.report_period * MAX_MISSED_REPORTS;
         info!(id = opened.id, founder = is_founder, "data folder opened");
-        let soft = SoftState::decode(opened.soft);
-        info!(
-            targets = soft.targets.len(),
-            prefixes = soft.prefixes.len(),
-            "soft state loaded"
-        );
+        let soft = load_soft_state(opened.soft);
         let mut cached_prefixes = PrefixStore::default();
         cached_prefixes.add(soft.prefixes);
         let registry = restore_registry(soft.targets, silence_timeout, now);
@@ -143,7 +142,8 @@
             registry,
             fleet: FleetTracking::new(settings, now),
             writes: opened.writes,
-            soft_schedule: SoftStateSchedule::new(now),
+            soft_writes: SoftStateWrites::new(now),
+            departures: Departures::default(),
             peers: Peers::new(opened.id, settings.link_address, &settings.seeds, events),
             links: AcceptedLinks::default(),
             pending_requests: PendingRequests::default(),
@@ -221,6 +221,7 @@
 
     fn run_round(&mut self, now: Instant) {
         self.pending_requests.remove_expired(now);
+        self.remove_expired_departures(now);
         self.peers.remove_silent(&self.group.voters(), now);
         self.registry.remove_expired(now);
         self.stream_origins.remove_expired(now);
@@ -281,11 +282,18 @@
             Event::Accepted(event) => self.handle_accept_event(event, now),
             Event::Dialed(event) => self.handle_dial_event(event),
             Event::Synced { sequence } => self.handle_group_input(GroupInput::Synced { sequence }),
+            Event::SoftStateStored { number } => {
+                self.soft_writes.record_stored(number);
+                self.save_soft_state(now);
+                self.acknowledge_departures(now);
+            }
+            Event::SoftStateFailed => self.soft_writes.record_failure(now),
             Event::DiskFailed => {
                 self.counters.disk_failures += 1;
                 self.handle_group_input(GroupInput::DiskFailed);
             }
             Event::DiskReopened(restored) => {
+                self.soft_writes.record_failure(now);
                 let settings = self.group_settings.clone();
                 self.group = Group::new(settings, *restored, election_seed(self.id), now);
                 self.handle_group_input(GroupInput::Tick);
@@ -387,6 +395,16 @@
     stable_id(&format!("founder {address}"))
 }
 
+fn load_soft_state(blob: Option<Vec<u8>>) -> SoftState {
+    let soft = SoftState::decode(blob);
+    info!(
+        targets = soft.targets.len(),
+        prefixes = soft.prefixes.len(),
+        "soft state loaded"
+    );
+    soft
+}
+
 fn restore_registry(
     announcements: Vec<Announcement>,
     silence_timeout: Duration,
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -303,7 +303,7 @@
                 ticket,
                 announcement,
             } => {
-                let reply = ReportReply::Forwarded { link, ticket };
+                let reply = report_reply(link, ticket, from_router);
                 self.handle_report(*announcement, reply, now);
             }
             Frame::Leave {
@@ -311,8 +311,8 @@
                 name,
                 start,
             } => {
-                self.record_departure(&name, start, now);
-                self.acknowledge(link, ticket, now);
+                let reply = report_reply(link, ticket, from_router);
+                self.handle_departure(&name, start, reply, now);
             }
             _ => {}
         }
@@ -330,6 +330,7 @@
         match event {
             DialEvent::Up(address) => {
                 info!(%address, "link to a control instance established");
+                self.peers.set_linked(address, true);
                 let now = Instant::now();
                 let announcements = self.registry.all(now).collect();
                 let recent = self.peers.recent_addresses(now);
@@ -339,12 +340,26 @@
                     .send_to_address(address, Frame::Targets(announcements));
             }
             DialEvent::Down(address, error) => {
+                self.peers.set_linked(address, false);
                 info!(%address, %error, "link to a control instance failed; dialling again");
             }
             DialEvent::Frame(_, Frame::InForce { asked, version, .. }) => {
                 self.handle_version_in_force(asked, version);
             }
+            DialEvent::Frame(address, Frame::Taken { ticket }) => {
+                self.departures.record_copy(ticket, address);
+                self.acknowledge_departures(Instant::now());
+            }
             DialEvent::Frame(..) => {}
         }
     }
 }
+
+/// Returns what answers a report or departure that came over a link.
+const fn report_reply(link: LinkId, ticket: Ticket, from_router: bool) -> ReportReply {
+    if from_router {
+        ReportReply::Forwarded { link, ticket }
+    } else {
+        ReportReply::Copied { link, ticket }
+    }
+}
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -6,7 +6,7 @@
 
 use bamboospur_registry::{Announcement, Merge, Phase, StartTime, TargetName};
 use tokio::sync::oneshot;
-use tracing::{error, info};
+use tracing::{error, info, warn};
 
 use super::{Host, UPDATE_BATCH_INTERVAL};
 use crate::calls::{TargetCall, TargetUpdate};
@@ -37,6 +37,13 @@
         /// Ticket that the router gave to the report.
         ticket: Ticket,
     },
+    /// The target called another control instance, which asks this one to keep a copy.
+    Copied {
+        /// Link of the other instance.
+        link: LinkId,
+        /// Ticket that the other instance gave to the report.
+        ticket: Ticket,
+    },
 }
 
 impl Host {
@@ -52,14 +59,16 @@
                 self.handle_report(announcement, reply, now);
             }
             TargetUpdate::Leave { name, start } => {
-                self.record_departure(&name, start, now);
-                // The target may have given up waiting.
-                let _sent = call.reply.send(None);
+                let reply = ReportReply::Call {
+                    reply: call.reply,
+                    report_address: None,
+                };
+                self.handle_departure(&name, start, reply, now);
             }
         }
     }
 
-    /// Merges the report of a target, and answers it unless the target is held.
+    /// Merges the report of a target, and answers it unless the target is held or leaves.
     pub(super) fn handle_report(
         &mut self,
         announcement: Announcement,
@@ -67,8 +76,12 @@
         now: Instant,
     ) {
         let name = announcement.name.clone();
+        let start = announcement.start;
+        let leaves = announcement.phase != Phase::Ready;
         self.merge_announcements(vec![announcement], true, now);
-        if let Some(reply) = self.fleet.held_targets.hold_reply(&name, reply) {
+        if leaves {
+            self.copy_departure(&name, Some(start), reply, now);
+        } else if let Some(reply) = self.fleet.held_targets.hold_reply(&name, reply) {
             self.answer_report(reply, now);
         }
     }
@@ -82,7 +95,9 @@
                 // The target may have given up waiting.
                 let _sent = reply.send(report_address);
             }
-            ReportReply::Forwarded { link, ticket } => self.acknowledge(link, ticket, now),
+            ReportReply::Forwarded { link, ticket } | ReportReply::Copied { link, ticket } => {
+                self.acknowledge(link, ticket, now);
+            }
         }
     }
 
@@ -96,13 +111,112 @@
             .report_address(routers, name, data_centre, self.registry.len())
     }
 
-    pub(super) fn record_departure(&mut self, name: &str, start: Option<StartTime>, now: Instant) {
+    /// Records that a target leaves, and answers its call once there are enough copies.
+    pub(super) fn handle_departure(
+        &mut self,
+        name: &str,
+        start: Option<StartTime>,
+        reply: ReportReply,
+        now: Instant,
+    ) {
         self.fleet.held_targets.remove(name);
         if let Some(departure) = self.registry.leave(name, start, now) {
             self.unsent_to_peers
                 .insert(name.to_owned(), departure.clone());
             self.queue_updates(vec![departure], now);
         }
+        self.copy_departure(name, start, reply, now);
+    }
+
+    /// Asks the peers to keep a copy of what a target that leaves said, and answers its call once
+    /// a quorum of the group has it on disk.
+    fn copy_departure(
+        &mut self,
+        name: &str,
+        start: Option<StartTime>,
+        reply: ReportReply,
+        now: Instant,
+    ) {
+        let is_copy = matches!(reply, ReportReply::Copied { .. });
+        let needed_copies = if is_copy { 1 } else { self.needed_copies() };
+        let available_copies = 1 + self.peers.linked_count();
+        if available_copies < needed_copies {
+            self.counters.refused_departures += 1;
+            warn!(
+                target_name = name,
+                available_copies,
+                needed_copies,
+                "cannot acknowledge that a target leaves: too few control instances are linked; \
+                 refusing the call, which the target repeats at another instance"
+            );
+            return;
+        }
+        let own_write = self.soft_writes.require_all();
+        self.save_soft_state(now);
+        let ticket = self.departures.add(reply, needed_copies, own_write, now);
+        if needed_copies > 1
+            && let Some(frame) = self.departure_frame(ticket, name, start)
+        {
+            self.peers.send_to_all(&frame);
+        }
+        self.acknowledge_departures(now);
+    }
+
+    /// Returns how many control instances must have a departure on disk before it is
+    /// acknowledged: a quorum of the group, as for a configuration.
+    fn needed_copies(&self) -> usize {
+        match self.group.voters().len() {
+            // The size of the group is not known yet.
+            0 => usize::MAX,
+            voters => voters / 2 + 1,
+        }
+    }
+
+    /// Returns the frame by which a peer takes over what is known of a target that leaves; `None`
+    /// if another start of the target is known, which makes the departure of this one obsolete.
+    fn departure_frame(
+        &self,
+        ticket: Ticket,
+        name: &str,
+        start: Option<StartTime>,
+    ) -> Option<Frame> {
+        let Some(known) = self.registry.get(name) else {
+            return Some(Frame::Leave {
+                ticket,
+                name: name.to_owned(),
+                start,
+            });
+        };
+        let is_current = start.is_none_or(|start| start == known.start);
+        is_current.then(|| Frame::Report {
+            ticket,
+            announcement: Box::new(known.clone()),
+        })
+    }
+
+    /// Acknowledges the departures of which there are enough copies.
+    pub(super) fn acknowledge_departures(&mut self, now: Instant) {
+        let copied = self.departures.take_copied(self.soft_writes.stored());
+        if copied.is_empty() {
+            return;
+        }
+        self.send_updates(now);
+        for reply in copied {
+            self.answer_report(reply, now);
+        }
+    }
+
+    /// Refuses the calls of leaving targets for which there were not enough copies in time.
+    pub(super) fn remove_expired_departures(&mut self, now: Instant) {
+        let expired = self.departures.remove_expired(now);
+        if expired > 0 {
+            self.counters.refused_departures += u64::try_from(expired).unwrap_or(u64::MAX);
+            warn!(
+                expired,
+                "too few control instances stored departures of targets in time; refusing the \
+                 calls, which the targets repeat at other instances"
+            );
+        }
     }
 
     /// Records reports without changes that targets sent to routers. If `direct`, they
@@ -149,16 +263,19 @@
     }
 
     pub(super) fn save_soft_state(&mut self, now: Instant) {
-        if !self.soft_schedule.take_due(now) {
+        let Some(number) = self.soft_writes.start_due(now) else {
             return;
-        }
+        };
         let state = SoftState {
             targets: self.registry.all(now).collect(),
             prefixes: self.cached_prefixes.iter().collect(),
         };
-        if let Some(blob) = state.encode()
-            && self.writes.send(Write::SoftState(blob)).is_err()
-        {
+        let Some(blob) = state.encode() else {
+            error!("the soft state cannot be encoded; the stored one stays until the next try");
+            self.soft_writes.record_failure(now);
+            return;
+        };
+        if self.writes.send(Write::SoftState { number, blob }).is_err() {
             error!("the disk thread has ended; dropping the soft state");
         }
     }
@@ -249,8 +366,8 @@
         for announcement in &updates {
             self.reported_silent.remove(&announcement.name);
             match announcement.phase {
-                Phase::Ready => self.soft_schedule.record_change(),
-                Phase::Draining | Phase::Gone => self.soft_schedule.record_departure(),
+                Phase::Ready => self.soft_writes.schedule().record_change(),
+                Phase::Draining | Phase::Gone => self.soft_writes.schedule().record_departure(),
             }
         }
         self.save_soft_state(now);
@@ -299,6 +416,6 @@
     /// Stores cached prefixes for routers that start.
     pub(super) fn store_prefixes(&mut self, prefixes: &[(u64, u64)]) {
         self.cached_prefixes.add(prefixes.iter().copied());
-        self.soft_schedule.record_change();
+        self.soft_writes.schedule().record_change();
     }
 }
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -7,6 +7,7 @@
 
 mod calls;
 mod counters;
+mod departures;
 mod disk;
 mod event;
 mod fanout;
@@ -34,13 +35,14 @@
 use crate::process::{self, spawn_essential};
 use crate::settings_file::SettingsFile;
 use crate::signals::Signals;
+pub use departures::Departures;
 use event::Event;
 pub use fanout::{Fanout, FanoutSettings, Selection};
 pub use held_targets::HeldTargets;
 pub use prefix_queue::PrefixQueue;
 pub use prefix_store::PrefixStore;
 pub use route_history::RouteHistory;
-pub use soft::{SoftState, SoftStateSchedule};
+pub use soft::{SoftState, SoftStateSchedule, SoftStateWrites, WriteNumber};
 
 /// Events that can wait for the host. When the queue is full, senders wait.
 const MAX_QUEUED_EVENTS: usize = 1_024;
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -22,6 +22,8 @@
     events: Sender<Event>,
     seeds: BTreeSet<SocketAddr>,
     links: BTreeMap<SocketAddr, DialedLink>,
+    /// Addresses to which the link is up.
+    linked: BTreeSet<SocketAddr>,
     heard_at: BTreeMap<SocketAddr, Instant>,
     addresses: BTreeMap<InstanceId, SocketAddr>,
 }
@@ -43,6 +45,7 @@
             events,
             seeds: BTreeSet::new(),
             links: BTreeMap::new(),
+            linked: BTreeSet::new(),
             heard_at: BTreeMap::new(),
             addresses: BTreeMap::new(),
         };
@@ -98,10 +101,25 @@
             recent || seeds.contains(address) || voters.contains(address)
         };
         self.links.retain(|address, _| keeps(address));
+        self.linked.retain(keeps);
         self.addresses.retain(|_, address| keeps(address));
         self.heard_at.retain(|_, at| now < *at + ADDRESS_TTL);
     }
 
+    /// Records that the link to an address is up or down.
+    pub fn set_linked(&mut self, address: SocketAddr, is_up: bool) {
+        if is_up {
+            self.linked.insert(address);
+        } else {
+            self.linked.remove(&address);
+        }
+    }
+
+    /// Returns the number of instances to which the link is up.
+    pub fn linked_count(&self) -> usize {
+        self.linked.len()
+    }
+
     /// Returns the address where this instance accepts links.
     pub const fn own_address(&self) -> SocketAddr {
         self.own_address
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod crashing;
 mod crashing_engine;
+mod departures;
 mod endless;
 mod evacuations;
 mod extremes;
