Acknowledge a departure at a node once other nodes know it

What callers saw: a node acknowledged that a target leaves, was lost, and the other nodes sent the target work for as long as it answered probes.

Change: the node sends the state to two peers and asks them for their record, until two have named it; it answers 503 after 0.9 s, and at once when it knows no live peer though its settings name some. No message changes.

Evidence: an_acknowledged_departure_survives_the_loss_of_its_node failed before (200 while all other nodes were suspended).

--- a/crates/measure/examples/measure/soak/sim/outputs.rs
+++ b/crates/measure/examples/measure/soak/sim/outputs.rs
@@ -1,7 +1,9 @@
 //! Carries out the outputs of a router's state machines.
 
 use bamboospur_limits::{LimitsMessage, LimitsOutput};
-use bamboospur_membership::{MemberState, MembershipChange, MembershipInput, MembershipOutput};
+use bamboospur_membership::{
+    MemberKey, MemberState, MembershipChange, MembershipInput, MembershipOutput,
+};
 use bamboospur_placement::{LoadReport, PlacementOutput, TargetView};
 use bamboospur_types::{InstanceId, TargetId, TargetState, stable_id};
 
@@ -11,28 +13,24 @@
 use super::world::World;
 
 impl World {
-    /// Confirms a leave once the router's membership gives the target no more work, and
-    /// records the time.
-    pub fn confirm_leave(
-        &mut self,
-        index: usize,
-        live: &LiveRouter,
-        from: Node,
-        target: TargetId,
-        incarnation: u64,
-    ) {
-        let now = self.instant(Node::Router(index));
-        let known = live.membership.target(target, now);
-        let left =
-            known.is_none_or(|view| !view.takes_work && view.record.incarnation <= incarnation);
-        if left {
-            let now_ms = self.now_ms();
-            self.oracle
-                .left_ms
-                .entry((target, incarnation))
-                .or_insert(now_ms);
-            self.send(Node::Router(index), from, Message::LeaveAccepted);
-        }
+    /// Confirms a leave that other routers know, and records the time.
+    fn confirm_leave(&mut self, index: usize, live: &LiveRouter, target: TargetId) {
+        let version = live.membership.version(MemberKey::Target(target));
+        let left = version.filter(|version| version.state == MemberState::Left);
+        let (Some(version), Some(to)) = (left, self.targets.iter().position(|t| t.id == target))
+        else {
+            return;
+        };
+        let now_ms = self.now_ms();
+        self.oracle
+            .left_ms
+            .entry((target, version.incarnation))
+            .or_insert(now_ms);
+        self.send(
+            Node::Router(index),
+            Node::Target(to),
+            Message::LeaveAccepted,
+        );
     }
 
     pub fn membership_input(
@@ -75,6 +73,14 @@
                         self.send(node, to, Message::HeartbeatReply { known });
                     }
                 }
+                MembershipOutput::DepartureReply {
+                    target,
+                    is_copied: true,
+                } => self.confirm_leave(index, live, target),
+                // The target calls again with its next heartbeat.
+                MembershipOutput::DepartureReply {
+                    is_copied: false, ..
+                } => {}
                 MembershipOutput::Changed(change) => {
                     self.apply_membership_change(index, live, change);
                 }
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -131,6 +131,15 @@
         /// Whether the target is known under this incarnation.
         known: bool,
     },
+    /// Answer to `MembershipInput::Leave`, and to a `MembershipInput::Heartbeat` of a known target
+    /// that drains, after its `HeartbeatReply`. It can follow a later input.
+    DepartureReply {
+        /// Target.
+        target: TargetId,
+        /// Whether enough other instances know the departure. Otherwise the target has to call
+        /// again, here or at another instance.
+        is_copied: bool,
+    },
     /// Part of the membership changed.
     Changed(MembershipChange),
 }
--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -258,12 +258,15 @@
         let mut new_records = 0;
         self.repair.is_merging_answer = gossip.is_repair;
         for record in gossip.records {
+            let (key, version) = (record.details.key(), record.version);
+            self.record_holder(from, StateEntry { key, version });
             new_records += usize::from(self.on_record(record, address, now));
         }
         self.repair.is_merging_answer = false;
         // Many new records in one packet suggest that more are missing.
         self.repair.is_behind |= new_records >= BEHIND_RECORD_COUNT;
         for state in gossip.states {
+            self.record_holder(from, state);
             self.on_state(state, address, now);
         }
         for load in gossip.loads {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -5,6 +5,7 @@
 //! Read methods (`ready_targets`, `target`, `routers`) never change the state.
 
 mod budget;
+mod departure;
 mod detect;
 mod entry;
 mod event;
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -7,6 +7,7 @@
 use bamboospur_types::{InstanceId, Rng, TargetId, stable_id};
 
 use crate::budget::{ByteBudget, Counters, TrafficClass};
+use crate::departure::PendingDeparture;
 use crate::detect::Detector;
 use crate::entry::{Entry, short_id};
 use crate::event::{MembershipChange, MembershipInput, MembershipOutput};
@@ -58,6 +59,8 @@
     pub(crate) remote_data_centres: RemoteDataCentres,
     /// Targets that get no new work because they flapped.
     pub(crate) damped: BTreeSet<TargetId>,
+    /// Departures whose calls wait until enough peers know them.
+    pub(crate) departures: BTreeMap<TargetId, PendingDeparture>,
     pub(crate) outputs: Vec<MembershipOutput>,
 }
 
@@ -86,6 +89,7 @@
             is_watch_stale: true,
             repair: Repair::default(),
             damped: BTreeSet::new(),
+            departures: BTreeMap::new(),
             outputs: Vec::new(),
         }
     }
@@ -160,6 +164,7 @@
         self.tick_watch(now);
         self.tick_damping(now);
         self.tick_repair(now);
+        self.tick_departures(now);
         self.tick_remotes(now);
         self.send_queued_updates(now);
         let retention = self.settings.tombstone_retention;
--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -109,6 +109,12 @@
         self.order() > other.order()
     }
 
+    /// Returns whether this version tells as well as the other that the member takes no new work
+    /// in the other's incarnation.
+    pub(crate) fn ends_work_of(&self, other: &Self) -> bool {
+        (self.incarnation, self.state.rank()) >= (other.incarnation, other.state.rank())
+    }
+
     fn order(&self) -> (Incarnation, u8, Sequence, bool) {
         let suspect = self.state == MemberState::Suspect;
         (self.incarnation, self.state.rank(), self.sequence, suspect)
--- a/crates/membership/src/target.rs
+++ b/crates/membership/src/target.rs
@@ -60,6 +60,7 @@
         if replaces {
             self.apply(key, version, None, now);
         }
+        self.copy_departure(target, now);
     }
 
     pub(crate) fn on_heartbeat(
@@ -84,6 +85,9 @@
         if !known {
             return;
         }
+        if state != TargetState::Ready {
+            self.copy_departure(target, now);
+        }
         for (rank, watcher) in self.watchers_of(target).into_iter().enumerate() {
             // Only the first watcher gets every heartbeat, to save bytes.
             if rank > 0 && !sequence.is_multiple_of(BACKUP_HEARTBEAT_INTERVAL) {
--- a/crates/node/src/actors/members.rs
+++ b/crates/node/src/actors/members.rs
@@ -10,9 +10,10 @@
 };
 use bamboospur_placement::CacheEventKind;
 use bamboospur_types::{
-    ChatId, Incarnation, InstanceId, TargetId, TargetKind, TargetRecord, WorkTokens,
+    ChatId, Incarnation, InstanceId, TargetId, TargetKind, TargetRecord, TargetState, WorkTokens,
 };
 use stakker::{Actor, CX, after, call};
+use tracing::warn;
 
 use super::router::Router;
 use crate::mailbox::{Mailbox, ReplySender};
@@ -26,6 +27,8 @@
     Accepted,
     /// The target is not known and must announce itself again.
     Unknown,
+    /// Too few other instances could be told that the target leaves.
+    NotCopied,
     /// The incarnation of the target is too old.
     Stale {
         /// Lowest incarnation that is accepted.
@@ -97,6 +100,8 @@
     router: Actor<Router>,
     mailbox: Mailbox,
     peers: Peers,
+    /// Calls of leaving targets that wait until other instances know it.
+    leaving: BTreeMap<TargetId, Vec<ReplySender<TargetAnswer>>>,
     tick: Duration,
     probe_timeout: Duration,
 }
@@ -120,6 +125,7 @@
             router,
             mailbox,
             peers,
+            leaving: BTreeMap::new(),
             tick,
             probe_timeout,
         })
@@ -130,10 +136,7 @@
         let now = cx.now();
         match message {
             MembersMessage::Request { input, reply } => {
-                let answer = self.handle(*input, now);
-                // The send fails only if the target's request no longer waits; the
-                // target still sends its next message.
-                let _ = reply.try_send(answer.unwrap_or(TargetAnswer::Accepted));
+                self.handle_request(*input, reply, now);
             }
             // The sends fail only if the requester no longer waits.
             MembersMessage::Names(reply) => drop(reply.try_send(self.names(now))),
@@ -150,6 +153,36 @@
         }
     }
 
+    /// Handles a message of a target. That of one that leaves is answered once other instances
+    /// know it.
+    fn handle_request(
+        &mut self,
+        input: MembershipInput,
+        reply: ReplySender<TargetAnswer>,
+        now: Instant,
+    ) {
+        let Some(target) = leaving_target(&input) else {
+            let answer = self.handle(input, now);
+            // The send fails only if the target's request no longer waits; the target
+            // still sends its next message.
+            let _ = reply.try_send(answer.unwrap_or(TargetAnswer::Accepted));
+            return;
+        };
+        self.leaving.entry(target).or_default().push(reply);
+        let answer = self.handle(input, now);
+        if answer == Some(TargetAnswer::Unknown) {
+            self.answer_leaving(target, TargetAnswer::Unknown);
+        }
+    }
+
+    /// Answers the calls of a target that leaves.
+    fn answer_leaving(&mut self, target: TargetId, answer: TargetAnswer) {
+        for reply in self.leaving.remove(&target).into_iter().flatten() {
+            // The send fails only if the target's request no longer waits.
+            let _ = reply.try_send(answer);
+        }
+    }
+
     /// Announces to the other instances that this one leaves.
     pub fn leave(&mut self, cx: CX![]) {
         self.handle(MembershipInput::Shutdown, cx.now());
@@ -251,6 +284,19 @@
                         TargetAnswer::Unknown
                     });
                 }
+                MembershipOutput::DepartureReply { target, is_copied } => {
+                    let answer = if is_copied {
+                        TargetAnswer::Accepted
+                    } else {
+                        warn!(
+                            target,
+                            "cannot acknowledge that a target leaves: too few other instances \
+                             confirm it; refusing the call, which the target repeats"
+                        );
+                        TargetAnswer::NotCopied
+                    };
+                    self.answer_leaving(target, answer);
+                }
                 MembershipOutput::Changed(change) => self.handle_change(change, now),
             }
         }
@@ -278,3 +324,16 @@
         }
     }
 }
+
+/// Returns the target whose message says that it takes no new work.
+const fn leaving_target(input: &MembershipInput) -> Option<TargetId> {
+    match input {
+        MembershipInput::Leave { target, .. }
+        | MembershipInput::Heartbeat {
+            target,
+            state: TargetState::Draining | TargetState::Gone,
+            ..
+        } => Some(*target),
+        _ => None,
+    }
+}
--- a/crates/node/src/operators/targets.rs
+++ b/crates/node/src/operators/targets.rs
@@ -184,6 +184,10 @@
         .request(|reply| MainLoopMessage::Members(message(reply)))
     {
         Some(TargetAnswer::Accepted) => Page::ok(accepted),
+        Some(TargetAnswer::NotCopied) => Page::error(
+            HTTP_UNAVAILABLE,
+            "other instances do not confirm the departure; send it again, here or elsewhere",
+        ),
         Some(TargetAnswer::Unknown) => Page::error(HTTP_NOT_FOUND, "announce the target again"),
         Some(TargetAnswer::Stale { least_incarnation }) => Page {
             status: HTTP_CONFLICT,
--- a/crates/node/tests/fleet/targets.rs
+++ b/crates/node/tests/fleet/targets.rs
@@ -6,10 +6,13 @@
 use std::time::Duration;
 
 use crate::fleet::Fleet;
-use crate::process::try_send;
+use crate::process::{Process, try_send};
 use crate::service::Service;
 use crate::support::{Caller, eventually};
 
+/// Time after which a target that leaves gets no new work.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
+
 /// Returns whether all nodes consider a target usable (`ready`), or all consider it
 /// unusable (`!ready`).
 fn is_usable_everywhere(fleet: &Fleet, service: &Service, ready: bool) -> bool {
@@ -113,6 +116,35 @@
     fleet.assert_no_violations();
 }
 
+/// A node acknowledged a departure that no other node knew, and was lost with it.
+#[test]
+fn an_acknowledged_departure_survives_the_loss_of_its_node() {
+    let mut fleet = Fleet::start(3, 2);
+    let operators: Vec<_> = fleet.all().map(|p| p.operators).collect();
+    let remaining = Service::start("stay", 1, &operators);
+    let taking = fleet.routers[0].operators;
+    let leaving = Service::start("leaves", 1, &[taking]);
+    for service in [&remaining, &leaving] {
+        eventually("the target is known", || {
+            is_usable_everywhere(&fleet, service, true)
+        });
+    }
+    let others = |fleet: &Fleet, act: fn(&Process)| {
+        fleet
+            .all()
+            .filter(|process| process.operators != taking)
+            .for_each(act);
+    };
+    others(&fleet, Process::suspend);
+    assert_eq!(leaving.try_leave(), Some(503), "no other node runs");
+    others(&fleet, Process::resume);
+    leaving.leave();
+    fleet.routers[0].kill();
+    fleet.routers.remove(0);
+    thread::sleep(DRAIN_TIME);
+    assert!(is_usable_everywhere(&fleet, &leaving, false));
+}
+
 /// Sends requests one after the other and checks every answer.
 fn send_requests(
     caller: usize,
