Start the replica of a node again once its disk has room

What callers saw: one failed write stopped the replica of a node until its process ended. It refused changes after the disk had room again; with each disk full in turn, no leader was left.

Cause: the disk thread ended with the first failed write, and nothing opened the folder again. A stopped replica kept naming its last leader, and members did not tell each other of a new one over busy links, so requests of its node went to a member that did not lead. A group whose first write failed never formed.

Change: bamboospur_storage::reopen opens the folder until that succeeds. The member starts from the log, with a new queue of writes and a new origin of its proposals; a folder with another identity ends the process. A stopped replica names no leader, a changed leader is announced to all instances, and requests go to the leader that most members name.

Tests of several processes keep their folders in memory: a sync of this machine's disk took 17 s beside a build.

--- a/crates/agreement/src/replica.rs
+++ b/crates/agreement/src/replica.rs
@@ -317,6 +317,8 @@
 
     fn stop(&mut self) {
         self.step_down();
+        // A stopped replica does not hear of the next leader.
+        self.set_leader(None, self.latest_input_at);
         self.role = Role::Stopped;
         let tickets = std::mem::take(&mut self.pending_proposals);
         for ticket in tickets.into_values() {
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -15,7 +15,7 @@
 
 use bamboospur_agreement::{Input, LogIndex, Output, PersistedState, Replica, Term, Ticket};
 use bamboospur_settings::Revision;
-use bamboospur_types::InstanceId;
+use bamboospur_types::{InstanceId, mix64};
 
 use crate::codec::{decode_entry, encode_entry};
 use crate::command::{Command, Entry, ProposalId};
@@ -78,6 +78,19 @@
         }
     }
 
+    /// Starts the member again from its state on disk, after a failed write has stopped its
+    /// replica. Entries of the stopped run do not answer requests of the new one.
+    pub fn restart(&mut self, restored: PersistedState, now: Instant) {
+        let process = mix64(self.settings.process);
+        let settings = MemberSettings {
+            process,
+            ..self.settings.clone()
+        };
+        let last_stamped = self.last_stamped;
+        *self = Self::new(settings, restored, process, now);
+        self.last_stamped = last_stamped;
+    }
+
     /// Handles one input. `now` drives the timers of the member; `at` is the wall
     /// clock time for log entries.
     pub fn handle(
--- a/crates/node/src/actors/control.rs
+++ b/crates/node/src/actors/control.rs
@@ -197,6 +197,25 @@
             ControlMessage::Orders(message) => self.handle_orders_message(message),
             ControlMessage::Link(message) => self.handle_link_message(cx, message),
             ControlMessage::DiskFailed => self.handle_input(MemberInput::DiskFailed, now),
+            ControlMessage::DiskReopened { restored, disk } => {
+                self.disk = disk;
+                self.restart_member(*restored, now);
+            }
+        }
+    }
+
+    /// Starts the replica again from its disk, or forms the group if the write failed with which
+    /// it begins.
+    fn restart_member(&mut self, restored: PersistedState, now: Instant) {
+        if let Some(member) = self.member.as_mut() {
+            member.restart(restored, now);
+            self.handle_input(MemberInput::Tick, now);
+        } else if !restored.is_empty() {
+            self.complete_bootstrap(now);
+        } else if let Some(bootstrap) = &self.bootstrap
+            && self.disk.write(bootstrap.to_persist()).is_some()
+        {
+            error!("the disk failed again before the control group was formed; trying again");
         }
     }
 
--- a/crates/node/src/actors/control_messages.rs
+++ b/crates/node/src/actors/control_messages.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bamboospur_agreement::PersistedState;
 use bamboospur_claims::{Attempt, ClaimKey, ClaimResponse, SettleOutcome, StoredAnswer};
 use bamboospur_control::operator::{Action, AuthorizationError, AuthorizedOperator};
 use bamboospur_control::{ClaimCommand, MemberError, Request, Response};
@@ -9,6 +10,7 @@
 
 use super::inspect::Inspect;
 use super::orders::OrdersMessage;
+use crate::disk::Disk;
 use crate::mailbox::ReplySender;
 use crate::peers::{LinkId, LinkMessage};
 use crate::request::Identity;
@@ -88,6 +90,13 @@
     },
     /// Reports that a write failed.
     DiskFailed,
+    /// Reports that the data folder was opened again after a failure.
+    DiskReopened {
+        /// Content of the log.
+        restored: Box<PersistedState>,
+        /// Destination of further writes.
+        disk: Disk,
+    },
 }
 
 /// Recipient of an answer of the control group.
--- a/crates/node/src/actors/links.rs
+++ b/crates/node/src/actors/links.rs
@@ -164,11 +164,7 @@
     pub(super) fn check_leader_contact(&mut self, now: Instant) {
         let links = self.peers.links().borrow();
         let uplink = links.uplink();
-        let known = self.leader.is_some()
-            || uplink
-                .and_then(|link| links.get(link))
-                .is_some_and(|link| link.leader.is_some());
-        if known {
+        if self.leader.is_some() || links.named_leader().is_some() {
             self.leader_contact.lost_at = None;
             self.leader_contact.last_timeout_at = None;
             return;
--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -5,7 +5,7 @@
 
 use bamboospur_agreement::{DiskId, Members, Persist, PersistedState};
 use bamboospur_control::MemberInput;
-use bamboospur_storage::{DataFolder, Log, LogSettings, StorageError};
+use bamboospur_storage::{DataFolder, Log, LogSettings, StorageError, reopen};
 use bamboospur_types::InstanceId;
 use tracing::{error, warn};
 
@@ -40,7 +40,7 @@
 
 impl Disk {
     /// Starts a write and returns its result if it is known at once: memory
-    /// reports success, a disk thread that has ended reports a failure.
+    /// reports success, a disk that has failed and is not reopened yet a failure.
     #[must_use]
     pub fn write(&self, persist: Persist) -> Option<MemberInput> {
         match self {
@@ -91,10 +91,9 @@
     let id = folder.disk_id();
     let (sender, receiver) = channel();
     let mailbox = mailbox.clone();
+    let path = path.to_owned();
     let spawned = essential::spawn("disk", move || {
-        // Keeps the folder locked until the thread ends.
-        let _folder = folder;
-        run(&mut log, &receiver, &mailbox);
+        run(&path, folder, log, receiver, &mailbox);
     });
     spawned.map_err(|error| format!("no thread for the disk: {error}"))?;
     Ok(OpenedDisk {
@@ -108,22 +107,48 @@
     PersistedState::bootstrap(Members::from_voters(&[(own, disk)]))
 }
 
-/// Writes and syncs pending writes in batches until the main loop drops the sender.
-fn run(log: &mut Log, receiver: &Receiver<Persist>, mailbox: &Mailbox) {
+/// Writes and syncs pending writes in batches until the main loop drops the sender. After a failure,
+/// reopens the folder once that is possible and goes on with a new queue: what the replica wrote
+/// before does not fit the content of the folder, from which it starts again.
+fn run(
+    path: &Path,
+    mut folder: DataFolder,
+    mut log: Log,
+    mut receiver: Receiver<Persist>,
+    mailbox: &Mailbox,
+) {
+    let disk = folder.disk_id();
+    while let Err(error) = write_queue(&mut log, &receiver, mailbox) {
+        error!(%error, "failed to write to the data folder; reopening it");
+        mailbox.send(MainLoopMessage::Control(ControlMessage::DiskFailed));
+        // The folder can be opened only once.
+        drop((folder, log));
+        let Some(reopened) = reopen(path, disk, LogSettings::default()) else {
+            essential::stop_node("disk");
+            return;
+        };
+        (folder, log) = (reopened.folder, reopened.log);
+        let (sender, queue) = channel();
+        receiver = queue;
+        mailbox.send(MainLoopMessage::Control(ControlMessage::DiskReopened {
+            restored: Box::new(reopened.restored),
+            disk: Disk::Thread(sender),
+        }));
+    }
+}
+
+fn write_queue(
+    log: &mut Log,
+    receiver: &Receiver<Persist>,
+    mailbox: &Mailbox,
+) -> Result<(), StorageError> {
     while let Ok(first) = receiver.recv() {
-        match write_batch(log, &first, receiver) {
-            Ok(sequence) => {
-                mailbox.send(MainLoopMessage::Control(ControlMessage::Synced {
-                    sequence,
-                }));
-            }
-            Err(error) => {
-                error!(%error, "failed to write to the data folder; stopping the disk thread");
-                mailbox.send(MainLoopMessage::Control(ControlMessage::DiskFailed));
-                return;
-            }
-        }
+        let sequence = write_batch(log, &first, receiver)?;
+        mailbox.send(MainLoopMessage::Control(ControlMessage::Synced {
+            sequence,
+        }));
     }
+    Ok(())
 }
 
 fn write_batch(
--- a/crates/node/src/essential.rs
+++ b/crates/node/src/essential.rs
@@ -28,15 +28,20 @@
         if !thread::panicking() {
             return;
         }
-        error!(
-            part = self.part,
-            "a thread of the node has ended by a panic; the node stops, to be started again"
-        );
-        HAS_FAILED.store(true, Ordering::SeqCst);
-        if let Err(error) = raise(SIGTERM) {
-            error!(%error, "the node cannot stop as on a signal; ending it at once");
-            process::exit(EXIT_CANNOT_STOP);
-        }
+        stop_node(self.part);
+    }
+}
+
+/// Stops the node as on a signal because this part of it cannot go on.
+pub fn stop_node(part: &'static str) {
+    error!(
+        part,
+        "a part of the node cannot go on; the node stops, to be started again"
+    );
+    HAS_FAILED.store(true, Ordering::SeqCst);
+    if let Err(error) = raise(SIGTERM) {
+        error!(%error, "the node cannot stop as on a signal; ending it at once");
+        process::exit(EXIT_CANNOT_STOP);
     }
 }
 
@@ -54,7 +59,7 @@
     Ok(())
 }
 
-/// Whether a thread has ended by a panic without which the node cannot do its work.
+/// Whether a part has ended without which the node cannot do its work.
 #[must_use]
 pub fn has_failed() -> bool {
     HAS_FAILED.load(Ordering::SeqCst)
--- a/crates/node/src/peers/links.rs
+++ b/crates/node/src/peers/links.rs
@@ -107,13 +107,27 @@
         self.by_peer.get(&peer).copied()
     }
 
-    /// Returns a link to a member of the control group, preferably to one that
-    /// knows a leader.
+    /// Returns the leader that the members of the control group name, most of them if they
+    /// disagree.
+    #[must_use]
+    pub fn named_leader(&self) -> Option<InstanceId> {
+        let mut counts: BTreeMap<InstanceId, usize> = BTreeMap::new();
+        let members = self.links.values().filter(|link| link.control);
+        for leader in members.filter_map(|link| link.leader) {
+            *counts.entry(leader).or_default() += 1;
+        }
+        let most = counts.into_iter().max_by_key(|(_, count)| *count);
+        most.map(|(leader, _)| leader)
+    }
+
+    /// Returns a link to a member of the control group: to the leader, or else preferably to
+    /// one that knows a leader.
     #[must_use]
     pub fn uplink(&self) -> Option<LinkId> {
+        let leader = self.named_leader().and_then(|leader| self.link_to(leader));
         let members = self.links.iter().filter(|(_, link)| link.control);
         let best = members.max_by_key(|(id, link)| (link.leader.is_some(), **id));
-        best.map(|(id, _)| *id)
+        leader.or_else(|| best.map(|(id, _)| *id))
     }
 
     /// Returns the members of the control group to which a link is up.
@@ -211,10 +225,10 @@
         }
     }
 
-    /// Sends the changed leader to instances outside the control group, which
-    /// then send their requests again.
+    /// Sends the changed leader to all instances, which then send their requests again. A
+    /// member of the control group whose replica has stopped knows it from this alone.
     pub fn send_leader(&self, revision: Revision, leader: Option<InstanceId>) {
-        for link in self.links.values().filter(|link| !link.control) {
+        for link in self.links.values() {
             // The next heartbeat repeats a lost frame.
             let _ = link.queue.send(Frame::Heartbeat { revision, leader });
         }
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -239,7 +239,7 @@
     }
 
     /// Sets the revision in force and the known leader that heartbeats report.
-    /// A changed leader is also sent at once to instances outside the control group.
+    /// A changed leader is also sent at once.
     pub fn set_heartbeat(&self, revision: u64, leader: Option<InstanceId>) {
         if self.inner.heartbeat.set(revision, leader) {
             self.inner.links.borrow().send_leader(revision, leader);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -91,7 +91,7 @@
     mainloop::run(start, mailbox, &inbox);
     info!("the node has ended");
     if essential::has_failed() {
-        return Err("a thread has ended by a panic; see the log, and start the node again".into());
+        return Err("a part of the node has ended; see the log, and start the node again".into());
     }
     Ok(())
 }
--- a/crates/node/tests/deployment/harness.rs
+++ b/crates/node/tests/deployment/harness.rs
@@ -5,12 +5,13 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 
+use super::disk;
 pub use super::target::{Behaviour, Target};
 
 pub const CONTROL_PORT: u16 = 9101;
@@ -92,9 +93,12 @@
 }
 
 /// Returns the program of a process that is started as number `start`.
-fn program(start: u32) -> PathBuf {
+fn program(start: u32) -> String {
     let other = std::env::var_os(OTHER_PROGRAM_VARIABLE).filter(|_| start.is_multiple_of(2));
-    other.map_or_else(|| env!("CARGO_BIN_EXE_bamboospur").into(), PathBuf::from)
+    other.map_or_else(
+        || env!("CARGO_BIN_EXE_bamboospur").to_owned(),
+        |path| path.to_string_lossy().into_owned(),
+    )
 }
 
 /// Options with which one router relays to all others and routers take all reports of
@@ -123,7 +127,7 @@
 
     pub fn with_options(network: u8, control_options: &'static [&'static str]) -> Self {
         let name = format!("bamboospur-deployment-{}-{network}", std::process::id());
-        let folder = std::env::temp_dir().join(name);
+        let folder = disk::test_root().join(name);
         fs::create_dir_all(&folder).expect("a folder");
         let mut deployment = Self {
             network,
@@ -209,7 +213,7 @@
             _ => &[],
         };
         self.starts += 1;
-        let child = Command::new(program(self.starts))
+        let child = disk::command(&program(self.starts))
             .arg(role)
             .args(options)
             .env("BAMBOOSPUR_SETTINGS", &path)
@@ -245,6 +249,11 @@
         child.wait().expect("it ends");
     }
 
+    /// Makes the disk of a control instance refuse every write, or gives it room again.
+    pub fn set_disk_full(&self, control: u8, is_full: bool) {
+        disk::set_full(&self.processes[&format!("control-{control}")], is_full);
+    }
+
     /// Kills all processes before waiting for any of them.
     pub fn kill_all(&mut self) {
         for child in self.processes.values_mut() {
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -6,6 +6,9 @@
 mod crashing;
 mod crashing_engine;
 mod departures;
+#[path = "../support/disk.rs"]
+mod disk;
+mod disks;
 mod endless;
 mod evacuations;
 mod extremes;
--- a/crates/node/tests/fleet/fleet.rs
+++ b/crates/node/tests/fleet/fleet.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::thread;
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -51,7 +52,7 @@
 
     /// Chooses the addresses of the control group without starting any process.
     pub fn prepare(control: usize) -> Self {
-        let folder = support::test_folder();
+        let folder = support::test_folder_in(&support::disk::test_root());
         fs::write(folder.join("secret"), "fleet secret").expect("secret");
         fs::write(folder.join("operator"), "operator-token").expect("token");
         Self {
@@ -180,6 +181,15 @@
     }
 }
 
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if !thread::panicking() {
+            // What is left takes memory, but harms no other test.
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
 /// Makes a change. Without an answer, or on status 503, sends the change again with
 /// the same id.
 fn apply_change(operators: SocketAddr, body: &Value) -> Result<u64, String> {
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 
 mod crashing;
 mod cut_off;
+mod disk;
 mod fleet;
 mod formation;
 mod group;
--- a/crates/node/tests/fleet/process.rs
+++ b/crates/node/tests/fleet/process.rs
@@ -12,7 +12,7 @@
 
 use serde_json::Value;
 
-use crate::support::{Answer, Caller, read_answer};
+use crate::support::{Answer, Caller, disk, read_answer};
 
 /// Offset of the next port to try. All ports are below the ephemeral range, so that no
 /// outgoing connection takes a port between the check here and the start of a node.
@@ -68,7 +68,7 @@
     /// Kills the process if it runs, and starts it.
     pub fn restart(&mut self) {
         self.kill();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_bamboospur"));
+        let mut command = disk::command(env!("CARGO_BIN_EXE_bamboospur"));
         command.arg("--config").arg(&self.config);
         command.stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().expect("the node starts");
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Makes the disk refuse every write, or gives it room again.
+    pub fn set_disk_full(&self, is_full: bool) {
+        disk::set_full(self.child.as_ref().expect("running"), is_full);
+    }
+
     /// Suspends the process with SIGSTOP; its connections stay open.
     pub fn suspend(&self) {
         self.signal("-STOP");
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -9,6 +9,7 @@
 
 mod caller;
 mod crashing;
+pub mod disk;
 mod heartbeat;
 mod node;
 mod target;
@@ -16,7 +17,7 @@
 pub use caller::{Answer, Caller, read_answer, stream_body};
 pub use crashing::{CRASHING_MESSAGE, CrashRecords, CrashingEngine, WhileDown};
 pub use heartbeat::Heartbeat;
-pub use node::{Node, test_folder};
+pub use node::{Node, test_folder, test_folder_in};
 pub use target::{Target, TargetAction};
 
 use std::thread;
--- a/crates/node/tests/support/node.rs
+++ b/crates/node/tests/support/node.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -180,9 +180,14 @@
 
 /// Returns a new empty folder.
 pub fn test_folder() -> PathBuf {
+    test_folder_in(Path::new(env!("CARGO_TARGET_TMPDIR")))
+}
+
+/// Creates a folder for the files of one test.
+pub fn test_folder_in(root: &Path) -> PathBuf {
     let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
     let name = format!("bamboospur-{}-{number}", std::process::id());
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let folder = root.join(name);
     fs::create_dir_all(&folder).expect("folder");
     folder
 }
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -7,8 +7,8 @@
 //! last one that is on disk.
 //!
 //! After an error of a log, the state of its file is unknown, so every later
-//! call fails. The host stops the replica, opens the folder again and restores
-//! the replica from it.
+//! call fails. The host stops the replica, opens the folder again with [`reopen`] and
+//! restores the replica from it.
 //!
 //! # Files
 //!
@@ -28,6 +28,7 @@
 mod folder;
 mod log;
 mod record;
+mod reopen;
 mod replay;
 mod snapshot;
 mod store;
@@ -36,4 +37,5 @@
 pub use files::{DataFile, DiskFiles, Files};
 pub use folder::DataFolder;
 pub use log::{Log, LogSettings, SyncReport};
+pub use reopen::{ReopenedFolder, reopen};
 pub use store::Blob;
