Give a replica that starts again a new queue of writes

Cause: a control instance that reopened its data folder took up the queue of the stopped replica and drained it once. A write that was queued after that, because the host handled the failure late, would have reached the log behind the content from which the new replica started.

Change: the roles use bamboospur_storage::reopen as the node does, with a new queue for each run; a data folder that was replaced meanwhile ends the process.

--- a/crates/fleet/src/control/disk.rs
+++ b/crates/fleet/src/control/disk.rs
@@ -3,20 +3,17 @@
 use std::path::Path;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
-use std::time::Duration;
 
 use bamboospur_agreement::{Members, Persist, PersistedState};
-use bamboospur_storage::{DataFolder, Log, LogSettings, StorageError};
+use bamboospur_storage::{DataFolder, Log, LogSettings, StorageError, reopen};
 use bamboospur_types::InstanceId;
 use tokio::sync::mpsc::Sender as EventSender;
-use tracing::{error, info, warn};
+use tracing::{error, warn};
 
 use super::event::Event;
 use super::soft::WriteNumber;
 use crate::process::Essential;
 
-/// Pause before each attempt to reopen the data folder after a failure.
-const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 /// Size of a log segment, small next to the disk of a control instance.
 const SEGMENT_BYTES: usize = 2 * 1024 * 1024;
 /// Name of the blob with the id of the instance.
@@ -89,8 +86,10 @@
     let spawned = thread::Builder::new()
         .name("disk".to_owned())
         .spawn(move || {
-            run_disk_thread(&path, Some((folder, log)), &receiver, &events);
-            guard.release();
+            // The process must not go on without its disk.
+            if run_disk_thread(&path, folder, log, receiver, &events) == DiskEnd::HostEnded {
+                guard.release();
+            }
         });
     spawned.map_err(|error| format!("no thread for the disk: {error}"))?;
     Ok(OpenedFolder {
@@ -124,66 +123,68 @@
     Ok(id)
 }
 
-/// Writes queued changes in batches with one sync each, until the queue is closed.
-/// After a failure, tries to reopen the folder until that succeeds. Writes queued before
-/// are dropped then, because the replica restarts from the content of the folder.
+/// Why the disk thread ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DiskEnd {
+    /// The host has ended.
+    HostEnded,
+    /// Another folder has taken the place of the data folder.
+    FolderReplaced,
+}
+
+/// Writes queued changes until the host ends. After a failure, reopens the folder once that is
+/// possible and goes on with a new queue: what the replica wrote before does not fit the content of
+/// the folder, from which it starts again.
 fn run_disk_thread(
     path: &Path,
-    mut open: Option<(DataFolder, Log)>,
-    receiver: &Receiver<Write>,
+    mut folder: DataFolder,
+    mut log: Log,
+    mut receiver: Receiver<Write>,
     events: &EventSender<Event>,
-) {
-    loop {
-        let Some((folder, log)) = &mut open else {
-            thread::sleep(REOPEN_PAUSE);
-            open = try_reopen(path, receiver, events);
-            continue;
-        };
-        let Ok(first) = receiver.recv() else {
-            return;
-        };
-        let writes = std::iter::once(first).chain(receiver.try_iter());
-        let batch = Batch::from_writes(writes);
-        let completed = write_log(log, &batch.log).unwrap_or_else(|error| {
-            error!(%error, "failed to write to the data folder; reopening it");
-            Some(Event::DiskFailed)
-        });
-        let has_failed = matches!(completed, Some(Event::DiskFailed));
-        let soft = batch.soft.filter(|_| !has_failed);
-        let stored = soft.map(|(number, blob)| store_soft_state(folder, number, &blob));
-        for event in completed.into_iter().chain(stored) {
-            if events.blocking_send(event).is_err() {
-                return;
-            }
+) -> DiskEnd {
+    let disk = folder.disk_id();
+    while let Err(error) = write_queue(&folder, &mut log, &receiver, events) {
+        error!(%error, "failed to write to the data folder; reopening it");
+        if events.blocking_send(Event::DiskFailed).is_err() {
+            return DiskEnd::HostEnded;
         }
-        if has_failed {
-            open = None;
+        // The folder can be opened only once.
+        drop((folder, log));
+        let Some(reopened) = reopen(path, disk, log_settings()) else {
+            return DiskEnd::FolderReplaced;
+        };
+        (folder, log) = (reopened.folder, reopened.log);
+        let (writes, queue) = channel();
+        receiver = queue;
+        let restored = Box::new(reopened.restored);
+        let event = Event::DiskReopened { restored, writes };
+        if events.blocking_send(event).is_err() {
+            return DiskEnd::HostEnded;
         }
     }
+    DiskEnd::HostEnded
 }
 
-fn try_reopen(
-    path: &Path,
+/// Writes queued changes in batches with one sync each, until the host ends or a write to the log
+/// fails.
+fn write_queue(
+    folder: &DataFolder,
+    log: &mut Log,
     receiver: &Receiver<Write>,
     events: &EventSender<Event>,
-) -> Option<(DataFolder, Log)> {
-    let opened = DataFolder::open(path).and_then(|folder| {
-        let (log, restored) = folder.open_log(log_settings())?;
-        Ok((folder, log, restored))
-    });
-    match opened {
-        Ok((folder, log, restored)) => {
-            while receiver.try_recv().is_ok() {}
-            info!("data folder reopened; the replica restarts from its content");
-            let event = Event::DiskReopened(Box::new(restored));
-            events.blocking_send(event).ok()?;
-            Some((folder, log))
-        }
-        Err(error) => {
-            warn!(%error, "failed to reopen the data folder; trying again");
-            None
+) -> Result<(), StorageError> {
+    while let Ok(first) = receiver.recv() {
+        let batch = Batch::from_writes(std::iter::once(first).chain(receiver.try_iter()));
+        let synced = write_log(log, &batch.log)?;
+        let soft = batch.soft;
+        let stored = soft.map(|(number, blob)| store_soft_state(folder, number, &blob));
+        for event in synced.into_iter().chain(stored) {
+            if events.blocking_send(event).is_err() {
+                return Ok(());
+            }
         }
     }
+    Ok(())
 }
 
 /// Writes that wait for the disk thread. Of several soft states only the last is stored.
--- a/crates/fleet/src/control/event.rs
+++ b/crates/fleet/src/control/event.rs
@@ -6,6 +6,7 @@
 use bamboospur_group::{DataCentre, Document};
 use tokio::sync::oneshot;
 
+use super::disk::Write;
 use super::soft::WriteNumber;
 use crate::calls::TargetCall;
 use crate::link::{AcceptEvent, DialEvent};
@@ -64,10 +65,15 @@
     },
     /// A write of the soft state failed.
     SoftStateFailed,
-    /// A write to the log failed. Writes of the soft state that wait are dropped.
+    /// A write to the log failed.
     DiskFailed,
-    /// The data folder was opened again after a failure, with this content of the log.
-    DiskReopened(Box<PersistedState>),
+    /// The data folder was opened again after a failure. Writes that were queued before are dropped.
+    DiskReopened {
+        /// Content of the log.
+        restored: Box<PersistedState>,
+        /// Queue of further writes.
+        writes: std::sync::mpsc::Sender<Write>,
+    },
     /// The settings file was reloaded, with these seeds.
     Seeds(Vec<SocketAddr>),
     /// Request for the metrics.
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -292,7 +292,8 @@
                 self.counters.disk_failures += 1;
                 self.handle_group_input(GroupInput::DiskFailed);
             }
-            Event::DiskReopened(restored) => {
+            Event::DiskReopened { restored, writes } => {
+                self.writes = writes;
                 self.soft_writes.record_failure(now);
                 let settings = self.group_settings.clone();
                 self.group = Group::new(settings, *restored, election_seed(self.id), now);
@@ -355,7 +356,9 @@
         match output {
             GroupOutput::Persist(persist) => {
                 if self.writes.send(Write::Log(persist)).is_err() {
-                    error!("the disk thread has ended; dropping a write to the log");
+                    error!(
+                        "the disk takes no writes until it is reopened; dropping one to the log"
+                    );
                 }
             }
             GroupOutput::Send { to, message } => {
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -276,7 +276,7 @@
             return;
         };
         if self.writes.send(Write::SoftState { number, blob }).is_err() {
-            error!("the disk thread has ended; dropping the soft state");
+            error!("the disk takes no writes until it is reopened; dropping the soft state");
         }
     }
 
