Search an unfinished event once, not for each part that arrives

What callers saw: 80 targets that send an event without a line end held up a router until it lost its lease and answered 503 "not ready" to everyone.

Cause: the splitter remembered where it had searched only up to the last line end, so each part of a long line searched the line from its begin; a line of 1 MiB in parts of 4 KiB is searched 256 times.

Change: the search goes on behind what was searched, unless a line end may still be followed by the empty line.

--- a/crates/http1/src/events.rs
+++ b/crates/http1/src/events.rs
@@ -64,6 +64,12 @@
         self.buffer.split().freeze()
     }
 
+    /// Returns the number of bytes that are buffered.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the incomplete event is longer than the 1 MiB limit.
     #[must_use]
     pub fn is_overlong(&self) -> bool {
@@ -83,7 +89,13 @@
             }
         }
         // The empty line after the last line end may not have arrived yet.
-        self.scanned = from.saturating_sub(1);
+        let rest = &bytes[from..];
+        let may_end_here = rest.is_empty() || rest == b"\r";
+        self.scanned = if may_end_here {
+            from.saturating_sub(1)
+        } else {
+            bytes.len()
+        };
         None
     }
 }
