--- a/crates/fleet/src/calls.rs
+++ b/crates/fleet/src/calls.rs
@@ -11,6 +11,7 @@
 use bamboospur_platform::calls::{Call, report_response_body};
 use bamboospur_platform::report;
 use bamboospur_registry::{Announcement, StartTime, TargetName};
+use bamboospur_types::BufferBudget;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
@@ -76,12 +77,13 @@
     pub reply: oneshot::Sender<Option<SocketAddr>>,
 }
 
-/// Accepts connections for ever and answers their requests with `handle`. `who`
-/// names the callers in log lines.
+/// Accepts connections for ever and answers their requests, which are buffered within `buffers`,
+/// with `handle`. `who` names the callers in log lines.
 pub async fn serve<F>(
     listener: TcpListener,
     who: &'static str,
     limits: ReadLimits,
+    buffers: BufferBudget,
     handle: impl Fn(Request) -> F + 'static,
 ) where
     F: Future<Output = Answer> + 'static,
@@ -89,13 +91,15 @@
     let handle = Rc::new(handle);
     loop {
         let stream = accept(&listener, who).await;
-        spawn_detached(serve_connection(stream, limits, Rc::clone(&handle)));
+        let connection = serve_connection(stream, limits, buffers.clone(), Rc::clone(&handle));
+        spawn_detached(connection);
     }
 }
 
 async fn serve_connection<F>(
     stream: TcpStream,
     limits: ReadLimits,
+    buffers: BufferBudget,
     handle: Rc<impl Fn(Request) -> F>,
 ) where
     F: Future<Output = Answer>,
@@ -104,7 +108,7 @@
         warn!(%error, "failed to set the socket options of a target's or operator's connection; closing it");
         return;
     }
-    let mut connection = ServerConnection::new(stream);
+    let mut connection = ServerConnection::new(stream, &buffers);
     loop {
         let request = connection.read_request(&limits).await;
         let (mut responder, _) = connection.split();
@@ -138,6 +142,7 @@
         ReadError::HeadTooLarge => Answer::error(431, "the head is too large"),
         ReadError::BodyTooLarge => Answer::error(413, "the body is too large"),
         ReadError::TooSlow => Answer::error(408, "the request came too slowly"),
+        ReadError::NoMemory => Answer::error(503, "there is no memory for the request; repeat it"),
         ReadError::Malformed | ReadError::Closed | ReadError::Broken => {
             Answer::error(400, "the request is malformed")
         }
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -6,6 +6,7 @@
 use bamboospur_http1::server::{ReadLimits, Request};
 use bamboospur_platform::calls::Call;
 use bamboospur_platform::config;
+use bamboospur_types::BufferBudget;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
@@ -24,12 +25,19 @@
 };
 
 /// Accepts calls for ever.
-pub async fn serve(listener: TcpListener, events: Sender<Event>) {
+pub async fn serve(listener: TcpListener, buffers: BufferBudget, events: Sender<Event>) {
     let answer = move |request| {
         let events = events.clone();
         async move { handle(&request, &events).await }
     };
-    calls::serve(listener, "operators and targets", READ_LIMITS, answer).await;
+    calls::serve(
+        listener,
+        "operators and targets",
+        READ_LIMITS,
+        buffers,
+        answer,
+    )
+    .await;
 }
 
 async fn handle(request: &Request, events: &Sender<Event>) -> Answer {
--- a/crates/fleet/src/control/counters.rs
+++ b/crates/fleet/src/control/counters.rs
@@ -48,6 +48,10 @@
     pub blocked_parts: usize,
     /// Messages about crashes that were dropped because too many waited for bandwidth.
     pub dropped_crash_messages: u64,
+    /// Bytes in the buffers that others fill.
+    pub buffered_bytes: usize,
+    /// How often such a buffer could not grow.
+    pub refused_buffers: u64,
 }
 
 impl Counters {
@@ -74,6 +78,8 @@
             ("streams_known", number(gauges.streams)),
             ("target_limits", number(gauges.target_limits)),
             ("parts_blocked", number(gauges.blocked_parts)),
+            ("buffered_bytes", number(gauges.buffered_bytes)),
+            ("buffers_refused_total", gauges.refused_buffers),
             (
                 "crash_messages_dropped_total",
                 gauges.dropped_crash_messages,
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -27,7 +27,7 @@
 use self::targets::ReportReply;
 use super::counters::{Counters, Gauges};
 use super::departures::Departures;
-use super::disk::{self, Write};
+use super::disk::{self, OpenedFolder, Write};
 use super::event::Event;
 use super::fanout::{Fanout, FanoutSettings};
 use super::link_watch::LinkWatch;
@@ -39,6 +39,7 @@
 use super::soft::{SoftState, SoftStateWrites};
 use crate::link::{AcceptedLinks, Frame, LinkId, Traffic};
 use crate::loads::{Loads, MIN_LOADS_INTERVAL, loads_interval};
+use crate::memory::Buffers;
 use crate::outbox::Outbox;
 use crate::stream_origins::OriginTable;
 
@@ -105,6 +106,7 @@
     next_loads_at: Instant,
     next_round_at: Instant,
     link_watch: LinkWatch,
+    buffers: Buffers,
 }
 
 impl Host {
@@ -112,20 +114,13 @@
     pub fn start(
         settings: &ProcessSettings,
         fanout_settings: FanoutSettings,
+        buffers: &Buffers,
         events: Sender<Event>,
     ) -> Result<Self, String> {
         let now = Instant::now();
-        let founders: Vec<InstanceId> = settings.seeds.iter().map(founder_id_of).collect();
-        let is_founder = settings.first_start && settings.seeds.contains(&settings.link_address);
-        let founder_id = is_founder.then(|| founder_id_of(&settings.link_address));
-        let path = settings
-            .data_folder
-            .as_ref()
-            .ok_or("the settings name no data folder")?;
-        let opened = disk::open(path, founder_id, &founders, events.clone())?;
+        let opened = open_disk(settings, &events)?;
         let group_settings = group_settings(opened.id);
         let silence_timeout = settings.report_period * MAX_MISSED_REPORTS;
-        info!(id = opened.id, founder = is_founder, "data folder opened");
         let soft = load_soft_state(opened.soft);
         let mut cached_prefixes = PrefixStore::default();
         cached_prefixes.add(soft.prefixes);
@@ -144,7 +139,14 @@
             writes: opened.writes,
             soft_writes: SoftStateWrites::new(now),
             departures: Departures::default(),
-            peers: Peers::new(opened.id, settings.link_address, &settings.seeds, events),
+            peers: Peers::new(
+                opened.id,
+                settings.link_address,
+                &settings.seeds,
+                buffers.links.clone(),
+                events,
+            ),
+            buffers: buffers.clone(),
             links: AcceptedLinks::default(),
             pending_requests: PendingRequests::default(),
             unanswered_links: BTreeSet::new(),
@@ -322,6 +324,8 @@
             target_limits: self.limit_hub.len(),
             blocked_parts: self.crash_hub.blocked_count(now),
             dropped_crash_messages: self.crash_outbox.dropped(),
+            buffered_bytes: self.buffers.requests.used_bytes() + self.buffers.links.used_bytes(),
+            refused_buffers: self.buffers.requests.refused() + self.buffers.links.refused(),
         }) + &Traffic::now().text()
     }
 
@@ -398,6 +402,20 @@
     stable_id(&format!("founder {address}"))
 }
 
+/// Opens the data folder. All seeds found the group when the deployment starts for the first time.
+fn open_disk(settings: &ProcessSettings, events: &Sender<Event>) -> Result<OpenedFolder, String> {
+    let founders: Vec<InstanceId> = settings.seeds.iter().map(founder_id_of).collect();
+    let is_founder = settings.first_start && settings.seeds.contains(&settings.link_address);
+    let founder_id = is_founder.then(|| founder_id_of(&settings.link_address));
+    let path = settings
+        .data_folder
+        .as_ref()
+        .ok_or("the settings name no data folder")?;
+    let opened = disk::open(path, founder_id, &founders, events.clone())?;
+    info!(id = opened.id, founder = is_founder, "data folder opened");
+    Ok(opened)
+}
+
 fn load_soft_state(blob: Option<Vec<u8>>) -> SoftState {
     let soft = SoftState::decode(blob);
     info!(
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -32,6 +32,7 @@
 
 use crate::exposition;
 use crate::link;
+use crate::memory::Buffers;
 use crate::process::{self, spawn_essential};
 use crate::settings_file::SettingsFile;
 use crate::signals::Signals;
@@ -79,7 +80,8 @@
     let calls = socket::listen(operators).map_err(failed("address for operators"))?;
     let links = socket::listen(settings.link_address).map_err(failed("address for links"))?;
     let (events, receiver) = channel(MAX_QUEUED_EVENTS);
-    let host = host::Host::start(&settings, control_settings.fanout, events.clone())?;
+    let buffers = Buffers::new(settings.memory_limit_bytes);
+    let host = host::Host::start(&settings, control_settings.fanout, &buffers, events.clone())?;
     info!(
         instance = settings.instance,
         data_centre = settings.data_centre,
@@ -89,13 +91,26 @@
         first_start = settings.first_start,
         "control instance started"
     );
-    spawn_essential("calls", calls::serve(calls, events.clone()));
-    spawn_essential("links", link::serve(links, events.clone(), Event::Accepted));
+    spawn_essential(
+        "calls",
+        calls::serve(calls, buffers.requests.clone(), events.clone()),
+    );
+    spawn_essential(
+        "links",
+        link::serve(
+            links,
+            buffers.links.clone(),
+            events.clone(),
+            Event::Accepted,
+        ),
+    );
     spawn_essential("host", host.run(receiver));
 
     if let Some(port) = control_settings.metrics_port {
         let events = events.clone();
-        exposition::start(settings.ip, port, move || metrics_text(events.clone()));
+        exposition::start(settings.ip, port, buffers.requests, move || {
+            metrics_text(events.clone())
+        });
     }
 
     let forward_seeds = async |settings: &ProcessSettings| {
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bamboospur_types::InstanceId;
+use bamboospur_types::{BufferBudget, InstanceId};
 use tokio::sync::mpsc::Sender;
 
 use super::event::Event;
@@ -19,6 +19,7 @@
 pub struct Peers {
     hello: Hello,
     own_address: SocketAddr,
+    buffers: BufferBudget,
     events: Sender<Event>,
     seeds: BTreeSet<SocketAddr>,
     links: BTreeMap<SocketAddr, DialedLink>,
@@ -33,6 +34,7 @@
         id: InstanceId,
         own_address: SocketAddr,
         seeds: &[SocketAddr],
+        buffers: BufferBudget,
         events: Sender<Event>,
     ) -> Self {
         let hello = Hello {
@@ -42,6 +44,7 @@
         let mut peers = Self {
             hello,
             own_address,
+            buffers,
             events,
             seeds: BTreeSet::new(),
             links: BTreeMap::new(),
@@ -73,6 +76,7 @@
         let link = dial(
             address,
             self.hello.clone(),
+            &self.buffers,
             self.events.clone(),
             Event::Dialed,
         );
--- a/crates/fleet/src/exposition.rs
+++ b/crates/fleet/src/exposition.rs
@@ -6,7 +6,8 @@
 
 use bamboospur_http1::server::{ReadLimits, ServerConnection, build_response_head};
 use bamboospur_http1::socket;
-use tokio::net::{TcpListener, TcpStream};
+use bamboospur_types::BufferBudget;
+use tokio::net::TcpListener;
 use tracing::{info, warn};
 
 use crate::process::{self, spawn_detached};
@@ -22,7 +23,7 @@
 
 /// Starts a server that answers requests for metrics with `text`. If the port is not
 /// free, the process continues without metrics.
-pub fn start<F>(ip: Ipv4Addr, port: u16, text: impl Fn() -> F + 'static)
+pub fn start<F>(ip: Ipv4Addr, port: u16, buffers: BufferBudget, text: impl Fn() -> F + 'static)
 where
     F: Future<Output = String> + 'static,
 {
@@ -30,7 +31,7 @@
     match socket::listen(address) {
         Ok(listener) => {
             info!(%address, "serving metrics");
-            spawn_detached(accept_connections(listener, Rc::new(text)));
+            spawn_detached(accept_connections(listener, buffers, Rc::new(text)));
         }
         Err(error) => {
             warn!(
@@ -42,18 +43,24 @@
     }
 }
 
-async fn accept_connections<F>(listener: TcpListener, text: Rc<impl Fn() -> F + 'static>)
-where
+async fn accept_connections<F>(
+    listener: TcpListener,
+    buffers: BufferBudget,
+    text: Rc<impl Fn() -> F + 'static>,
+) where
     F: Future<Output = String> + 'static,
 {
     loop {
         let stream = process::accept(&listener, "metrics").await;
-        spawn_detached(serve_connection(stream, Rc::clone(&text)));
+        let connection = ServerConnection::new(stream, &buffers);
+        spawn_detached(serve_connection(connection, Rc::clone(&text)));
     }
 }
 
-async fn serve_connection<F: Future<Output = String>>(stream: TcpStream, text: Rc<impl Fn() -> F>) {
-    let mut connection = ServerConnection::new(stream);
+async fn serve_connection<F: Future<Output = String>>(
+    mut connection: ServerConnection,
+    text: Rc<impl Fn() -> F>,
+) {
     while let Ok(request) = connection.read_request(&READ_LIMITS).await {
         let (mut responder, _) = connection.split();
         responder.adapt_to_request(&request.head);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod link;
 mod loads;
 pub mod log;
+pub mod memory;
 mod outbox;
 pub mod process;
 pub mod router;
--- a/crates/fleet/src/link/accept.rs
+++ b/crates/fleet/src/link/accept.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bamboospur_types::BufferBudget;
 use bytes::Bytes;
 
 use bamboospur_http1::io::write_all;
@@ -68,9 +69,10 @@
 
 /// Accepts links for ever.
 ///
-/// `convert` turns link events into events of the receiver.
+/// Frames are buffered within `buffers`; `convert` turns link events into events of the receiver.
 pub async fn serve<E: 'static>(
     listener: TcpListener,
+    buffers: BufferBudget,
     events: Sender<E>,
     convert: fn(AcceptEvent) -> E,
 ) {
@@ -78,17 +80,18 @@
     loop {
         let stream = accept(&listener, "links").await;
         next_link += 1;
-        spawn_detached(run_link(stream, next_link, events.clone(), convert));
+        let reader = FrameReader::new(&buffers);
+        spawn_detached(run_link(stream, reader, next_link, events.clone(), convert));
     }
 }
 
 async fn run_link<E>(
     stream: TcpStream,
+    mut reader: FrameReader,
     link: LinkId,
     events: Sender<E>,
     convert: fn(AcceptEvent) -> E,
 ) {
-    let mut reader = FrameReader::default();
     let first_frame = timeout(HELLO_TIMEOUT, reader.next(&stream)).await;
     let Ok(Ok(Frame::Hello(hello))) = first_frame else {
         info!(link, "closing a link: no hello as the first frame");
--- a/crates/fleet/src/link/codec.rs
+++ b/crates/fleet/src/link/codec.rs
@@ -3,11 +3,12 @@
 
 use std::io;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bamboospur_types::BufferBudget;
+use bytes::{Buf, Bytes};
 use quick_error::quick_error;
 use tokio::net::TcpStream;
 
-use bamboospur_http1::io::read;
+use bamboospur_http1::io::{ReadBuffer, read};
 
 use super::frame::Frame;
 
@@ -79,17 +80,25 @@
 }
 
 /// Reads frames from a connection. A read that is cancelled loses no bytes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct FrameReader {
-    buffer: BytesMut,
+    buffer: ReadBuffer,
 }
 
 impl FrameReader {
+    /// Creates a reader that buffers within `budget`.
+    #[must_use]
+    pub fn new(budget: &BufferBudget) -> Self {
+        Self {
+            buffer: ReadBuffer::new(budget),
+        }
+    }
+
     /// Reads the next frame.
     ///
     /// # Errors
     ///
-    /// Fails when the connection ends or the bytes are not a frame.
+    /// Fails when the connection ends, the budget has no room or the bytes are not a frame.
     pub async fn next(&mut self, stream: &TcpStream) -> Result<Frame, FrameError> {
         loop {
             if let Some(frame) = self.take()? {
@@ -107,7 +116,7 @@
     ///
     /// Fails when the bytes are not a frame.
     pub fn take(&mut self) -> Result<Option<Frame>, FrameError> {
-        let Some(prefix) = self.buffer.first_chunk::<LENGTH_BYTES>() else {
+        let Some(prefix) = self.buffer.bytes.first_chunk::<LENGTH_BYTES>() else {
             return Ok(None);
         };
         let prefix = u32::from_be_bytes(*prefix);
@@ -116,11 +125,12 @@
         if length > MAX_FRAME_BYTES {
             return Err(FrameError::Malformed);
         }
-        if self.buffer.len() < LENGTH_BYTES + length {
+        if self.buffer.bytes.len() < LENGTH_BYTES + length {
             return Ok(None);
         }
-        self.buffer.advance(LENGTH_BYTES);
-        let payload = self.buffer.split_to(length);
+        self.buffer.bytes.advance(LENGTH_BYTES);
+        let payload = self.buffer.bytes.split_to(length);
+        self.buffer.free_removed();
         let frame = if prefix & COMPRESSED_BIT == 0 {
             postcard::from_bytes(&payload)
         } else {
@@ -131,6 +141,6 @@
 
     /// Appends bytes to the buffer, for tests of the codec.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.buffer.extend_from_slice(bytes);
+        self.buffer.bytes.extend_from_slice(bytes);
     }
 }
--- a/crates/fleet/src/link/dial.rs
+++ b/crates/fleet/src/link/dial.rs
@@ -5,7 +5,7 @@
 
 use bamboospur_http1::io::write_all;
 use bamboospur_http1::socket;
-use bamboospur_types::{Rng, stable_id};
+use bamboospur_types::{BufferBudget, Rng, stable_id};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -60,18 +60,20 @@
 /// Keeps a link to an address, dialling again after failures, until the handle is
 /// dropped.
 ///
-/// `convert` turns link events into events of the receiver.
+/// Frames are buffered within `buffers`; `convert` turns link events into events of the receiver.
 pub fn dial<E: 'static>(
     address: SocketAddr,
     hello: Hello,
+    buffers: &BufferBudget,
     events: Sender<E>,
     convert: fn(DialEvent) -> E,
 ) -> DialedLink {
+    let buffers = buffers.clone();
     let (frames, receiver) = channel(MAX_QUEUED_FRAMES);
     spawn_detached(async move {
         // A link whose task has panicked would never be dialled again.
         let guard = Essential::new("dialled link");
-        keep_link(address, hello, receiver, events, convert).await;
+        keep_link(address, hello, buffers, receiver, events, convert).await;
         guard.release();
     });
     DialedLink { frames }
@@ -81,6 +83,7 @@
 async fn keep_link<E: 'static>(
     address: SocketAddr,
     hello: Hello,
+    buffers: BufferBudget,
     mut receiver: Receiver<Frame>,
     events: Sender<E>,
     convert: fn(DialEvent) -> E,
@@ -96,6 +99,7 @@
             let link = Link {
                 address,
                 stream: &stream,
+                buffers: &buffers,
                 events: &events,
                 convert,
             };
@@ -132,6 +136,7 @@
 struct Link<'a, E> {
     address: SocketAddr,
     stream: &'a TcpStream,
+    buffers: &'a BufferBudget,
     events: &'a Sender<E>,
     convert: fn(DialEvent) -> E,
 }
@@ -140,7 +145,7 @@
     /// Exchanges frames until the link fails. Returns without an error when the handle
     /// or the receiver of events was dropped.
     async fn run(&self, hello: Hello, frames: &mut Receiver<Frame>) -> Result<(), FrameError> {
-        let mut reader = FrameReader::default();
+        let mut reader = FrameReader::new(self.buffers);
         self.write(&Frame::Hello(hello)).await?;
         let mut silent_at = Instant::now() + SILENCE_TIMEOUT;
         loop {
--- a/crates/fleet/src/router/attempt.rs
+++ b/crates/fleet/src/router/attempt.rs
@@ -4,14 +4,15 @@
 
 use bamboospur_dispatch::{LoadReport, Outcome};
 use bamboospur_http1::ResponseHead;
-use bamboospur_http1::client::{ClientConnection, ClientError, request_bytes};
+use bamboospur_http1::client::{ClientConnection, ClientError, OutgoingRequest};
 use bamboospur_http1::server::Responder;
 use bamboospur_platform::answer::{
     ResponseVerdict, classify_response, is_leaving, parse_load, parse_rejection_time,
     parse_request_limit,
 };
 use bamboospur_platform::request::{AttemptMetadata, attempt_head};
-use bamboospur_types::{MAX_TIME, RequestRate};
+use bamboospur_types::{BufferBudget, MAX_TIME, RequestRate};
+use bytes::Bytes;
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt_history::Execution;
@@ -26,8 +27,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// A connection is closed when the target acknowledges no data for this time.
 const ACK_TIMEOUT: Duration = Duration::from_secs(2);
-/// Size limit of a body that is not an event stream; a larger one fails the attempt. The
-/// whole body is buffered, so that it is checked before any of it is sent to the caller.
+/// Size limit of a body that is not an event stream; a larger one fails the attempt, and one for
+/// which there is no memory. The whole body is buffered, so that it is checked before any of it is
+/// sent to the caller.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Most answers to earlier requests that are skipped on one connection.
 const MAX_LATE_ANSWERS: usize = 2;
@@ -47,7 +49,7 @@
 pub struct Answer {
     /// Response head, without the hop-by-hop header fields.
     pub head: ResponseHead,
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 impl Answer {
@@ -164,11 +166,11 @@
             .metrics
             .borrow_mut()
             .record_connection(reused);
-        let bytes = self.request_bytes();
+        let request = self.outgoing_request();
         let method = self.job.request.head.method.clone();
         let first_result_by = self.first_result_deadline();
         let exchange = async {
-            let head = connection.exchange(bytes, &method).await?;
+            let head = connection.exchange(request, &method).await?;
             self.skip_late_answers(&mut connection, head, &method, reused)
                 .await
         };
@@ -211,7 +213,8 @@
         if let Some(connection) = idle {
             return Ok((connection, true));
         }
-        let connect = ClientConnection::connect(address, CONNECT_TIMEOUT, ACK_TIMEOUT);
+        let budget = &self.job.router.buffers;
+        let connect = ClientConnection::connect(address, CONNECT_TIMEOUT, ACK_TIMEOUT, budget);
         if let Ok(Ok(connection)) = timeout_at(self.job.deadline, connect).await {
             return Ok((connection, false));
         }
@@ -219,7 +222,7 @@
         Err(AttemptEnd::NotSent)
     }
 
-    fn request_bytes(&mut self) -> Vec<u8> {
+    fn outgoing_request(&mut self) -> OutgoingRequest {
         self.sent_at = Instant::now();
         let job = &*self.job;
         let metadata = AttemptMetadata {
@@ -231,7 +234,7 @@
             copy_from: self.active.choice.copy_from,
             remove_key: job.removes_key,
         };
-        request_bytes(
+        OutgoingRequest::new(
             &attempt_head(&job.request.head, &metadata),
             &job.request.body,
         )
@@ -375,7 +378,7 @@
         mut connection: ClientConnection,
         mut head: ResponseHead,
     ) -> AttemptEnd {
-        let read = read_body(&mut connection);
+        let read = read_body(&mut connection, &self.job.router.buffers);
         let body = match wait_or_abandon(self.job, self.first_result_deadline(), read).await {
             WaitResult::Done(Ok(body)) => body,
             WaitResult::Done(Err(error)) => {
@@ -493,15 +496,18 @@
     }
 }
 
-async fn read_body(connection: &mut ClientConnection) -> Result<Vec<u8>, ClientError> {
-    let mut body = Vec::new();
+async fn read_body(
+    connection: &mut ClientConnection,
+    budget: &BufferBudget,
+) -> Result<Bytes, ClientError> {
+    let mut body = budget.buffer();
     while let Some(chunk) = connection.next_chunk().await? {
-        body.extend_from_slice(&chunk);
-        if body.len() > MAX_BODY_BYTES {
+        let has_room = body.extend(&chunk).is_ok();
+        if !has_room || body.len() > MAX_BODY_BYTES {
             return Err(ClientError::InvalidResponse);
         }
     }
-    Ok(body)
+    Ok(Bytes::from_owner(body))
 }
 
 /// Waits for a part of an answer. When the part has not arrived at `abandon_at`, the
--- a/crates/fleet/src/router/event_stream.rs
+++ b/crates/fleet/src/router/event_stream.rs
@@ -10,6 +10,7 @@
 use bamboospur_http1::client::ClientConnection;
 use bamboospur_http1::server::Responder;
 use bamboospur_http1::{EventSplitter, Framing, ResponseHead};
+use bamboospur_types::BufferReservation;
 use tokio::time::{Instant, timeout_at};
 
 use super::crashes::SOUND_AFTER;
@@ -95,11 +96,13 @@
     first_event_by: Instant,
     event_gap_timeout: Duration,
 ) -> StreamResult {
+    let memory = job.router.buffers.reservation();
     let mut forwarder = StreamForwarder {
         job,
         source,
         responder,
         splitter: EventSplitter::default(),
+        memory,
         first_event_at: None,
         bytes_without_event: 0,
         is_sound: false,
@@ -116,6 +119,8 @@
     source: EventSource<'a>,
     responder: &'a mut Responder<'r>,
     splitter: EventSplitter,
+    /// Reservation of what the splitter holds and the caller has not read.
+    memory: BufferReservation,
     first_event_at: Option<Instant>,
     /// Bytes since the last event that the caller did not have.
     bytes_without_event: usize,
@@ -140,6 +145,9 @@
                 return StreamEnd::Deadline;
             }
             self.splitter.push(&chunk);
+            if self.memory.resize(self.splitter.buffered_bytes()).is_err() {
+                return StreamEnd::Malformed;
+            }
             match self.forward_events().await {
                 Ok(0) => {}
                 Ok(_) => event_by = Instant::now() + event_gap_timeout,
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_platform::settings::ProcessSettings;
-use bamboospur_types::stable_id;
+use bamboospur_types::{BufferBudget, stable_id};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::{interval, sleep_until};
@@ -82,6 +82,7 @@
     settings: &ProcessSettings,
     links: TcpListener,
     reports: TcpListener,
+    buffers: BufferBudget,
     origin_queries: Receiver<OriginQuery>,
 ) -> SeedUpdater {
     let (events, receiver) = channel(MAX_QUEUED_EVENTS);
@@ -90,7 +91,9 @@
         links: settings.link_address,
         reports: settings.report_address,
     };
+    let request_buffers = router.buffers.clone();
     let mut follower = Follower {
+        buffers: buffers.clone(),
         reports: Reports::new(Rc::clone(&router)),
         router,
         hello: Hello {
@@ -114,10 +117,13 @@
         origin_queries: OriginQueries::default(),
     };
     follower.set_seeds(&settings.seeds);
-    spawn_essential("links", link::serve(links, events.clone(), Event::Accepted));
+    spawn_essential(
+        "links",
+        link::serve(links, buffers, events.clone(), Event::Accepted),
+    );
     spawn_essential(
         "reports",
-        reports::serve(reports, events.clone(), Event::Target),
+        reports::serve(reports, request_buffers, events.clone(), Event::Target),
     );
     spawn_essential("follower", follower.run(receiver, origin_queries));
     SeedUpdater(events)
@@ -133,6 +139,8 @@
 
 /// Task that owns the links of this router to control instances, relays and followers.
 struct Follower {
+    /// Budget for frames on links.
+    buffers: BufferBudget,
     router: Rc<Router>,
     hello: Hello,
     location: RouterLocation,
--- a/crates/fleet/src/router/follow/links.rs
+++ b/crates/fleet/src/router/follow/links.rs
@@ -27,11 +27,17 @@
     pub(super) fn add_controls(&mut self, addresses: &[SocketAddr]) {
         for &address in addresses {
             self.control_addresses.record_heard(address, Instant::now());
-            let (hello, events) = (&self.hello, &self.events);
+            let (hello, buffers, events) = (&self.hello, &self.buffers, &self.events);
             self.controls
                 .entry(address)
                 .or_insert_with(|| FollowedLink {
-                    link: dial(address, hello.clone(), events.clone(), Event::Control),
+                    link: dial(
+                        address,
+                        hello.clone(),
+                        buffers,
+                        events.clone(),
+                        Event::Control,
+                    ),
                     up: false,
                     heard_at: None,
                 });
@@ -54,9 +60,15 @@
         }
         self.relays.retain(|address, _| local.contains(address));
         for address in local {
-            let (hello, events) = (&self.hello, &self.events);
+            let (hello, buffers, events) = (&self.hello, &self.buffers, &self.events);
             self.relays.entry(address).or_insert_with(|| FollowedLink {
-                link: dial(address, hello.clone(), events.clone(), Event::Relay),
+                link: dial(
+                    address,
+                    hello.clone(),
+                    buffers,
+                    events.clone(),
+                    Event::Relay,
+                ),
                 up: false,
                 heard_at: None,
             });
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -64,6 +64,7 @@
 
 use crate::exposition;
 use crate::link::Traffic;
+use crate::memory::Buffers;
 use crate::process::{self, spawn_essential};
 use crate::settings_file::SettingsFile;
 use crate::signals::Signals;
@@ -107,7 +108,8 @@
     let ready_listener = socket::listen(readiness).map_err(failed("address for readiness"))?;
     let links = socket::listen(settings.link_address).map_err(failed("address for links"))?;
     let reports = socket::listen(settings.report_address).map_err(failed("address for reports"))?;
-    let (router, origin_queries) = Router::new(&settings);
+    let buffers = Buffers::new(settings.memory_limit_bytes);
+    let (router, origin_queries) = Router::new(&settings, buffers.requests);
     let router = Rc::new(router);
     info!(
         instance = settings.instance,
@@ -121,6 +123,7 @@
         &settings,
         links,
         reports,
+        buffers.links,
         origin_queries,
     );
     spawn_essential(
@@ -134,7 +137,8 @@
 
     if let Some(port) = metrics_port {
         let router = Rc::clone(&router);
-        exposition::start(settings.ip, port, move || {
+        let buffers = router.buffers.clone();
+        exposition::start(settings.ip, port, buffers, move || {
             ready(router.metrics_text() + &Traffic::now().text())
         });
     }
--- a/crates/fleet/src/router/reports.rs
+++ b/crates/fleet/src/router/reports.rs
@@ -12,6 +12,7 @@
 
 use bamboospur_http1::server::{ReadLimits, Request};
 use bamboospur_registry::{Announcement, Merge, Phase, StartTime, TargetName};
+use bamboospur_types::BufferBudget;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
@@ -36,6 +37,7 @@
 /// Accepts calls of targets; never returns.
 pub async fn serve<E: 'static>(
     listener: TcpListener,
+    buffers: BufferBudget,
     events: Sender<E>,
     convert: fn(TargetCall) -> E,
 ) {
@@ -43,7 +45,7 @@
         let events = events.clone();
         async move { handle(&request, &events, convert).await }
     };
-    calls::serve(listener, "targets", READ_LIMITS, answer).await;
+    calls::serve(listener, "targets", READ_LIMITS, buffers, answer).await;
 }
 
 async fn handle<E>(request: &Request, events: &Sender<E>, convert: fn(TargetCall) -> E) -> Answer {
--- a/crates/fleet/src/router/serve.rs
+++ b/crates/fleet/src/router/serve.rs
@@ -32,6 +32,9 @@
 const LAST_READ_TIME: Duration = Duration::from_millis(100);
 /// `Retry-After` of a router that stops: another router serves the request at once.
 const STOPPED_RETRY_AFTER: Duration = Duration::from_millis(40);
+/// `Retry-After` of a request for which there is no memory. Other routers have some, and here the
+/// bodies in progress end within seconds.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Limits on requests of the platform to the readiness endpoint.
 const READY_LIMITS: ReadLimits = ReadLimits {
     head_bytes: 4 * 1024,
@@ -58,7 +61,7 @@
         warn!(%error, "cannot set the socket options of a caller's connection; closing it");
         return;
     }
-    let mut connection = ServerConnection::new(stream);
+    let mut connection = ServerConnection::new(stream, &router.buffers);
     loop {
         let limits = read_limits(&router);
         let read = tokio::select! {
@@ -155,12 +158,14 @@
         ReadError::HeadTooLarge => (431, ResultCode::TooLarge),
         ReadError::BodyTooLarge => (413, ResultCode::TooLarge),
         ReadError::TooSlow => (408, ResultCode::CallerTooSlow),
+        ReadError::NoMemory => (503, ResultCode::Overloaded),
         ReadError::Malformed | ReadError::Closed | ReadError::Broken => {
             (400, ResultCode::BadRequest)
         }
     };
     info!(status, %code, "request refused: it could not be read completely");
-    let (mut head, body) = result_answer(code, None);
+    let pause = (end == ReadError::NoMemory).then_some(NO_MEMORY_RETRY_AFTER);
+    let (mut head, body) = result_answer(code, pause);
     head.status = status;
     // The caller may have closed the connection already.
     let _sent = responder.write_response(&head, &body).await;
@@ -186,7 +191,7 @@
 }
 
 async fn serve_readiness_connection(stream: TcpStream, router: Rc<Router>) {
-    let mut connection = ServerConnection::new(stream);
+    let mut connection = ServerConnection::new(stream, &router.buffers);
     while let Ok(request) = connection.read_request(&READY_LIMITS).await {
         let (mut responder, _) = connection.split();
         responder.adapt_to_request(&request.head);
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -18,7 +18,7 @@
 use bamboospur_platform::settings::{Bounds, ProcessSettings};
 use bamboospur_registry::{Announcement, Registry, RegistrySettings};
 use bamboospur_retries::{FleetBudget, FleetBudgetSettings};
-use bamboospur_types::{Rng, stable_id};
+use bamboospur_types::{BufferBudget, Rng, stable_id};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tracing::info;
 
@@ -58,6 +58,8 @@
 /// State of a router.
 pub struct Router {
     pub bounds: Bounds,
+    /// Budget for the requests and answers in memory.
+    pub buffers: BufferBudget,
     pub catalog: RefCell<Option<Rc<Catalog>>>,
     lease: RefCell<Lease>,
     /// State of the fleet that the control group agreed on.
@@ -95,7 +97,10 @@
 
 impl Router {
     /// Creates a router and the queue of its queries to control instances.
-    pub fn new(settings: &ProcessSettings) -> (Self, mpsc::Receiver<OriginQuery>) {
+    pub fn new(
+        settings: &ProcessSettings,
+        buffers: BufferBudget,
+    ) -> (Self, mpsc::Receiver<OriginQuery>) {
         let seed = stable_id(&settings.instance) ^ BootTime::now().0;
         let bounds = settings.bounds;
         let registry = RegistrySettings {
@@ -106,6 +111,7 @@
         let (origin_queries, queries) = mpsc::channel(MAX_QUEUED_ORIGIN_QUERIES);
         let router = Self {
             bounds,
+            buffers,
             catalog: RefCell::new(None),
             lease: RefCell::new(Lease::new(bounds.key_removal_limit, bounds.change_limit)),
             fleet: RefCell::default(),
@@ -323,6 +329,11 @@
             ),
             ("target_limits", u64::try_from(limits).unwrap_or(u64::MAX)),
             ("config_version", version),
+            (
+                "buffered_bytes",
+                u64::try_from(self.buffers.used_bytes()).unwrap_or(u64::MAX),
+            ),
+            ("buffers_refused_total", self.buffers.refused()),
             ("requests_active", active),
             ("target_connections_idle", idle),
             ("routers_known", u64::from(self.routers.get())),
--- a/crates/fleet/tests/bulk.rs
+++ b/crates/fleet/tests/bulk.rs
@@ -13,7 +13,7 @@
 };
 use bamboospur_fleet::{Content, Outbox};
 use bamboospur_group::Document;
-use bamboospur_types::mix64;
+use bamboospur_types::{BufferBudget, mix64};
 
 /// Rate of the network link of a control instance: 6 Mbit/s.
 const LINK_BYTES_PER_S: f64 = 750_000.0;
@@ -262,7 +262,7 @@
         .map(|frame| encode(frame).expect("a frame").len())
         .sum();
     assert!(bytes < 12 * prefixes.len(), "{bytes} bytes");
-    let mut reader = FrameReader::default();
+    let mut reader = FrameReader::new(&BufferBudget::new(usize::MAX));
     let mut received = Vec::new();
     for frame in &frames {
         reader.push(&encode(frame).expect("a frame"));
--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -7,6 +7,7 @@
 use bamboospur_fleet::link::{Frame, FrameReader, encode};
 use bamboospur_fleet::stream_origins::{BegunStreams, FoundOrigin, StreamOrigin};
 use bamboospur_registry::{Announcement, Phase, StartTime};
+use bamboospur_types::BufferBudget;
 use quickcheck::quickcheck;
 
 #[test]
@@ -100,7 +101,7 @@
     ];
     let bytes: Vec<u8> = frames.iter().filter_map(encode).flatten().collect();
     for chunk_bytes in 1..bytes.len() {
-        let mut reader = FrameReader::default();
+        let mut reader = FrameReader::new(&BufferBudget::new(usize::MAX));
         let mut read = Vec::new();
         for chunk in bytes.chunks(chunk_bytes) {
             reader.push(chunk);
@@ -114,7 +115,7 @@
 
 quickcheck! {
     fn arbitrary_bytes_do_not_panic_the_decoders(bytes: Vec<u8>) -> bool {
-        let mut reader = FrameReader::default();
+        let mut reader = FrameReader::new(&BufferBudget::new(usize::MAX));
         reader.push(&bytes);
         while matches!(reader.take(), Ok(Some(_))) {}
         let _state = SoftState::decode(Some(bytes.clone()));
@@ -139,13 +140,13 @@
         "{} of {uncompressed_bytes}",
         bytes.len()
     );
-    let mut reader = FrameReader::default();
+    let mut reader = FrameReader::new(&BufferBudget::new(usize::MAX));
     reader.push(&bytes);
     assert_eq!(reader.take().expect("a frame"), Some(frame));
     // The uncompressed size follows the length of the frame.
     let mut damaged = bytes.to_vec();
     damaged[4..8].copy_from_slice(&u32::MAX.to_le_bytes());
-    let mut reader = FrameReader::default();
+    let mut reader = FrameReader::new(&BufferBudget::new(usize::MAX));
     reader.push(&damaged);
     assert!(reader.take().is_err());
 }
--- a/crates/fleet/tests/recorded_frames.rs
+++ b/crates/fleet/tests/recorded_frames.rs
@@ -17,7 +17,7 @@
 use bamboospur_group::{Change, Document, FleetChange, FleetState, ServiceSoftware};
 use bamboospur_registry::{Announcement, Phase, StartTime};
 use bamboospur_target_limits::{LimitShare, StatedLimit};
-use bamboospur_types::RequestRate;
+use bamboospur_types::{BufferBudget, RequestRate};
 
 const RECORDED: &str = include_str!("recorded_frames.txt");
 
@@ -383,7 +383,7 @@
             "the encoding of {name} changed: released versions misread it; add a new kind of \
              frame instead, and send it only to peers that read it"
         );
-        let mut reader = FrameReader::default();
+        let mut reader = FrameReader::new(&BufferBudget::new(usize::MAX));
         reader.push(&from_hex(bytes));
         let read = reader.take().expect("a valid frame");
         assert_eq!(read.as_ref(), Some(frame), "{name}");
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -4,18 +4,21 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bamboospur_types::BufferBudget;
+use bytes::Bytes;
 use quick_error::quick_error;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
 use crate::body::{BodyDecoder, BodyError};
 use crate::head::{HeadError, RequestHead, ResponseHead};
-use crate::io::{read, try_read, write_all};
+use crate::io::{ReadBuffer, is_out_of_memory, read, try_read, write_all, write_from};
 use crate::socket;
 
 /// Largest response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Longest body that is copied behind its head, to be written with it in one call.
+const MAX_COPIED_BODY_BYTES: usize = 4 * 1024;
 /// Most informational (1xx) responses before the final one.
 const MAX_INTERIM_RESPONSES: u32 = 8;
 
@@ -57,7 +60,7 @@
     pub fn is_connection_end(&self) -> bool {
         match self {
             Self::Closed | Self::Body(BodyError::Truncated) => true,
-            Self::Io(error) => error.kind() != ErrorKind::TimedOut,
+            Self::Io(error) => error.kind() != ErrorKind::TimedOut && !is_out_of_memory(error),
             Self::Connect(_) | Self::InvalidResponse | Self::Body(_) => false,
         }
     }
@@ -73,10 +76,10 @@
 #[derive(Debug)]
 pub struct ClientConnection {
     stream: TcpStream,
-    buffer: BytesMut,
+    buffer: ReadBuffer,
     body: BodyDecoder,
     /// The last request, and how much of it was sent.
-    request: Vec<u8>,
+    request: OutgoingRequest,
     written_bytes: usize,
     /// Whether the last exchange left the connection open for another request.
     keep_alive: bool,
@@ -86,7 +89,7 @@
 
 impl ClientConnection {
     /// Connects to a target. `peer_timeout` bounds how long written bytes can stay
-    /// unacknowledged.
+    /// unacknowledged; what the target sends is buffered within `budget`.
     ///
     /// # Errors
     ///
@@ -95,6 +98,7 @@
         address: SocketAddr,
         connect_timeout: Duration,
         peer_timeout: Duration,
+        budget: &BufferBudget,
     ) -> Result<Self, ClientError> {
         let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
         let timed_out = |_| io::Error::from(ErrorKind::TimedOut);
@@ -105,9 +109,9 @@
         socket::set_socket_options(&stream, peer_timeout).map_err(ClientError::Connect)?;
         Ok(Self {
             stream,
-            buffer: BytesMut::new(),
+            buffer: ReadBuffer::new(budget),
             body: BodyDecoder::new(crate::body::Framing::Length(0)),
-            request: Vec::new(),
+            request: OutgoingRequest::default(),
             written_bytes: 0,
             keep_alive: false,
             idle_deadline: Instant::now(),
@@ -127,7 +131,7 @@
             Err(error) => error.kind() == ErrorKind::WouldBlock,
             Ok(_) => false,
         };
-        quiet && self.buffer.is_empty() && now < self.idle_deadline
+        quiet && self.buffer.bytes.is_empty() && now < self.idle_deadline
     }
 
     /// Sends a request and reads the head of a response.
@@ -141,7 +145,7 @@
     /// HTTP/1 response.
     pub async fn exchange(
         &mut self,
-        request: Vec<u8>,
+        request: OutgoingRequest,
         method: &str,
     ) -> Result<ResponseHead, ClientError> {
         self.request = request;
@@ -165,7 +169,7 @@
         } = self;
         let mut sent = Ok(());
         let head = {
-            let write = write_all(stream, request, written_bytes);
+            let write = request.write_to(stream, written_bytes);
             tokio::pin!(write);
             let mut writing = true;
             loop {
@@ -184,7 +188,7 @@
             Ok(()) => error,
         })?;
         self.body = BodyDecoder::new(head.framing(method)?);
-        let is_sent = self.written_bytes == self.request.len();
+        let is_sent = self.written_bytes == self.request.len_bytes();
         if !is_sent {
             self.idle_deadline = Instant::now();
         }
@@ -206,7 +210,8 @@
     /// Fails when the connection ends before the body does, or a chunk is malformed.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, ClientError> {
         loop {
-            if let Some(data) = self.body.decode(&mut self.buffer)? {
+            if let Some(data) = self.body.decode(&mut self.buffer.bytes)? {
+                self.buffer.free_removed();
                 return Ok(Some(data));
             }
             if self.body.is_done() {
@@ -247,24 +252,28 @@
     /// follow it, and the target keeps the connection open.
     #[must_use]
     pub fn can_keep_alive(&self) -> bool {
-        self.keep_alive && self.body.is_done() && self.buffer.is_empty()
+        self.keep_alive && self.body.is_done() && self.buffer.bytes.is_empty()
     }
 
     /// Frees the last request, and sets when the connection stops being usable if no other is
     /// sent on it.
     pub fn set_idle(&mut self, idle_deadline: Instant) {
-        self.request = Vec::new();
+        self.request = OutgoingRequest::default();
         self.written_bytes = 0;
         self.idle_deadline = idle_deadline;
     }
 }
 
-async fn read_head(stream: &TcpStream, buffer: &mut BytesMut) -> Result<ResponseHead, ClientError> {
+async fn read_head(
+    stream: &TcpStream,
+    buffer: &mut ReadBuffer,
+) -> Result<ResponseHead, ClientError> {
     let mut interim_responses = 0;
     loop {
-        match ResponseHead::parse(buffer)? {
+        match ResponseHead::parse(&buffer.bytes)? {
             Some((head, length)) => {
-                let _head = buffer.split_to(length);
+                let _head = buffer.bytes.split_to(length);
+                buffer.free_removed();
                 // A final response follows an informational (1xx) one.
                 if !(100..200).contains(&head.status) {
                     return Ok(head);
@@ -274,7 +283,9 @@
                     return Err(ClientError::InvalidResponse);
                 }
             }
-            None if buffer.len() > MAX_HEAD_BYTES => return Err(ClientError::InvalidResponse),
+            None if buffer.bytes.len() > MAX_HEAD_BYTES => {
+                return Err(ClientError::InvalidResponse);
+            }
             None => {
                 if read(stream, buffer).await? == 0 {
                     return Err(ClientError::Closed);
@@ -284,10 +295,51 @@
     }
 }
 
-/// Serialises a request: its head with `Content-Length`, then its body.
-#[must_use]
-pub fn request_bytes(head: &RequestHead, body: &[u8]) -> Vec<u8> {
-    let mut bytes = head.to_bytes(body.len());
-    bytes.extend_from_slice(body);
-    bytes
+/// A serialised request. A long body is shared with the request of the caller, not copied.
+#[derive(Clone, Debug, Default)]
+pub struct OutgoingRequest {
+    /// Head, and the body if it is short.
+    begin: Vec<u8>,
+    /// Body, if it is long.
+    body: Bytes,
+}
+
+impl From<Vec<u8>> for OutgoingRequest {
+    /// Takes a request that is serialised already.
+    fn from(begin: Vec<u8>) -> Self {
+        Self {
+            begin,
+            body: Bytes::new(),
+        }
+    }
+}
+
+impl OutgoingRequest {
+    /// Serialises a head with `Content-Length`, and its body.
+    #[must_use]
+    pub fn new(head: &RequestHead, body: &Bytes) -> Self {
+        let mut begin = head.to_bytes(body.len());
+        if body.len() > MAX_COPIED_BODY_BYTES {
+            return Self {
+                begin,
+                body: body.clone(),
+            };
+        }
+        begin.extend_from_slice(body);
+        Self {
+            begin,
+            body: Bytes::new(),
+        }
+    }
+
+    const fn len_bytes(&self) -> usize {
+        self.begin.len() + self.body.len()
+    }
+
+    /// Writes the request from offset `written_bytes` on, which advances as in [`write_all`].
+    async fn write_to(&self, stream: &TcpStream, written_bytes: &mut usize) -> io::Result<()> {
+        write_all(stream, &self.begin, written_bytes).await?;
+        let begin_bytes = self.begin.len();
+        write_from(stream, &self.body, begin_bytes, written_bytes).await
+    }
 }
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -4,14 +4,18 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bamboospur_types::BufferBudget;
+use bytes::Bytes;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
 use crate::body::{BodyDecoder, Framing};
 use crate::head::{HeadError, RequestHead, ResponseHead};
 use crate::headers::{Headers, write_field};
-use crate::io::{read, wait_for_close, write_all};
+use crate::io::{ReadBuffer, is_out_of_memory, read, wait_for_close, write_all};
+
+/// Longest body that is copied behind its head, to be written with it in one call.
+const MAX_COPIED_BODY_BYTES: usize = 4 * 1024;
 
 /// Size and time limits for reading requests.
 #[derive(Clone, Copy, Debug)]
@@ -53,22 +57,26 @@
     BodyTooLarge,
     /// The head, or the next bytes of the body, did not arrive in time.
     TooSlow,
+    /// The budget for buffers has no room for the request.
+    NoMemory,
 }
 
 /// Accepted connection from a caller.
 #[derive(Debug)]
 pub struct ServerConnection {
     stream: TcpStream,
-    buffer: BytesMut,
+    buffer: ReadBuffer,
+    budget: BufferBudget,
 }
 
 impl ServerConnection {
-    /// Wraps an accepted connection.
+    /// Wraps an accepted connection, whose requests are buffered within `budget`.
     #[must_use]
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream, budget: &BufferBudget) -> Self {
         Self {
             stream,
-            buffer: BytesMut::new(),
+            buffer: ReadBuffer::new(budget),
+            budget: budget.clone(),
         }
     }
 
@@ -101,9 +109,10 @@
         limits: &ReadLimits,
     ) -> Result<(RequestHead, Instant), ReadError> {
         let idle_deadline = Instant::now() + limits.idle_timeout;
-        if self.buffer.is_empty() {
+        if self.buffer.bytes.is_empty() {
             match timeout_at(idle_deadline, read(&self.stream, &mut self.buffer)).await {
                 Ok(Ok(count)) if count > 0 => {}
+                Ok(Err(error)) if is_out_of_memory(&error) => return Err(ReadError::NoMemory),
                 _ => return Err(ReadError::Closed),
             }
         }
@@ -120,15 +129,16 @@
         deadline: Instant,
     ) -> Result<RequestHead, ReadError> {
         loop {
-            match RequestHead::parse(&self.buffer) {
+            match RequestHead::parse(&self.buffer.bytes) {
                 Ok(Some((_, length))) if length > limits.head_bytes => {
                     return Err(ReadError::HeadTooLarge);
                 }
                 Ok(Some((head, length))) => {
-                    let _head = self.buffer.split_to(length);
+                    let _head = self.buffer.bytes.split_to(length);
+                    self.buffer.free_removed();
                     return Ok(head);
                 }
-                Ok(None) if self.buffer.len() > limits.head_bytes => {
+                Ok(None) if self.buffer.bytes.len() > limits.head_bytes => {
                     return Err(ReadError::HeadTooLarge);
                 }
                 Ok(None) => {}
@@ -144,8 +154,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body is malformed or larger than `max_bytes`, or when the wait
-    /// for its next bytes exceeds `part_timeout`.
+    /// Fails when the body is malformed or larger than `max_bytes`, when the budget has no room
+    /// for it, or when the wait for its next bytes exceeds `part_timeout`.
     pub async fn read_body(
         &mut self,
         head: &RequestHead,
@@ -154,18 +164,26 @@
     ) -> Result<Bytes, ReadError> {
         let framing = head.framing().map_err(|_| ReadError::Malformed)?;
         let too_large = |length: u64| length > max_bytes as u64;
-        if matches!(framing, Framing::Length(length) if too_large(length)) {
-            return Err(ReadError::BodyTooLarge);
+        let mut body = self.budget.buffer();
+        if let Framing::Length(length) = framing {
+            if too_large(length) {
+                return Err(ReadError::BodyTooLarge);
+            }
+            // A body that has no room is rejected before it is sent.
+            let reserved = body.reserve_total(usize::try_from(length).unwrap_or(usize::MAX));
+            reserved.map_err(|_| ReadError::NoMemory)?;
         }
         if head.headers.has_token("expect", "100-continue") && framing != Framing::Length(0) {
             let interim = self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
             interim.map_err(|_| ReadError::Broken)?;
         }
         let mut decoder = BodyDecoder::new(framing);
-        let mut body = BytesMut::new();
         while !decoder.is_done() {
-            match decoder.decode(&mut self.buffer) {
-                Ok(Some(data)) => body.extend_from_slice(&data),
+            match decoder.decode(&mut self.buffer.bytes) {
+                Ok(Some(data)) => {
+                    self.buffer.free_removed();
+                    body.extend(&data).map_err(|_| ReadError::NoMemory)?;
+                }
                 Ok(None) if decoder.is_done() => {}
                 Ok(None) => self.fill(Instant::now() + part_timeout).await?,
                 Err(_) => return Err(ReadError::Malformed),
@@ -174,7 +192,7 @@
                 return Err(ReadError::BodyTooLarge);
             }
         }
-        Ok(body.freeze())
+        Ok(Bytes::from_owner(body))
     }
 
     /// Waits until the caller closes its side. Bytes that arrive meanwhile are
@@ -185,14 +203,15 @@
 
     /// Reads and discards input until the caller closes the connection.
     pub async fn discard(&mut self) {
-        self.buffer.clear();
+        self.buffer.bytes.clear();
         while matches!(read(&self.stream, &mut self.buffer).await, Ok(1..)) {
-            self.buffer.clear();
+            self.buffer.bytes.clear();
         }
     }
 
     async fn fill(&mut self, deadline: Instant) -> Result<(), ReadError> {
         match timeout_at(deadline, read(&self.stream, &mut self.buffer)).await {
+            Ok(Err(error)) if is_out_of_memory(&error) => Err(ReadError::NoMemory),
             Ok(Ok(0) | Err(_)) => Err(ReadError::Broken),
             Ok(Ok(_)) => Ok(()),
             Err(_) => Err(ReadError::TooSlow),
@@ -226,7 +245,7 @@
 #[derive(Debug)]
 pub struct CloseWatch<'a> {
     stream: &'a TcpStream,
-    buffer: &'a mut BytesMut,
+    buffer: &'a mut ReadBuffer,
 }
 
 impl CloseWatch<'_> {
@@ -304,11 +323,16 @@
             write_field(&mut out, "Content-Length", &body.len().to_string());
         }
         out.extend_from_slice(b"\r\n");
-        if self.has_body {
+        let body = if self.has_body { body } else { b"" };
+        let is_copied = body.len() <= MAX_COPIED_BODY_BYTES;
+        if is_copied {
             out.extend_from_slice(body);
         }
         self.progress = ResponseProgress::Part(Framing::Length(body.len() as u64));
         self.write(&out).await?;
+        if !is_copied {
+            self.write(body).await?;
+        }
         self.progress = ResponseProgress::Whole;
         Ok(())
     }
--- a/crates/http1/tests/client.rs
+++ b/crates/http1/tests/client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bamboospur_http1::client::ClientConnection;
+use bamboospur_types::BufferBudget;
 use tokio::runtime::Builder;
 use tokio::time::timeout;
 
@@ -42,9 +43,15 @@
             .expect("the answer is sent");
     });
     let exchange = async {
-        let connected = ClientConnection::connect(address, CONNECT_TIMEOUT, PEER_TIMEOUT).await;
+        let connected = ClientConnection::connect(
+            address,
+            CONNECT_TIMEOUT,
+            PEER_TIMEOUT,
+            &BufferBudget::new(usize::MAX),
+        )
+        .await;
         let mut connection = connected.expect("a connection");
-        let request = vec![b'x'; BODY_BYTES];
+        let request = vec![b'x'; BODY_BYTES].into();
         let late = connection.exchange(request, "POST").await;
         assert_eq!(late.expect("the late answer").status, 200);
         assert!(connection.skip_body(BODY_BYTES).await.expect("its body"));
--- a/crates/node/src/actors/orders.rs
+++ b/crates/node/src/actors/orders.rs
@@ -14,10 +14,11 @@
 
 use bamboospur_control::{MemberInput, Request, Response, desired_state};
 use bamboospur_orders::{Action, FencingToken, Order, OrderResult, Report};
-use bamboospur_types::{Offer, TargetId};
+use bamboospur_types::{BufferBudget, Offer, TargetId};
 use bamboospur_upstream::{
     Call, CancelHandle, Client, ClientSettings, ReadTimeouts, RequestIdEcho,
 };
+use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tracing::{error, info, warn};
@@ -46,6 +47,8 @@
 /// Maximum size of an engine's report, which has some hundred bytes for each loaded
 /// adapter.
 const MAX_REPORT_BYTES: usize = 1024 * 1024;
+/// Memory for the answers of all engines together.
+const MAX_ANSWERS_BYTES: usize = 8 * 1024 * 1024;
 /// HTTP statuses by which an engine refuses an order: invalid order, unknown path,
 /// old fencing token, passed deadline. Other statuses may come from an
 /// intermediary, and don't prove that the engine refused.
@@ -188,7 +191,10 @@
     pub fn start(mailbox: &Mailbox) -> Result<(), String> {
         let worker = Self {
             mailbox: mailbox.clone(),
-            client: Client::new(&ClientSettings::default()),
+            client: Client::new(
+                &ClientSettings::default(),
+                BufferBudget::new(MAX_ANSWERS_BYTES),
+            ),
             ended: Arc::default(),
             busy: Arc::default(),
         };
@@ -266,7 +272,7 @@
             return OrderResult::NotRun;
         };
         let wait = left + ANSWER_WAIT_AFTER_DEADLINE;
-        let call = call(engine, "POST", order_body(order), order.id, wait);
+        let call = call(engine, "POST", order_body(order).into(), order.id, wait);
         match self.client.send(&call, &CancelHandle::default()) {
             Ok(answer) if answer.status == 200 => OrderResult::Done,
             Ok(answer) if REFUSAL_STATUSES.contains(&answer.status) => OrderResult::NotRun,
@@ -337,10 +343,10 @@
     ) -> Option<(TargetId, Report)> {
         let at = SystemTime::now();
         let idle = !self.busy().contains(&engine.record.id());
-        let call = call(engine, "GET", Vec::new(), 0, REPORT_TIMEOUT);
+        let call = call(engine, "GET", Bytes::new(), 0, REPORT_TIMEOUT);
         let mut answer = self.client.send(&call, &CancelHandle::default()).ok()?;
         let body = answer.body.read_whole(MAX_REPORT_BYTES).ok()?;
-        let Ok(state) = serde_json::from_slice::<EngineState>(&body) else {
+        let Ok(state) = serde_json::from_slice::<EngineState>(&body.to_vec()) else {
             let engine = &engine.record.name;
             warn!(
                 engine,
@@ -360,7 +366,7 @@
     }
 }
 
-fn call(engine: &EngineRecord, method: &str, body: Vec<u8>, id: u64, left: Duration) -> Call {
+fn call(engine: &EngineRecord, method: &str, body: Bytes, id: u64, left: Duration) -> Call {
     Call {
         address: engine.record.address,
         method: method.to_owned(),
--- a/crates/node/src/edge/answer.rs
+++ b/crates/node/src/edge/answer.rs
@@ -10,7 +10,7 @@
 use bamboospur_http1::server::build_response_head;
 use tokio::sync::mpsc::Sender;
 
-use super::connection::{AnswerPart, Command};
+use super::connection::{AnswerBody, AnswerPart, Command};
 
 /// Sends the answer to one request.
 pub struct Responder {
@@ -28,9 +28,8 @@
     ///
     /// Returns the error of the write, usually because the caller closed the
     /// connection or does not read.
-    pub fn send(self, status: u16, headers: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
+    pub fn send(self, status: u16, headers: &[(&str, &str)], body: AnswerBody) -> io::Result<()> {
         let head = build_response_head(status, headers);
-        let body = body.to_vec();
         write(&self.commands, AnswerPart::Whole { head, body })
     }
 
--- a/crates/node/src/edge/body.rs
+++ b/crates/node/src/edge/body.rs
@@ -21,6 +21,10 @@
         TooSlow(limit: Duration) {
             display("the body did not arrive within {} ms; send it faster or raise limits.body_timeout_ms", limit.as_millis())
         }
+        /// The budget for buffers has no room for the body.
+        NoMemory {
+            display("the node has no memory for the body; send the request again later or to another node")
+        }
         /// The connection was closed or broke before the end of the body.
         Incomplete {
             display("the connection ended before the body was complete; send the request again")
@@ -41,6 +45,7 @@
             ),
             ReadError::BodyTooLarge => Self::TooLarge(limit_bytes),
             ReadError::TooSlow => Self::TooSlow(timeout),
+            ReadError::NoMemory => Self::NoMemory,
             ReadError::Closed | ReadError::Broken => Self::Incomplete,
         }
     }
--- a/crates/node/src/edge/connection.rs
+++ b/crates/node/src/edge/connection.rs
@@ -13,6 +13,8 @@
 };
 use bamboospur_http1::socket;
 use bamboospur_http1::{Framing, RequestHead, ResponseHead};
+use bamboospur_types::ChunkedBuffer;
+use bytes::Bytes;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{Receiver, channel};
 use tokio::time::timeout;
@@ -41,7 +43,7 @@
         /// Limit for receiving the whole body.
         timeout: Duration,
         /// Receives the body.
-        reply: SyncSender<Result<Vec<u8>, BodyError>>,
+        reply: SyncSender<Result<Bytes, BodyError>>,
     },
     /// Write a part of the answer.
     Write {
@@ -54,7 +56,10 @@
 /// Part of an answer.
 pub enum AnswerPart {
     /// A complete answer.
-    Whole { head: ResponseHead, body: Vec<u8> },
+    Whole {
+        head: ResponseHead,
+        body: AnswerBody,
+    },
     /// The head of an answer of unknown length.
     Begin { head: ResponseHead },
     /// Bytes of the body of an answer of unknown length.
@@ -63,6 +68,26 @@
     End,
 }
 
+/// Body of a complete answer.
+pub enum AnswerBody {
+    /// A body of this node or a stored one.
+    Bytes(Vec<u8>),
+    /// A body that a target sent.
+    Chunks(Arc<ChunkedBuffer>),
+}
+
+impl From<Vec<u8>> for AnswerBody {
+    fn from(bytes: Vec<u8>) -> Self {
+        Self::Bytes(bytes)
+    }
+}
+
+impl From<Arc<ChunkedBuffer>> for AnswerBody {
+    fn from(chunks: Arc<ChunkedBuffer>) -> Self {
+        Self::Chunks(chunks)
+    }
+}
+
 /// Serves requests on a connection until it closes.
 pub async fn serve(shared: Arc<ServerState>, stream: TcpStream, peer: Option<SocketAddr>) {
     if let Err(error) = socket::set_socket_options(&stream, ACK_TIMEOUT) {
@@ -72,7 +97,7 @@
         );
         return;
     }
-    let mut connection = ServerConnection::new(stream);
+    let mut connection = ServerConnection::new(stream, &shared.budget);
     let limits = ReadLimits {
         head_bytes: MAX_HEAD_BYTES,
         body_bytes: 0,
@@ -98,6 +123,7 @@
     let status = match end {
         ReadError::HeadTooLarge => 431,
         ReadError::TooSlow => 408,
+        ReadError::NoMemory => 503,
         _ => 400,
     };
     info!(
@@ -147,7 +173,6 @@
                     .await
                     .unwrap_or(Err(ReadError::TooSlow));
                 body_read = read.is_ok();
-                let read = read.map(|body| body.to_vec());
                 // This fails only if the handler's thread has ended.
                 let _delivered =
                     reply.send(read.map_err(|error| {
@@ -223,13 +248,35 @@
 
 async fn write_part(responder: &mut HttpResponder<'_>, part: AnswerPart) -> io::Result<()> {
     match part {
-        AnswerPart::Whole { head, body } => responder.write_response(&head, &body).await,
+        AnswerPart::Whole { head, body } => match body {
+            AnswerBody::Bytes(bytes) => responder.write_response(&head, &bytes).await,
+            AnswerBody::Chunks(body) => write_chunks(responder, &head, &body).await,
+        },
         AnswerPart::Begin { head } => responder.write_head(&head, Framing::Chunked).await,
         AnswerPart::Chunk(chunk) => responder.write_chunk(&chunk).await,
         AnswerPart::End => responder.finish().await,
     }
 }
 
+async fn write_chunks(
+    responder: &mut HttpResponder<'_>,
+    head: &ResponseHead,
+    body: &ChunkedBuffer,
+) -> io::Result<()> {
+    let mut chunks = body.chunks();
+    let first = chunks.next().unwrap_or_default();
+    if first.len() == body.len() {
+        return responder.write_response(head, first).await;
+    }
+    let length = u64::try_from(body.len()).unwrap_or(u64::MAX);
+    responder.write_head(head, Framing::Length(length)).await?;
+    responder.write_chunk(first).await?;
+    for chunk in chunks {
+        responder.write_chunk(chunk).await?;
+    }
+    responder.finish().await
+}
+
 /// Waits for the next command, and records in `caller` that the caller closed the
 /// connection. Returns `None` once the handler has ended.
 async fn next_command(
--- a/crates/node/src/edge/incoming.rs
+++ b/crates/node/src/edge/incoming.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bamboospur_http1::RequestHead;
+use bytes::Bytes;
 use tokio::sync::mpsc::Sender;
 
 use super::answer::Responder;
@@ -75,12 +76,8 @@
     /// # Errors
     ///
     /// Returns an error if the body is malformed, too large, too slow or
-    /// incomplete.
-    pub fn read_body(
-        &mut self,
-        limit_bytes: usize,
-        timeout: Duration,
-    ) -> Result<Vec<u8>, BodyError> {
+    /// incomplete, or if there is no memory for it.
+    pub fn read_body(&mut self, limit_bytes: usize, timeout: Duration) -> Result<Bytes, BodyError> {
         let (reply, received) = mpsc::sync_channel(1);
         let command = Command::ReadBody {
             limit_bytes,
--- a/crates/node/src/edge/server.rs
+++ b/crates/node/src/edge/server.rs
@@ -14,6 +14,7 @@
 
 use bamboospur_fleet::process::spawn_detached;
 use bamboospur_http1::socket;
+use bamboospur_types::BufferBudget;
 
 use super::connection;
 use super::incoming::IncomingRequest;
@@ -53,6 +54,7 @@
 /// State that all connections of a server share.
 pub struct ServerState {
     pub(super) settings: HttpServerSettings,
+    pub(super) budget: BufferBudget,
     handler: Handler,
     connections: Arc<Semaphore>,
     requests: Arc<Semaphore>,
@@ -60,13 +62,18 @@
 }
 
 impl HttpServer {
-    /// Starts to listen, and runs `handler` on its own thread for each request.
+    /// Starts to listen, and runs `handler` on its own thread for each request. Requests are
+    /// buffered within `budget`.
     ///
     /// # Errors
     ///
     /// Returns the error of the operating system, for example for an address
     /// that is in use.
-    pub fn start<F>(settings: HttpServerSettings, handler: F) -> io::Result<Self>
+    pub fn start<F>(
+        settings: HttpServerSettings,
+        budget: BufferBudget,
+        handler: F,
+    ) -> io::Result<Self>
     where
         F: Fn(IncomingRequest) + Send + Sync + 'static,
     {
@@ -77,6 +84,7 @@
             .build()?;
         let shared = Arc::new(ServerState {
             settings,
+            budget,
             handler: Box::new(handler),
             connections: Arc::new(Semaphore::new(settings.connections)),
             requests: Arc::new(Semaphore::new(settings.requests)),
--- a/crates/node/src/file.rs
+++ b/crates/node/src/file.rs
@@ -162,6 +162,7 @@
         "limits.requests" => limits.requests = count(value, 1)?,
         "limits.body_bytes" => limits.body_bytes = positive_number(value)?,
         "limits.answer_bytes" => limits.answer_bytes = positive_number(value)?,
+        "limits.buffer_bytes" => limits.buffer_bytes = positive_number(value)?,
         "limits.head_timeout_ms" => limits.head_timeout = milliseconds(value)?,
         "limits.body_timeout_ms" => limits.body_timeout = milliseconds(value)?,
         "limits.drain_ms" => limits.drain = milliseconds(value)?,
--- a/crates/node/src/operators/mod.rs
+++ b/crates/node/src/operators/mod.rs
@@ -73,7 +73,7 @@
     let mut body = page.body.to_string();
     body.push('\n');
     // The client may have closed the connection, so a failure is ignored.
-    let _ = responder.send(page.status, &headers, body.as_bytes());
+    let _ = responder.send(page.status, &headers, body.into_bytes().into());
 }
 
 /// Answers whether the node is ready: it is not while it shuts down, has no
--- a/crates/node/src/request/accept.rs
+++ b/crates/node/src/request/accept.rs
@@ -4,6 +4,7 @@
 
 use bamboospur_crashes::PartHash;
 use bamboospur_types::{ChatId, OfferId, ResultCode, TargetId, WorkTokens, stable_id};
+use bytes::Bytes;
 
 use super::authenticate::Identity;
 use super::error::RequestError;
@@ -68,7 +69,7 @@
     /// Headers to send to the target.
     pub headers: Vec<(String, String)>,
     /// Body to send to the target.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     pub idempotency_key: Option<String>,
     /// Whether the request may be executed more than once.
     pub repeatable: bool,
@@ -191,6 +192,7 @@
         BodyError::Framing(_) | BodyError::Incomplete => ResultCode::BadRequest,
         BodyError::TooLarge(_) => ResultCode::TooLarge,
         BodyError::TooSlow(_) => ResultCode::CallerTooSlow,
+        BodyError::NoMemory => ResultCode::Overloaded,
     };
     RequestError::new(code, error.to_string())
 }
--- a/crates/node/src/request/chat.rs
+++ b/crates/node/src/request/chat.rs
@@ -4,6 +4,7 @@
 
 use bamboospur_crashes::PartHash;
 use bamboospur_types::{ChatId, Offer, ResultCode, WorkTokens, stable_id};
+use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -35,7 +36,7 @@
 pub fn read(
     identity: &Identity,
     context: &RequestContext,
-    body: Vec<u8>,
+    body: Bytes,
     chat_header: Option<&str>,
 ) -> Result<CheckedRequest, RequestError> {
     let parsed: Body = serde_json::from_slice(&body).map_err(|error| {
@@ -107,10 +108,13 @@
 
 /// Sets `chat_id` in the body to the router's id of the chat. The engine's cache
 /// events then carry this id, and no caller can use the chat id of another team.
-fn with_chat_id(body: Vec<u8>, present: bool, chat: ChatId) -> Vec<u8> {
+fn with_chat_id(body: Bytes, present: bool, chat: ChatId) -> Bytes {
     let chat_id = format!("{chat:016x}");
     if present {
-        return replace_chat_id(&body, chat_id).unwrap_or(body);
+        return match replace_chat_id(&body, chat_id) {
+            Some(bytes) => ChangedBody { bytes, sent: body }.into(),
+            None => body,
+        };
     }
     // A body without the field gets it as the first one; the rest stays byte for
     // byte as it was sent.
@@ -118,11 +122,31 @@
         return body;
     };
     let field = format!("\"chat_id\":\"{chat_id}\",");
-    let mut extended = Vec::with_capacity(body.len() + field.len());
-    extended.extend_from_slice(&body[..=start]);
-    extended.extend_from_slice(field.as_bytes());
-    extended.extend_from_slice(&body[start + 1..]);
-    extended
+    let mut bytes = Vec::with_capacity(body.len() + field.len());
+    bytes.extend_from_slice(&body[..=start]);
+    bytes.extend_from_slice(field.as_bytes());
+    bytes.extend_from_slice(&body[start + 1..]);
+    ChangedBody { bytes, sent: body }.into()
+}
+
+/// A body with another chat id, and the one that the caller sent, which holds the reservation of
+/// its memory.
+struct ChangedBody {
+    bytes: Vec<u8>,
+    #[expect(dead_code, reason = "dropping it frees the reservation")]
+    sent: Bytes,
+}
+
+impl AsRef<[u8]> for ChangedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl From<ChangedBody> for Bytes {
+    fn from(body: ChangedBody) -> Self {
+        Self::from_owner(body)
+    }
 }
 
 /// Returns `None` if the body is not a JSON object.
--- a/crates/node/src/request/claim.rs
+++ b/crates/node/src/request/claim.rs
@@ -248,7 +248,7 @@
         let stored = StoredAnswer {
             status: answer.status,
             content_type: content_type.to_owned(),
-            body: answer.body.clone(),
+            body: answer.body.to_vec(),
         };
         let (key, attempt) = (self.key, self.attempt);
         let deadline = Instant::now() + COMMIT_TIMEOUT;
--- a/crates/node/src/request/finish.rs
+++ b/crates/node/src/request/finish.rs
@@ -90,7 +90,7 @@
     let pairs = headers.iter();
     let pairs: Vec<(&str, &str)> = pairs.map(|(n, v)| (n.as_str(), v.as_str())).collect();
     let body = error_json(&error, &context.request_id).to_string();
-    let sent = responder.send(code.http_status(), &pairs, body.as_bytes());
+    let sent = responder.send(code.http_status(), &pairs, body.into_bytes().into());
     let mut ending = Ending::after_write(&sent, code, "");
     if ending.code == code {
         ending.detail = error.message;
--- a/crates/node/src/request/node.rs
+++ b/crates/node/src/request/node.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, SystemTime};
 
 use bamboospur_settings::KeyHash;
-use bamboospur_types::{InstanceId, mix64, stable_id};
-use bamboospur_upstream::Client;
+use bamboospur_types::{BufferBudget, InstanceId, mix64, stable_id};
+use bamboospur_upstream::{Client, ClientSettings};
 
 use crate::mailbox::Mailbox;
 use crate::metrics::Metrics;
@@ -22,6 +22,8 @@
     pub mailbox: Mailbox,
     /// HTTP client for calls to targets.
     pub client: Client,
+    /// Budget for the requests and answers in memory.
+    pub buffers: BufferBudget,
     /// Counters and timings of requests.
     pub metrics: Metrics,
     heartbeat_interval: Duration,
@@ -39,12 +41,14 @@
 impl Node {
     /// Creates the shared state, with a heartbeat interval of 1 s and no tokens.
     #[must_use]
-    pub fn new(settings: NodeSettings, mailbox: Mailbox, client: Client) -> Self {
+    pub fn new(settings: NodeSettings, mailbox: Mailbox, buffers: BufferBudget) -> Self {
+        let client = Client::new(&ClientSettings::default(), buffers.clone());
         let metrics = Metrics::new(settings.statsd);
         Self {
             settings,
             mailbox,
             client,
+            buffers,
             metrics,
             heartbeat_interval: Duration::from_secs(1),
             target_token: None,
--- a/crates/node/src/request/relay.rs
+++ b/crates/node/src/request/relay.rs
@@ -39,7 +39,11 @@
     if !stored.content_type.is_empty() {
         headers.push(("content-type".to_owned(), stored.content_type.clone()));
     }
-    let sent = responder.send(stored.status, &borrow_pairs(&headers), &stored.body);
+    let sent = responder.send(
+        stored.status,
+        &borrow_pairs(&headers),
+        stored.body.clone().into(),
+    );
     Ending::after_write(&sent, code, "")
 }
 
@@ -48,7 +52,11 @@
     let mut headers = finish::headers(code, &request.context.request_id);
     headers.push((finish::TARGET_HEADER.to_owned(), answer.target.clone()));
     headers.extend(answer.headers.iter().cloned());
-    let sent = responder.send(answer.status, &borrow_pairs(&headers), &answer.body);
+    let sent = responder.send(
+        answer.status,
+        &borrow_pairs(&headers),
+        Arc::clone(&answer.body).into(),
+    );
     Ending::after_write(&sent, code, &answer.target)
 }
 
--- a/crates/node/src/request/send.rs
+++ b/crates/node/src/request/send.rs
@@ -223,7 +223,7 @@
         if self.request.repeatable || self.request.idempotency_key.is_none() {
             return SendResult::Stream(Box::new(stream));
         }
-        match stream.collect(self.node.settings.limits.answer_bytes) {
+        match stream.collect(self.node.settings.limits.answer_bytes, &self.node.buffers) {
             Ok(answer) => SendResult::Whole(answer),
             Err(failure) => SendResult::Failed(self.final_error(&self.failed_attempt(&failure))),
         }
--- a/crates/node/src/request/service.rs
+++ b/crates/node/src/request/service.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use bamboospur_types::{ChatId, ResultCode, TargetKind, WorkTokens, stable_id};
+use bytes::Bytes;
 
 use super::accept::{CheckedRequest, RequestContext, Route};
 use super::authenticate::Identity;
@@ -42,7 +43,7 @@
     identity: &Identity,
     context: &RequestContext,
     (method, pool, path): (String, &str, &str),
-    body: Vec<u8>,
+    body: Bytes,
     chat: Option<String>,
 ) -> Result<CheckedRequest, RequestError> {
     let named_pool = identity.fleet.pools.get(pool);
--- a/crates/node/src/request/target.rs
+++ b/crates/node/src/request/target.rs
@@ -1,9 +1,10 @@
 //! Calls the chosen target once and reads its answer.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bamboospur_retries::AttemptOutcome;
-use bamboospur_types::{RequestRate, TargetKind, time_from_s};
+use bamboospur_types::{BufferBudget, ChunkedBuffer, RequestRate, TargetKind, time_from_s};
 use bamboospur_upstream::{
     Answer, Call, CancelHandle, Event, EventStream, Failure, FailureKind, ReadTimeouts,
     RequestIdEcho,
@@ -56,7 +57,7 @@
     pub status: u16,
     /// Headers that are forwarded to the caller.
     pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
+    pub body: Arc<ChunkedBuffer>,
     /// Name of the target; empty until the attempt fills it in.
     pub target: String,
 }
@@ -125,27 +126,33 @@
     }
 
     /// Reads the stream to its end and returns it as one answer.
-    pub fn collect(mut self, limit_bytes: usize) -> Result<WholeAnswer, Failure> {
-        let mut body = Vec::new();
+    pub fn collect(
+        mut self,
+        limit_bytes: usize,
+        budget: &BufferBudget,
+    ) -> Result<WholeAnswer, Failure> {
+        let mut body = ChunkedBuffer::new(budget);
         loop {
             let event = self.next_event()?;
-            body.extend_from_slice(event_text(&event).as_bytes());
-            if event.is_done() {
+            let has_room = body.extend(event_text(&event).as_bytes()).is_ok();
+            if event.is_done() && has_room {
                 break;
             }
-            if body.len() > limit_bytes {
+            if !has_room || body.len() > limit_bytes {
                 return Err(Failure {
                     kind: FailureKind::Malformed,
                     sent: true,
                     reused: false,
-                    detail: format!("the answer is larger than {limit_bytes} bytes"),
+                    detail: format!(
+                        "the answer is larger than {limit_bytes} bytes, or than the memory left for it"
+                    ),
                 });
             }
         }
         Ok(WholeAnswer {
             status: OK,
             headers: vec![("content-type".to_owned(), "text/event-stream".to_owned())],
-            body,
+            body: Arc::new(body),
             target: self.reservation.chosen.name.clone(),
         })
     }
@@ -249,7 +256,7 @@
         Ok(body) => CallResult::Whole(WholeAnswer {
             status: answer.status,
             headers,
-            body,
+            body: Arc::new(body),
             target: String::new(),
         }),
         Err(failure) => CallResult::Failed(failure),
@@ -306,7 +313,7 @@
         method: "POST".to_owned(),
         path: "/v1/cancel".to_owned(),
         headers: vec![("content-type".to_owned(), "application/json".to_owned())],
-        body: format!("{{\"request_id\":\"{request_id}\"}}").into_bytes(),
+        body: format!("{{\"request_id\":\"{request_id}\"}}").into(),
         request_id: node.next_request_id(),
         echo: RequestIdEcho::Optional,
         new_connection: true,
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -9,8 +9,7 @@
 use bamboospur_control::{Member, MemberSettings};
 use bamboospur_membership::{InstanceRecord, MembershipSettings, Seed};
 use bamboospur_settings::KeyHash;
-use bamboospur_types::{mix64, stable_id};
-use bamboospur_upstream::{Client, ClientSettings};
+use bamboospur_types::{BufferBudget, mix64, stable_id};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tracing::{info, warn};
@@ -56,8 +55,8 @@
         secret => secret.map(|secret| KeyHash::from_secret(secret.reveal())),
     };
     let start = loop_start(&settings, &mailbox)?;
-    let client = Client::new(&ClientSettings::default());
-    let mut node = Node::new(settings, mailbox.clone(), client);
+    let buffers = BufferBudget::new(settings.limits.buffer_bytes);
+    let mut node = Node::new(settings, mailbox.clone(), buffers);
     node.set_heartbeat_interval(start.members.settings.heartbeat_period);
     node.set_target_token(
         target_token
@@ -140,7 +139,9 @@
             receive_timeout: limits.head_timeout,
             send_timeout: limits.caller_stall,
         };
-        let callers = HttpServer::start(callers, move |incoming| serve_caller(&serving, incoming))
+        let buffers = node.buffers.clone();
+        let serve = move |incoming| serve_caller(&serving, incoming);
+        let callers = HttpServer::start(callers, buffers.clone(), serve)
             .map_err(|error| listen_error("callers", addresses.callers, &error))?;
         let serving = Arc::clone(node);
         let operators = HttpServerSettings {
@@ -150,7 +151,7 @@
             receive_timeout: limits.head_timeout,
             send_timeout: limits.caller_stall,
         };
-        let operators = HttpServer::start(operators, move |incoming| {
+        let operators = HttpServer::start(operators, buffers, move |incoming| {
             operators::handle(&serving, incoming);
         })
         .map_err(|error| listen_error("operators", addresses.operators, &error))?;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -82,6 +82,8 @@
     pub body_bytes: usize,
     /// Maximum size of an answer that is not a stream.
     pub answer_bytes: usize,
+    /// Maximum size of all requests and answers in memory together.
+    pub buffer_bytes: usize,
     /// Longest time without data while a caller sends a request head, and between
     /// requests of a connection.
     pub head_timeout: Duration,
@@ -147,6 +149,7 @@
             requests: 2500,
             body_bytes: 8 * 1024 * 1024,
             answer_bytes: 8 * 1024 * 1024,
+            buffer_bytes: 48 * 1024 * 1024,
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
             drain: Duration::from_secs(10),
--- a/crates/node/tests/deployment/harness.rs
+++ b/crates/node/tests/deployment/harness.rs
@@ -20,6 +20,8 @@
 const LINK_PORT: u16 = 9110;
 /// Second port of the range, where routers take reports of targets.
 pub const REPORT_PORT: u16 = LINK_PORT + 1;
+/// Memory limit of each process.
+pub const MEMORY_MB: u64 = 260;
 /// Longest wait for a state that the processes reach without further input.
 const STATE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -163,6 +165,7 @@
             "nodeName = \"n{index}\"\nip = \"{}\"\nzone = \"north\"\n\
              portRange = [{LINK_PORT}, {}]\nseeds = [{}]\nbootstrap = {first_start}\n\
              heartbeatMs = 1200\n{rest}\n[zones]\nnorth = \"a\"\nsouth = \"a\"\n\
+             [limits]\nmemoryMb = {MEMORY_MB}\n\
              [bounds]\ngraceS = 8\nrevokeMs = 5000\nfailClosed = true\n",
             self.host(index),
             LINK_PORT + 10,
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -15,6 +15,9 @@
 mod foreign;
 mod harness;
 mod limited;
+mod memory;
+#[path = "../support/memory.rs"]
+mod memory_probe;
 mod prompts;
 mod proxy;
 mod raw_target;
--- a/crates/node/tests/fleet/fleet.rs
+++ b/crates/node/tests/fleet/fleet.rs
@@ -135,6 +135,13 @@
         self.wait_for_revision(revision);
     }
 
+    /// Adds a pool of a plain service.
+    pub fn add_service(&self, name: &str) {
+        let fleet = format!("{FLEET_SETTINGS}[pools.{name}]\nkind = \"service\"\n");
+        let revision = self.replace(0, "fleet-with-service", ("fleet", 1), &fleet);
+        self.wait_for_revision(revision);
+    }
+
     /// Replaces the given version of a branch of the settings.
     fn replace(&self, via: usize, id: &str, (path, version): (&str, u64), toml: &str) -> u64 {
         let body = json!({"change_id": id, "path": path, "base_version": version, "toml": toml});
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod formation;
 mod group;
 mod limited;
+mod memory;
 mod once;
 mod process;
 mod service;
--- a/crates/node/tests/fleet/process.rs
+++ b/crates/node/tests/fleet/process.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Returns the id of the running process.
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().expect("running").id()
+    }
+
     /// Makes the disk refuse every write, or gives it room again.
     pub fn set_disk_full(&self, is_full: bool) {
         disk::set_full(self.child.as_ref().expect("running"), is_full);
--- a/crates/node/tests/fleet/service.rs
+++ b/crates/node/tests/fleet/service.rs
@@ -126,7 +126,7 @@
     }
 }
 
-fn post(to: SocketAddr, path: &str, body: &serde_json::Value) -> Option<u16> {
+pub fn post(to: SocketAddr, path: &str, body: &serde_json::Value) -> Option<u16> {
     let agent: ureq::Agent = ureq::Agent::config_builder()
         .timeout_global(Some(Duration::from_secs(2)))
         .http_status_as_error(false)
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -11,6 +11,7 @@
 mod crashing;
 pub mod disk;
 mod heartbeat;
+pub mod memory;
 mod node;
 mod target;
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate has no I/O and no clock, and its random numbers come from a seed.
 
 mod bounded_time;
+mod buffer_budget;
 mod id;
 mod offer;
 mod outcome;
@@ -12,6 +13,9 @@
 mod target;
 
 pub use bounded_time::{MAX_TIME, deserialize_time, time_at_rate, time_from_ms, time_from_s};
+pub use buffer_budget::{
+    BudgetExceeded, BudgetedBuffer, BufferBudget, BufferReservation, ChunkedBuffer,
+};
 pub use id::{ChatId, InstanceId, OfferId, PoolId, TargetId, TeamId, mix64, stable_id};
 pub use offer::{Offer, ParseOfferError};
 pub use outcome::Outcome;
--- a/crates/upstream/src/answer.rs
+++ b/crates/upstream/src/answer.rs
@@ -3,6 +3,7 @@
 use std::io::{self, Read};
 use std::sync::Arc;
 
+use bamboospur_types::{BufferBudget, ChunkedBuffer};
 use ureq::http::HeaderMap;
 use ureq::http::Response;
 use ureq::{Body, BodyReader};
@@ -35,6 +36,7 @@
         call: &Call,
         state: Arc<CallState>,
         response: Response<Body>,
+        budget: &BufferBudget,
     ) -> Result<Self, Failure> {
         let (parts, body) = response.into_parts();
         check_request_id(call, &state, &parts.headers)?;
@@ -50,6 +52,7 @@
         let body = AnswerBody {
             state,
             reader: Some(reader),
+            budget: budget.clone(),
         };
         Ok(Self {
             status,
@@ -116,6 +119,7 @@
 pub struct AnswerBody {
     state: Arc<CallState>,
     reader: Option<BodyReader<'static>>,
+    budget: BufferBudget,
 }
 
 impl AnswerBody {
@@ -143,9 +147,10 @@
     ///
     /// # Errors
     ///
-    /// Fails as [`AnswerBody::read`] does, and when the body is larger than the limit.
-    pub fn read_whole(&mut self, limit_bytes: usize) -> Result<Vec<u8>, Failure> {
-        let mut whole = Vec::new();
+    /// Fails as [`AnswerBody::read`] does, and when the body is larger than the limit or there is
+    /// no memory for it.
+    pub fn read_whole(&mut self, limit_bytes: usize) -> Result<ChunkedBuffer, Failure> {
+        let mut whole = ChunkedBuffer::new(&self.budget);
         let mut buffer = [0; 4096];
         loop {
             let count = self.read(&mut buffer)?;
@@ -156,10 +161,18 @@
                 let error = io::Error::other("the response body is larger than the limit");
                 return Err(self.fail(&error));
             }
-            whole.extend_from_slice(&buffer[..count]);
+            if let Err(error) = whole.extend(&buffer[..count]) {
+                return Err(self.fail(&io::Error::other(error)));
+            }
         }
     }
 
+    /// Returns the budget for what is read of the body.
+    #[must_use]
+    pub const fn budget(&self) -> &BufferBudget {
+        &self.budget
+    }
+
     /// Builds a failure of this call for an error found in the content of the body.
     #[must_use]
     pub fn failure(&self, kind: FailureKind, detail: &str) -> Failure {
--- a/crates/upstream/src/call.rs
+++ b/crates/upstream/src/call.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+
 /// Whether the response must repeat the `x-request-id` header.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestIdEcho {
@@ -34,7 +36,7 @@
     /// Request headers other than `x-request-id`.
     pub headers: Vec<(String, String)>,
     /// Request body; empty for none.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// Value of the `x-request-id` header.
     pub request_id: String,
     /// Whether the response must repeat the request id.
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -9,6 +9,8 @@
 use ureq::unversioned::transport::NextTimeout;
 use ureq::{Agent, Body, Error, RequestExt};
 
+use bamboospur_types::BufferBudget;
+
 use crate::answer::Answer;
 use crate::call::Call;
 use crate::current;
@@ -51,15 +53,17 @@
 pub struct Client {
     pooled: Agent,
     fresh: Agent,
+    budget: BufferBudget,
 }
 
 impl Client {
-    /// Creates a client with an empty pool.
+    /// Creates a client with an empty pool, which buffers answers within `budget`.
     #[must_use]
-    pub fn new(settings: &ClientSettings) -> Self {
+    pub fn new(settings: &ClientSettings, budget: BufferBudget) -> Self {
         Self {
             pooled: build_agent(settings, settings.idle_connections),
             fresh: build_agent(settings, 0),
+            budget,
         }
     }
 
@@ -79,7 +83,7 @@
         match result {
             Ok(response) => {
                 state.record_head();
-                let accepted = Answer::accept(call, Arc::clone(&state), response);
+                let accepted = Answer::accept(call, Arc::clone(&state), response, &self.budget);
                 accepted.inspect_err(|_| state.release_socket())
             }
             Err(error) => {
@@ -105,7 +109,7 @@
         if call.body.is_empty() && !takes_body(&call.method) {
             return request.body(())?.with_agent(agent).run();
         }
-        let request = request.body(call.body.as_slice())?;
+        let request = request.body(&call.body[..])?;
         request.with_agent(agent).run()
     }
 }
--- a/crates/upstream/src/event.rs
+++ b/crates/upstream/src/event.rs
@@ -1,6 +1,7 @@
 //! Reader of the server-sent events that engines send.
 
 use bamboospur_http1::has_only_fields;
+use bamboospur_types::BufferReservation;
 
 use crate::answer::AnswerBody;
 use crate::failure::{Failure, FailureKind};
@@ -34,6 +35,8 @@
 pub struct EventReader {
     body: AnswerBody,
     pending: Vec<u8>,
+    /// Reservation of `pending`.
+    memory: BufferReservation,
     scanned_bytes: usize,
     /// Bytes of blocks without data since the last event.
     skipped_bytes: usize,
@@ -44,6 +47,7 @@
     #[must_use]
     pub fn new(body: AnswerBody) -> Self {
         Self {
+            memory: body.budget().reservation(),
             body,
             pending: Vec::new(),
             scanned_bytes: 0,
@@ -86,6 +90,10 @@
             let detail = "the stream ended without its [DONE] event";
             return Err(self.body.failure(FailureKind::CutBody, detail));
         }
+        if self.memory.resize(self.pending.len() + count).is_err() {
+            let detail = "there is no memory for an event of this size";
+            return Err(self.body.failure(FailureKind::Malformed, detail));
+        }
         self.pending.extend_from_slice(&buffer[..count]);
         Ok(())
     }
