Let targets leave and disks be full in the soak

Targets now join and leave during a soak, each when the departure of the one before was acknowledged, and control instances get full disks. After the faults no request may reach a target whose departure was acknowledged.

--- a/crates/node/tests/deployment/soak.rs
+++ b/crates/node/tests/deployment/soak.rs
@@ -1,7 +1,7 @@
 //! Real processes under random faults.
 //!
 //! Processes are killed, terminated, suspended and restarted, control instances lose
-//! their disks, and connections to targets are delayed, held back in one or both
+//! their disks or have full ones, targets join and leave, and connections to targets are delayed, held back in one or both
 //! directions, and closed. Another writer sends odd reports, and operators send
 //! configurations with extreme numbers and invalid ones. The checks use what callers,
 //! targets and operators received. With even seeds, one router relays to the others and
@@ -248,8 +248,8 @@
 
 /// Injects one random fault.
 fn inject_fault(setup: &mut SoakSetup, rng: &mut Rng) {
-    match rng.below(10) {
-        kind @ 0..=3 => inject_control_fault(setup, rng, kind),
+    match rng.below(11) {
+        kind @ (0..=3 | 10) => inject_control_fault(setup, rng, kind),
         kind @ 4..=7 => inject_router_fault(setup, rng, kind),
         _ => inject_target_fault(setup, rng),
     }
@@ -277,6 +277,11 @@
                 deployment.start_control(control, false);
             }
         }
+        10 => {
+            deployment.set_disk_full(control, true);
+            thread::sleep(pause);
+            deployment.set_disk_full(control, false);
+        }
         2 if setup
             .disk_lost_at
             .is_none_or(|at| at.elapsed() > MIN_DISK_LOSS_INTERVAL) =>
@@ -362,6 +367,57 @@
     violations
 }
 
+/// Targets that leave one after the other, in the order of their departures.
+type Departed = Arc<Mutex<Vec<Target>>>;
+
+/// Starts targets that join, report for some time and leave, each once the departure of the one
+/// before was acknowledged. Earlier builds acknowledge departures that they can forget, so none
+/// leave beside them.
+fn spawn_leavers(
+    setup: &SoakSetup,
+    seed: u64,
+    controls: Vec<SocketAddr>,
+    observations: Arc<CallerObservations>,
+) -> Departed {
+    let departed = Departed::default();
+    if has_other_program() {
+        return departed;
+    }
+    let list = Arc::clone(&departed);
+    let host = setup.deployment.host(22);
+    thread::spawn(move || {
+        let mut rng = Rng::new(seed ^ 0x1eaf);
+        for number in 0.. {
+            if observations.done.load(Ordering::SeqCst) {
+                return;
+            }
+            let name: &'static str = format!("leaver-{number}").leak();
+            let target = Target::start(host, name, Behaviour::Answer);
+            let path = format!("/replicas/{name}");
+            for sequence in 1..=rng.below(6) + 1 {
+                let body = report_body(target.address, "s", "ready", &sequence.to_string());
+                let mut controls = controls.iter();
+                controls.any(|&control| {
+                    let reply = json_call(control, "PUT", &path, &body);
+                    reply.is_some_and(|reply| reply.status == 200)
+                });
+                thread::sleep(Duration::from_millis(rng.below(500)));
+            }
+            // The departure is not acknowledged while there is no quorum.
+            while !observations.done.load(Ordering::SeqCst) {
+                let control = controls[rng.index(controls.len())];
+                let reply = json_call(control, "DELETE", &path, "{\"born\":1}");
+                if reply.is_some_and(|reply| reply.status == 200) {
+                    list.lock().expect("the list").push(target);
+                    break;
+                }
+                thread::sleep(Duration::from_millis(50));
+            }
+        }
+    });
+    departed
+}
+
 /// Starts another writer of reports, unless earlier builds take part, which do not bear it.
 fn start_foreign_writer(setup: &SoakSetup, seed: u64, observations: &CallerObservations) {
     if has_other_program() {
@@ -407,6 +463,7 @@
         spawn_caller(seed, caller, routers.clone(), Arc::clone(&observations));
     }
     start_foreign_writer(&setup, seed, &observations);
+    let departed = spawn_leavers(&setup, seed, controls.clone(), Arc::clone(&observations));
     let mut rng = Rng::new(seed);
     let end = Instant::now() + time;
     let mut faults_injected = 0;
@@ -414,27 +471,47 @@
         inject_fault(&mut setup, &mut rng);
         faults_injected += 1;
     }
+    let departed_before = departed.lock().expect("the list").len();
     thread::sleep(RECOVERY_TIME);
+    let runs_before = departed_runs(&departed, departed_before);
+    let newest = accepted.load(Ordering::SeqCst);
+    check_recovery(&observations, &controls, newest);
+    observations.done.store(true, Ordering::SeqCst);
+    thread::sleep(Duration::from_secs(8));
+    let mut violations = find_violations(&setup, &observations);
+    let runs = departed_runs(&departed, departed_before);
+    if runs != runs_before {
+        violations.push(format!(
+            "requests reached departed targets: {runs_before:?}, then {runs:?}"
+        ));
+    }
+    let sent = observations.statuses.lock().expect("statuses").len();
+    let served = observations.served.load(Ordering::SeqCst);
+    println!(
+        "seed {seed}: {faults_injected} faults, {sent} requests, {served} served, \
+         version {newest}, {departed_before} departures"
+    );
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+}
+
+/// Checks that requests are served again and that all instances have the newest configuration.
+fn check_recovery(observations: &CallerObservations, controls: &[SocketAddr], newest: u64) {
     let before = observations.served.load(Ordering::SeqCst);
     eventually("requests are served after the faults", || {
         observations.served.load(Ordering::SeqCst) > before + 20
     });
-    let newest = accepted.load(Ordering::SeqCst);
-    for &control in &controls {
+    for &control in controls {
         eventually("the newest configuration is read back", || {
             let read = json_call(control, "GET", "/config", "");
             read.is_some_and(|reply| reply.status == 200 && version_of(&reply.body) >= newest)
         });
     }
-    observations.done.store(true, Ordering::SeqCst);
-    thread::sleep(Duration::from_secs(8));
-    let violations = find_violations(&setup, &observations);
-    let sent = observations.statuses.lock().expect("statuses").len();
-    let served = observations.served.load(Ordering::SeqCst);
-    println!(
-        "seed {seed}: {faults_injected} faults, {sent} requests, {served} served, version {newest}"
-    );
-    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+}
+
+/// Returns the runs of the first targets that left.
+fn departed_runs(departed: &Departed, count: usize) -> Vec<usize> {
+    let departed = departed.lock().expect("the list");
+    departed.iter().take(count).map(Target::runs).collect()
 }
 
 fn env_number(name: &str) -> Option<u64> {
