--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -1,5 +1,6 @@
 //! Control instances and routers as real processes on loopback addresses.
 
+mod acknowledgements;
 mod answers;
 mod caller;
 mod callers;
--- a/crates/node/tests/fleet/targets.rs
+++ b/crates/node/tests/fleet/targets.rs
@@ -16,17 +16,21 @@
 /// Returns whether all nodes consider a target usable (`ready`), or all consider it
 /// unusable (`!ready`).
 fn is_usable_everywhere(fleet: &Fleet, service: &Service, ready: bool) -> bool {
+    fleet
+        .all()
+        .all(|process| is_usable(process, service) == ready)
+}
+
+/// Returns whether a node considers a target usable.
+fn is_usable(process: &Process, service: &Service) -> bool {
     let address = service.address.to_string();
-    fleet.all().all(|process| {
-        let status = process.status();
-        let targets = status["pools"][0]["targets"].as_array().cloned();
-        let mut targets = targets.unwrap_or_default().into_iter();
-        let usable = targets.any(|target| {
-            target["address"] == address.as_str()
-                && target["state"] == "ready"
-                && target["damped"] == false
-        });
-        usable == ready
+    let status = process.status();
+    let targets = status["pools"][0]["targets"].as_array().cloned();
+    let mut targets = targets.unwrap_or_default().into_iter();
+    targets.any(|target| {
+        target["address"] == address.as_str()
+            && target["state"] == "ready"
+            && target["damped"] == false
     })
 }
 
@@ -145,6 +149,27 @@
     assert!(is_usable_everywhere(&fleet, &leaving, false));
 }
 
+/// The acknowledgement of a ready target promises nothing: its next heartbeat, to any node, is
+/// enough.
+#[test]
+fn a_ready_target_is_used_after_its_next_heartbeat_whichever_node_is_lost() {
+    let mut fleet = Fleet::start(3, 2);
+    let operators: Vec<_> = fleet.routers.iter().map(|p| p.operators).collect();
+    let service = Service::start("ready", 1, &operators);
+    eventually("the target has announced itself", || {
+        fleet
+            .routers
+            .iter()
+            .any(|router| is_usable(router, &service))
+    });
+    fleet.routers[0].kill();
+    fleet.routers.remove(0);
+    eventually("the target is known", || {
+        is_usable_everywhere(&fleet, &service, true)
+    });
+    fleet.assert_no_violations();
+}
+
 /// Sends requests one after the other and checks every answer.
 fn send_requests(
     caller: usize,
