Record departures of targets that are not known

Cause: all control instances were killed after the target's first report, before it was on a disk. They recorded nothing for the departure of a target that they did not know, and acknowledged it; the routers knew the target and never heard.

Change: such a departure becomes an announcement with the name and the start alone, which is copied, stored and sent to routers like any other. The same holds for a later start than the known one. Services and software versions are not derived from it.

Evidence: a_departure_is_known_to_routers_though_the_instances_have_forgotten_ the_target failed on and passes; a_departure_of_an_unknown_target_or_ start_is_recorded tests the registry alone.

--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -180,13 +180,7 @@
         name: &str,
         start: Option<StartTime>,
     ) -> Option<Frame> {
-        let Some(known) = self.registry.get(name) else {
-            return Some(Frame::Leave {
-                ticket,
-                name: name.to_owned(),
-                start,
-            });
-        };
+        let known = self.registry.get(name)?;
         let is_current = start.is_none_or(|start| start == known.start);
         is_current.then(|| Frame::Report {
             ticket,
--- a/crates/node/tests/deployment/departures.rs
+++ b/crates/node/tests/deployment/departures.rs
@@ -53,6 +53,7 @@
         traffic
     }
 
+    /// Starts a target that reports to the first control instance that answers.
     fn start_target(&mut self, index: u8) {
         let name: &'static str = ["t0", "t1", "t2", "t3"][usize::from(index)];
         let host = self.deployment.host(20 + index);
@@ -238,3 +239,26 @@
         reply.is_some_and(|reply| reply.status == 200)
     });
 }
+
+/// Instances that had forgotten a target since a restart acknowledged its departure and recorded
+/// nothing, while the routers still knew the target.
+#[test]
+fn a_departure_is_known_to_routers_though_the_instances_have_forgotten_the_target() {
+    let mut traffic = Traffic::start(48, 2);
+    // New targets are written to the disk at most every three seconds.
+    traffic.start_target(2);
+    traffic.start_target(3);
+    eventually("the last target gets requests", || {
+        traffic.targets[3].runs() > 0
+    });
+    traffic.reporting[3].store(false, Ordering::SeqCst);
+    for control in 1..=3 {
+        traffic.deployment.kill(&format!("control-{control}"));
+    }
+    for control in 1..=3 {
+        traffic.deployment.start_control(control, false);
+    }
+    let acknowledged_at = traffic.leave(3, traffic.deployment.address(1, CONTROL_PORT));
+    thread::sleep(WATCHED);
+    assert_eq!(traffic.late_requests(3, acknowledged_at), 0);
+}
--- a/crates/registry/src/announcement.rs
+++ b/crates/registry/src/announcement.rs
@@ -55,6 +55,29 @@
 }
 
 impl Announcement {
+    /// Returns the announcement of a target that leaves and of which nothing else is known.
+    #[must_use]
+    pub fn departure(name: &str, start: StartTime) -> Self {
+        Self {
+            name: name.to_owned(),
+            start,
+            sequence: 0,
+            phase: Phase::Gone,
+            service: String::new(),
+            software: SoftwareVersion::new(),
+            address: SocketAddr::from(([0; 4], 0)),
+            data_centre: String::new(),
+            slots: 0,
+            warm_up: Duration::ZERO,
+        }
+    }
+
+    /// Whether more is known of the target than that it has left.
+    #[must_use]
+    pub const fn has_details(&self) -> bool {
+        !self.service.is_empty()
+    }
+
     /// Key that orders the announcements of one target.
     fn sort_key(&self) -> (StartTime, Phase, u64) {
         (self.start, self.phase, self.sequence)
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -6,7 +6,7 @@
 
 use bamboospur_types::MAX_TIME;
 
-use crate::announcement::{Announcement, Phase};
+use crate::announcement::{Announcement, Phase, StartTime};
 use crate::{SoftwareVersion, TargetName};
 
 /// A target that still warms up states shorter times; how late its reports arrive varies by
@@ -122,13 +122,7 @@
 
     /// Records that a known target is alive, as reported by another instance: the
     /// target has announced up to this sequence number without other changes.
-    pub fn refresh(
-        &mut self,
-        name: &str,
-        start: crate::StartTime,
-        sequence: u64,
-        now: Instant,
-    ) -> Merge {
+    pub fn refresh(&mut self, name: &str, start: StartTime, sequence: u64, now: Instant) -> Merge {
         let Some(known) = self.entries.get(name) else {
             return Merge::Stale;
         };
@@ -144,45 +138,46 @@
         self.merge(announcement, now)
     }
 
-    /// Records that a target leaves, if `start` is `None` or the known start. Returns
-    /// the resulting announcement, or `None` if nothing changed.
+    /// Records that a target leaves, unless a later start than `start` is known. The target, or this
+    /// start of it, can be unknown here and known to others. Returns the resulting announcement, or
+    /// `None` if nothing changed.
     pub fn leave(
         &mut self,
         name: &str,
-        start: Option<crate::StartTime>,
+        start: Option<StartTime>,
         now: Instant,
     ) -> Option<Announcement> {
-        self.advance_phase(name, start, Phase::Gone, now)
+        let Some(known) = self.entries.get(name).map(|entry| &entry.newest) else {
+            let departure = Announcement::departure(name, start.unwrap_or_default());
+            self.merge(departure.clone(), now);
+            return Some(departure);
+        };
+        let start = start.unwrap_or(known.start);
+        let departure = Announcement {
+            start,
+            phase: Phase::Gone,
+            ..known.clone()
+        };
+        let is_new = (start, Phase::Gone) > (known.start, known.phase);
+        is_new.then(|| {
+            self.merge(departure.clone(), now);
+            departure
+        })
     }
 
     /// Records that this start of a target drains, as found by another way than its
     /// announcements. Returns the resulting announcement, or `None` if nothing changed.
-    pub fn drain(
-        &mut self,
-        name: &str,
-        start: crate::StartTime,
-        now: Instant,
-    ) -> Option<Announcement> {
-        self.advance_phase(name, Some(start), Phase::Draining, now)
-    }
-
-    fn advance_phase(
-        &mut self,
-        name: &str,
-        start: Option<crate::StartTime>,
-        phase: Phase,
-        now: Instant,
-    ) -> Option<Announcement> {
+    pub fn drain(&mut self, name: &str, start: StartTime, now: Instant) -> Option<Announcement> {
         let known = &self.entries.get(name)?.newest;
-        if start.is_some_and(|start| start != known.start) || known.phase >= phase {
+        if start != known.start || known.phase >= Phase::Draining {
             return None;
         }
-        let advanced = Announcement {
-            phase,
+        let drained = Announcement {
+            phase: Phase::Draining,
             ..known.clone()
         };
-        self.merge(advanced.clone(), now);
-        Some(advanced)
+        self.merge(drained.clone(), now);
+        Some(drained)
     }
 
     /// Returns the draining targets that are not silent.
@@ -220,6 +215,7 @@
     pub fn services_with_software(&self) -> BTreeSet<(&str, &SoftwareVersion)> {
         let newest = self.entries.values().map(|entry| &entry.newest);
         newest
+            .filter(|target| target.has_details())
             .map(|target| (target.service.as_str(), &target.software))
             .collect()
     }
@@ -278,7 +274,7 @@
     /// Records that another process answers at the address of this start of a target: any
     /// other target that announces the address owns it, until this one announces again that
     /// it is ready. Returns whether there is another one.
-    pub fn disown(&mut self, name: &str, start: crate::StartTime, now: Instant) -> bool {
+    pub fn disown(&mut self, name: &str, start: StartTime, now: Instant) -> bool {
         let known = self.entries.get_mut(name);
         let Some(entry) = known.filter(|entry| entry.newest.start == start) else {
             return false;
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -146,6 +146,29 @@
     assert!(usable(&registry, now).is_empty());
 }
 
+/// An instance that had forgotten a target acknowledged its departure and recorded nothing.
+#[test]
+fn a_departure_of_an_unknown_target_or_start_is_recorded() {
+    let now = Instant::now();
+    let mut forgetful = Registry::default();
+    let departure = forgetful.leave("a", None, now).expect("a departure");
+    assert_eq!(forgetful.leave("a", None, now), None);
+    let mut other = Registry::default();
+    other.merge(announcement("a", 0, 7, Phase::Ready), now);
+    assert_eq!(other.merge(departure, now), Merge::Changed);
+    assert!(usable(&other, now).is_empty());
+    assert!(other.services_with_software().is_empty());
+
+    forgetful.merge(announcement("b", 1, 1, Phase::Ready), now);
+    let departure = forgetful.leave("b", Some(StartTime(2)), now);
+    other.merge(announcement("b", 2, 1, Phase::Ready), now);
+    assert_eq!(
+        other.merge(departure.expect("a departure"), now),
+        Merge::Changed
+    );
+    assert!(usable(&other, now).is_empty());
+}
+
 #[test]
 fn a_late_report_does_not_take_an_address_back() {
     let now = Instant::now();
