Deliver no message of the joint run to a process that is down

Cause: the simulation delivers a message if the process has the start that it had when the message was sent. Both are 0 for a process that is down at both times, so an order that was sent to a crashed engine was delivered to it. Its end was ignored, since the engine was down, and it stayed live for ever.

Change: a message is delivered only to a process that runs; the check of the orders is as it was.

--- a/crates/measure/examples/measure/soak/sim/world.rs
+++ b/crates/measure/examples/measure/soak/sim/world.rs
@@ -193,7 +193,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Deliver(to, start_number, from, message) => {
-                if self.start_number(to) == start_number {
+                if self.is_up(to) && self.start_number(to) == start_number {
                     self.deliver(to, from, *message);
                 } else {
                     self.refuse_delivery(to, from, *message);
@@ -252,6 +252,11 @@
         }
     }
 
+    /// Whether a process runs; callers and operators always do.
+    fn is_up(&self, node: Node) -> bool {
+        matches!(node, Node::Caller(_) | Node::Operator(_)) || self.start_number(node) > 0
+    }
+
     /// Number of the current start of a process, or 0 while the process is down.
     pub fn start_number(&self, node: Node) -> u64 {
         match node {
