Acknowledge obsolete departures without copies

Cause: peers are not asked for copies of such a departure, and its call waited for a quorum of them.

Change: it needs no copy but the own one. What peers copy is found out first.

--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -138,7 +138,12 @@
         now: Instant,
     ) {
         let is_copy = matches!(reply, ReportReply::Copied { .. });
-        let needed_copies = if is_copy { 1 } else { self.needed_copies() };
+        let copied = self.copied_departure(name, start).filter(|_| !is_copy);
+        let needed_copies = if copied.is_some() {
+            self.needed_copies()
+        } else {
+            1
+        };
         let available_copies = 1 + self.peers.linked_count();
         if available_copies < needed_copies {
             self.counters.refused_departures += 1;
@@ -154,10 +159,12 @@
         let own_write = self.soft_writes.require_all();
         self.save_soft_state(now);
         let ticket = self.departures.add(reply, needed_copies, own_write, now);
-        if needed_copies > 1
-            && let Some(frame) = self.departure_frame(ticket, name, start)
-        {
-            self.peers.send_to_all(&frame);
+        if let Some(announcement) = copied.map(Box::new) {
+            let report = Frame::Report {
+                ticket,
+                announcement,
+            };
+            self.peers.send_to_all(&report);
         }
         self.acknowledge_departures(now);
     }
@@ -172,20 +179,12 @@
         }
     }
 
-    /// Returns the frame by which a peer takes over what is known of a target that leaves; `None`
-    /// if another start of the target is known, which makes the departure of this one obsolete.
-    fn departure_frame(
-        &self,
-        ticket: Ticket,
-        name: &str,
-        start: Option<StartTime>,
-    ) -> Option<Frame> {
+    /// Returns what peers copy of a target that leaves; `None` if a later start of the target is
+    /// known, which makes the departure of this one obsolete.
+    fn copied_departure(&self, name: &str, start: Option<StartTime>) -> Option<Announcement> {
         let known = self.registry.get(name)?;
         let is_current = start.is_none_or(|start| start == known.start);
-        is_current.then(|| Frame::Report {
-            ticket,
-            announcement: Box::new(known.clone()),
-        })
+        is_current.then(|| known.clone())
     }
 
     /// Acknowledges the departures of which there are enough copies.
--- a/crates/node/tests/deployment/departures.rs
+++ b/crates/node/tests/deployment/departures.rs
@@ -240,6 +240,28 @@
     });
 }
 
+/// Peers were not asked for copies of an obsolete departure, whose call waited for them in vain.
+#[test]
+fn the_departure_of_an_earlier_start_is_acknowledged_at_once() {
+    let traffic = Traffic::start(49, 2);
+    let address = traffic.deployment.address(1, CONTROL_PORT);
+    let born = |body: String, start: u64| body.replace("\"born\":1", &format!("\"born\":{start}"));
+    let later = born(
+        report_body(traffic.targets[0].address, "s", "ready", "1"),
+        2,
+    );
+    traffic.reporting[0].store(false, Ordering::SeqCst);
+    traffic.deployment.send_report("t0", &later);
+    let reply = traffic.leave_at(0, address);
+    assert_eq!(reply.map(|reply| reply.status), Some(200));
+    // Only the later start is left.
+    traffic.leave(1, address);
+    let runs = traffic.targets[0].runs();
+    eventually("the later start gets requests", || {
+        traffic.targets[0].runs() > runs + 10
+    });
+}
+
 /// Instances that had forgotten a target since a restart acknowledged its departure and recorded
 /// nothing, while the routers still knew the target.
 #[test]
