Give each test of a deployment a network of its own again

Its log shows the other test's processes. They have networks that no other test uses now.

reads_at_any_control_instance_send_no_document_between_them counted 9348 bytes of documents, of 5000 allowed. Its trace: one instance joined 200 ms after the others, and with folders in memory all five rounds took 20 ms, in which each read at that instance needed a document, as the test allows for an instance that has not applied a change yet. The test now waits until every instance has the first configuration in force; its bound and reads are as they were.

--- a/crates/node/tests/deployment/acknowledgements.rs
+++ b/crates/node/tests/deployment/acknowledgements.rs
@@ -32,7 +32,7 @@
 /// A change is on the disks of a quorum when any instance acknowledges it.
 #[test]
 fn a_change_survives_the_loss_of_any_disk_right_after_its_acknowledgement() {
-    let mut deployment = Deployment::without_router(84);
+    let mut deployment = Deployment::without_router(93);
     deployment.configure("k0");
     // The instance that acknowledged is lost, or another one: the leader is one of them.
     for (via, lost) in [(1, 1), (2, 3), (3, 2)] {
@@ -52,7 +52,7 @@
 /// The order to evacuate a data centre is agreed on like a change.
 #[test]
 fn an_evacuation_survives_the_loss_of_the_instance_and_its_disk() {
-    let mut deployment = Deployment::start(85);
+    let mut deployment = Deployment::start(94);
     deployment.configure("k1");
     let north = Target::start(deployment.host(20), "t1", Behaviour::Answer);
     let south = Target::start(deployment.host(21), "t2", Behaviour::Answer);
@@ -87,7 +87,7 @@
 /// enough.
 #[test]
 fn a_ready_target_is_used_after_its_next_report_whoever_is_lost() {
-    let mut deployment = Deployment::start(86);
+    let mut deployment = Deployment::start(95);
     deployment.configure("k1");
     let target = Target::start(deployment.host(20), "t1", Behaviour::Answer);
     let body = |sequence: &str| report_body(target.address, "s", "ready", sequence);
--- a/crates/node/tests/deployment/departures.rs
+++ b/crates/node/tests/deployment/departures.rs
@@ -197,7 +197,7 @@
 /// The departure was written to the disk only after it had been acknowledged.
 #[test]
 fn an_acknowledged_departure_survives_the_end_of_all_processes() {
-    let mut traffic = Traffic::start(40, 3);
+    let mut traffic = Traffic::start(27, 3);
     let acknowledged_at = traffic.leave(0, traffic.deployment.address(1, CONTROL_PORT));
     traffic.deployment.kill_all();
     for control in 1..=3 {
@@ -212,7 +212,7 @@
 /// An instance that acknowledged alone what it could not copy forgot it when it was lost.
 #[test]
 fn an_instance_without_peers_refuses_departures_at_once_and_accepts_them_later() {
-    let mut traffic = Traffic::start(41, 2);
+    let mut traffic = Traffic::start(28, 2);
     let address = traffic.deployment.address(1, CONTROL_PORT);
     for control in 2..=3 {
         traffic.deployment.kill(&format!("control-{control}"));
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -302,6 +302,16 @@
     const METRICS_PORT: u16 = 9121;
     let mut deployment = Deployment::with_options(22, &["--metrics", "9121"]);
     deployment.configure("k1");
+    let metrics = |deployment: &Deployment, control: u8| {
+        let address = deployment.address(control, METRICS_PORT);
+        json_call(address, "GET", "/metrics", "").map_or_else(String::new, |reply| reply.body)
+    };
+    // An instance that started later than the others catches up first.
+    for control in 1..=3 {
+        eventually("the first configuration is in force", || {
+            metrics(&deployment, control).contains("bamboospur_config_version 1\n")
+        });
+    }
     let read = |deployment: &Deployment, control: u8| {
         let address = deployment.address(control, CONTROL_PORT);
         json_call(address, "GET", "/config", "").filter(|reply| reply.status == 200)
@@ -320,10 +330,7 @@
         }
     }
     let sent = (1..=3).map(|control| {
-        let address = deployment.address(control, METRICS_PORT);
-        let metrics = json_call(address, "GET", "/metrics", "")
-            .expect("metrics")
-            .body;
+        let metrics = metrics(&deployment, control);
         let mut lines = metrics
             .lines()
             .filter(|line| line.contains("kind=\"get-done\""));
--- a/crates/node/tests/deployment/memory.rs
+++ b/crates/node/tests/deployment/memory.rs
@@ -94,18 +94,18 @@
 
 #[test]
 fn events_without_end_at_many_requests_leave_memory_for_others() {
-    send_beside_endless_answers(81, "/talk/1", endless_events);
+    send_beside_endless_answers(90, "/talk/1", endless_events);
 }
 
 #[test]
 fn heads_without_end_at_many_requests_leave_memory_for_others() {
-    send_beside_endless_answers(82, "/submit/1", endless_field);
+    send_beside_endless_answers(91, "/submit/1", endless_field);
 }
 
 /// Bodies of callers that have no room are rejected before they are sent, and run nowhere.
 #[test]
 fn bodies_of_many_callers_are_rejected_when_there_is_no_memory() {
-    let mut deployment = Deployment::start(83);
+    let mut deployment = Deployment::start(92);
     deployment.configure("k1");
     let sound = Target::start(deployment.host(21), "t1", Behaviour::Answer);
     deployment.report("t1", &sound, "s", "ready", 1);
