Start no process of the fleet tests while a port is checked

Nodes found 127.0.0.1:23330 and :23337 in use, which the tests had just checked.

Cause, suspected and not reproduced: a check listens for a moment. A process that is started by another thread in that moment has a copy of the listening socket until it executes its program, and keeps the port taken if it is not scheduled. Both ports are of one start of the binary, and nothing else listens in that range.

Change: starts and checks exclude each other.

--- a/crates/node/tests/fleet/process.rs
+++ b/crates/node/tests/fleet/process.rs
@@ -20,8 +20,13 @@
 const FIRST_PORT: u32 = 10_000;
 const PORT_COUNT: u32 = 20_000;
 
+/// Held while a process is started or a port is checked: until it executes its program, a new
+/// process has copies of all sockets of this one, so that a port that is checked would stay taken.
+static SOCKETS_UNSHARED: Mutex<()> = Mutex::new(());
+
 /// Returns a loopback address that is free for UDP and TCP.
 pub fn free_address() -> SocketAddr {
+    let _unshared = SOCKETS_UNSHARED.lock();
     loop {
         let number = NEXT_PORT_OFFSET.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + (std::process::id() % PORT_COUNT * 131 + number) % PORT_COUNT;
@@ -71,7 +76,9 @@
         let mut command = disk::command(env!("CARGO_BIN_EXE_bamboospur"));
         command.arg("--config").arg(&self.config);
         command.stdout(Stdio::null()).stderr(Stdio::piped());
+        let unshared = SOCKETS_UNSHARED.lock();
         let mut child = command.spawn().expect("the node starts");
+        drop(unshared);
         let errors = child.stderr.take().expect("stderr");
         self.child = Some(child);
         let (callers, operators) = read_log(errors, &self.log);
@@ -109,8 +116,11 @@
     fn signal(&self, signal: &str) {
         let child = self.child.as_ref().expect("running");
         let id = child.id().to_string();
-        let done = Command::new("kill").args([signal, &id]).status();
-        assert!(done.expect("kill runs").success());
+        let unshared = SOCKETS_UNSHARED.lock();
+        let killing = Command::new("kill").args([signal, &id]).spawn();
+        drop(unshared);
+        let done = killing.expect("kill runs").wait();
+        assert!(done.expect("kill ends").success());
     }
 
     pub fn caller(&self) -> Caller {
