Take a status that HTTP does not have for no answer

Callers of role router got such an answer whole: a target's status 000 arrived as "HTTP/1.1 0 Trouble" with its body, and 001, 042, 099 and 600 to 999 likewise.

Cause: httparse accepts any three digits as a status, and the client asked only whether the response is informational.

The client now classifies the status before anything else looks at the head (ResponseStatus). All targets' answers of the roles are read there, so that the attempt fails as with any bytes that are no response, the request may be repeated elsewhere, and otherwise the caller gets 502. Status 101 switches to a protocol that nobody asked for, so it is none either; before, it was taken for an informational response.

--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bamboospur_types::BufferBudget;
+use bamboospur_types::{BufferBudget, ResponseStatus};
 use bytes::Bytes;
 use quick_error::quick_error;
 use tokio::net::TcpStream;
@@ -40,8 +40,8 @@
         Closed {
             display("the target closed the connection before the response head was complete")
         }
-        /// The bytes are not an HTTP/1 response head, the head is too large, or it follows
-        /// too many informational ones.
+        /// The bytes are not an HTTP/1 response head, its status is none of HTTP, the head is too
+        /// large, or it follows too many informational ones.
         InvalidResponse {
             display("the target sent bytes that are not an HTTP/1 response head, or a head that is too large")
         }
@@ -274,11 +274,11 @@
             Some((head, length)) => {
                 let _head = buffer.bytes.split_to(length);
                 buffer.free_removed();
-                // A final response follows an informational (1xx) one.
-                if !(100..200).contains(&head.status) {
-                    return Ok(head);
+                match ResponseStatus::from(head.status) {
+                    ResponseStatus::Final => return Ok(head),
+                    ResponseStatus::Interim => interim_responses += 1,
+                    ResponseStatus::Invalid => return Err(ClientError::InvalidResponse),
                 }
-                interim_responses += 1;
                 if interim_responses > MAX_INTERIM_RESPONSES {
                     return Err(ClientError::InvalidResponse);
                 }
--- /dev/null
+++ b/crates/node/tests/deployment/broken.rs
@@ -0,0 +1,172 @@
+//! Targets whose answers are no HTTP responses, or are reset before their end.
+//!
+//! Nothing of such an answer reaches a caller: the attempt has failed, and the request may have
+//! run.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use strum::IntoEnumIterator;
+
+use super::broken_heads::{INVALID_STATUSES, invalid_field_lines};
+use super::harness::{Deployment, Reply, eventually, report_body};
+use super::raw_target::{self, RawConnection, answer};
+
+/// Targets of each service; a router avoids those that have just failed.
+const TARGETS: u32 = 3;
+const BODY: &str = "broken";
+const EVENT: &str = "id: 2\ndata: broken\n\n";
+const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
+const EVENT_STREAM: &str = "Content-Type: text/event-stream\r\n";
+
+/// What is wrong with the head of an answer.
+#[derive(Clone, Debug)]
+enum Fault {
+    Status(&'static str),
+    FirstLine(String),
+    LastLine(String),
+}
+
+impl Fault {
+    /// Returns a head with this fault, without a framing.
+    fn head(&self, id: &str) -> String {
+        let own = format!("X-Bamboospur-Request-Id: {id}\r\nX-Bamboospur-Replica-Stamp: t\r\n");
+        match self {
+            Self::Status(status) => format!("HTTP/1.1 {status} Trouble\r\n{own}"),
+            Self::FirstLine(line) => format!("HTTP/1.1 200 OK\r\n{line}\r\n{own}"),
+            Self::LastLine(line) => format!("HTTP/1.1 200 OK\r\n{own}{line}\r\n"),
+        }
+    }
+}
+
+/// Where a target writes a head with a fault, and which body follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
+enum Place {
+    Length,
+    Chunks,
+    UntilClose,
+    Events,
+    AfterInterim,
+    AfterLateAnswer,
+    ResumedStream,
+}
+
+impl Place {
+    fn request(self) -> (&'static str, &'static str) {
+        match self {
+            Self::Length | Self::UntilClose => ("GET", "/read/1"),
+            Self::Chunks | Self::AfterInterim | Self::AfterLateAnswer => ("POST", "/submit/1"),
+            Self::Events | Self::ResumedStream => ("POST", "/talk/1"),
+        }
+    }
+
+    /// Returns what a target writes.
+    fn text(self, id: &str, fault: &Fault) -> String {
+        let head = fault.head(id);
+        let length = format!("{head}Content-Length: {}\r\n\r\n{BODY}", BODY.len());
+        let chunk = |text: &str| format!("{:x}\r\n{text}\r\n0\r\n\r\n", text.len());
+        match self {
+            Self::Length => length,
+            Self::Chunks => format!("{head}{CHUNKED}\r\n{}", chunk(BODY)),
+            Self::UntilClose => format!("{head}\r\n{BODY}"),
+            Self::Events | Self::ResumedStream => {
+                format!("{head}{EVENT_STREAM}{CHUNKED}\r\n{}", chunk(EVENT))
+            }
+            Self::AfterInterim => format!("HTTP/1.1 103 Early Hints\r\n\r\n{length}"),
+            Self::AfterLateAnswer => answer("earlier", "200 OK", "", "late") + &length,
+        }
+    }
+}
+
+/// Serves one request and closes the connection.
+fn serve(connection: &mut RawConnection, faults: &[Fault], written: &AtomicBool) -> Option<()> {
+    let request = connection.read_request()?;
+    let id = request.id();
+    let mut numbers = id.split('-').filter_map(|part| part.parse::<usize>().ok());
+    let fault = numbers.next().and_then(|index| faults.get(index))?;
+    let place = numbers.next().and_then(|index| Place::iter().nth(index))?;
+    if place == Place::ResumedStream && request.field("last-event-id").is_none() {
+        let head = answer(id, "200 OK", EVENT_STREAM, "");
+        connection.write(&head.replace("Content-Length: 0\r\n", CHUNKED))?;
+        let event = "id: 1\ndata: own\n\n";
+        connection.write(&format!("{:x}\r\n{event}\r\n", event.len()))?;
+        return None;
+    }
+    written.store(true, Ordering::SeqCst);
+    connection.write(&place.text(id, fault))?;
+    None
+}
+
+/// Checks that a caller got nothing of a broken answer.
+fn check(place: Place, reply: Option<&Reply>) -> Result<(), String> {
+    let Some(reply) = reply else {
+        // Callers of plain requests are told that their request may have run.
+        return if place == Place::ResumedStream {
+            Ok(())
+        } else {
+            Err("no reply".to_owned())
+        };
+    };
+    let is_free = !format!("{}{}", reply.head, reply.body).contains(BODY);
+    let is_right = match place {
+        Place::ResumedStream => reply.status == 200 && !reply.body.ends_with("0\r\n\r\n"),
+        _ => reply.status == 502,
+    };
+    if is_free && is_right {
+        return Ok(());
+    }
+    Err(format!("{}\n\n{}", reply.head, reply.body))
+}
+
+/// Lets targets answer with each fault at each place; returns what callers got that they must not.
+fn broken_replies(network: u8, faults: Vec<Fault>) -> Vec<String> {
+    let mut deployment = Deployment::start(network);
+    deployment.configure("k1");
+    let faults: Arc<[Fault]> = faults.into();
+    let written = Arc::new(AtomicBool::new(false));
+    for service in ["s", "lossy", "engine"] {
+        for index in 0..TARGETS {
+            let (faults, written) = (Arc::clone(&faults), Arc::clone(&written));
+            let address = raw_target::start(deployment.host(20), move |connection| {
+                serve(connection, &faults, &written)
+            });
+            let report = report_body(address, service, "ready", "1");
+            deployment.send_report(&format!("{service}-{index}"), &report);
+        }
+    }
+    deployment.wait_ready();
+    let mut broken = Vec::new();
+    for (fault_index, fault) in faults.iter().enumerate() {
+        for (place_index, place) in Place::iter().enumerate() {
+            let (method, path) = place.request();
+            let mut attempt = 0;
+            written.store(false, Ordering::SeqCst);
+            eventually("a target writes the answer", || {
+                attempt += 1;
+                let id = format!("id-{fault_index}-{place_index}-{attempt}");
+                let reply = deployment.request(method, path, &id, "k1");
+                let reached = written.load(Ordering::SeqCst);
+                if reached && let Err(reply) = check(place, reply.as_ref()) {
+                    broken.push(format!("{fault:?} {place:?}: {reply}"));
+                }
+                reached
+            });
+        }
+    }
+    broken
+}
+
+/// Guards against a status that is none of HTTP: callers got it as `HTTP/1.1 0`, with its body.
+#[test]
+fn an_answer_whose_status_is_none_of_http_reaches_no_caller() {
+    let broken = broken_replies(24, INVALID_STATUSES.map(Fault::Status).to_vec());
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+#[test]
+fn an_answer_with_a_blank_or_control_byte_in_a_field_name_reaches_no_caller() {
+    let lines = invalid_field_lines().into_iter();
+    let faults = lines.flat_map(|line| [Fault::FirstLine(line.clone()), Fault::LastLine(line)]);
+    let broken = broken_replies(29, faults.collect());
+    assert!(broken.is_empty(), "{broken:#?}");
+}
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -2,6 +2,9 @@
 
 mod acknowledgements;
 mod answers;
+mod broken;
+#[path = "../support/broken_heads.rs"]
+mod broken_heads;
 mod caller;
 mod callers;
 mod crashing;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 mod offer;
 mod outcome;
 mod request_rate;
+mod response_status;
 mod result_code;
 mod rng;
 mod target;
@@ -20,6 +21,7 @@
 pub use offer::{Offer, ParseOfferError};
 pub use outcome::Outcome;
 pub use request_rate::RequestRate;
+pub use response_status::ResponseStatus;
 pub use result_code::ResultCode;
 pub use rng::Rng;
 pub use target::{Incarnation, TargetKind, TargetRecord, TargetState, WorkTokens};
--- a/crates/types/tests/values.rs
+++ b/crates/types/tests/values.rs
@@ -2,7 +2,7 @@
 
 use std::str::FromStr;
 
-use bamboospur_types::{Offer, Outcome, ResultCode, stable_id};
+use bamboospur_types::{Offer, Outcome, ResponseStatus, ResultCode, stable_id};
 use quickcheck::quickcheck;
 use strum::IntoEnumIterator;
 
@@ -12,6 +12,25 @@
     assert_eq!(stable_id(""), 0xf52a_15e9_a9b5_e89b);
 }
 
+#[test]
+fn statuses_of_responses() {
+    let cases = [
+        (0, ResponseStatus::Invalid),
+        (99, ResponseStatus::Invalid),
+        (100, ResponseStatus::Interim),
+        (101, ResponseStatus::Invalid),
+        (102, ResponseStatus::Interim),
+        (199, ResponseStatus::Interim),
+        (200, ResponseStatus::Final),
+        (599, ResponseStatus::Final),
+        (600, ResponseStatus::Invalid),
+        (999, ResponseStatus::Invalid),
+    ];
+    for (code, expected) in cases {
+        assert_eq!(ResponseStatus::from(code), expected, "{code}");
+    }
+}
+
 #[test]
 fn offer_text_forms() {
     let cases = [
