Take no reset for the end of an early answer

Callers of role router got a part of a body as a whole answer with 200, or a part of an event stream with the last chunk. The target had answered a long upload early, without a length, and had reset the connection while the upload was being written.

Cause, traced with one connection: the write fails with ECONNRESET and takes the error from the socket; the next read returns 0, as after a regular close. The write's error was dropped once a head had arrived, so that the end of the connection ended the body. It needs a head, a part and the reset to arrive between two polls of the task, as when the process is suspended, and a request that the socket does not buffer as a whole.

The connection keeps why its request could not be written. An end that is read after that is a failure of the connection, in each body of it: plain, event stream, and the answer behind a late one, which tries no further write. EPIPE is no such failure: Linux reports it only after the target has closed its side, so the end was shown; a test has that case. A body with a length or chunks shows its end by itself, as before.

--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -81,6 +81,8 @@
     /// The last request, and how much of it was sent.
     request: OutgoingRequest,
     written_bytes: usize,
+    /// Why the request could not be written to its end. The connection takes no other one.
+    write_error: Option<ErrorKind>,
     /// Whether the last exchange left the connection open for another request.
     keep_alive: bool,
     /// When the target is expected to close the idle connection.
@@ -113,6 +115,7 @@
             body: BodyDecoder::new(crate::body::Framing::Length(0)),
             request: OutgoingRequest::default(),
             written_bytes: 0,
+            write_error: None,
             keep_alive: false,
             idle_deadline: Instant::now(),
         })
@@ -165,27 +168,27 @@
             buffer,
             request,
             written_bytes,
+            write_error,
             ..
         } = self;
-        let mut sent = Ok(());
         let head = {
             let write = request.write_to(stream, written_bytes);
             tokio::pin!(write);
-            let mut writing = true;
+            let mut writing = write_error.is_none();
             loop {
                 tokio::select! {
                     biased;
                     result = &mut write, if writing => {
                         writing = false;
-                        sent = result;
+                        *write_error = result.err().map(|error| error.kind());
                     }
                     head = read_head(stream, buffer) => break head,
                 }
             }
         };
-        let head = head.map_err(|error| match sent {
-            Err(sent) => ClientError::Io(sent),
-            Ok(()) => error,
+        let head = head.map_err(|error| match *write_error {
+            Some(kind) => ClientError::Io(kind.into()),
+            None => error,
         })?;
         self.body = BodyDecoder::new(head.framing(method)?);
         let is_sent = self.written_bytes == self.request.len_bytes();
@@ -219,12 +222,24 @@
             }
             if read(&self.stream, &mut self.buffer).await? == 0 {
                 self.keep_alive = false;
+                self.check_end()?;
                 self.body.end()?;
                 return Ok(None);
             }
         }
     }
 
+    /// Fails if the end that was read may be a failure of the connection. A write that fails takes
+    /// the error from the socket, so that a read finds the end of the connection there, whether or
+    /// not the target has closed its side.
+    fn check_end(&self) -> Result<(), ClientError> {
+        match self.write_error {
+            // The connection was reset after the target had closed its side.
+            None | Some(ErrorKind::BrokenPipe) => Ok(()),
+            Some(kind) => Err(ClientError::Io(kind.into())),
+        }
+    }
+
     /// Reads the rest of a body that nobody needs, so that the connection can be reused.
     /// Returns whether it was complete after at most `max_bytes`.
     ///
--- a/crates/node/tests/deployment/broken.rs
+++ b/crates/node/tests/deployment/broken.rs
@@ -3,13 +3,18 @@
 //! Nothing of such an answer reaches a caller: the attempt has failed, and the request may have
 //! run.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
 
+use rustix::process::{Pid, Signal, kill_process};
 use strum::IntoEnumIterator;
 
 use super::broken_heads::{INVALID_STATUSES, invalid_field_lines};
-use super::harness::{Deployment, Reply, eventually, report_body};
+use super::harness::{Deployment, Reply, eventually, read_reply, report_body, request_text};
 use super::raw_target::{self, RawConnection, answer};
 
 /// Targets of each service; a router avoids those that have just failed.
@@ -19,6 +24,14 @@
 const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
 const EVENT_STREAM: &str = "Content-Type: text/event-stream\r\n";
 
+/// Largest request body that a router takes.
+const UPLOAD_BYTES: usize = 4 * 1024 * 1024;
+/// Uploads of each kind that are answered early.
+const UPLOADS: u32 = 8;
+/// Time until a router has filled the buffers of a connection that is not read, and until bytes
+/// arrive at a suspended process.
+const PAUSE: Duration = Duration::from_millis(100);
+
 /// What is wrong with the head of an answer.
 #[derive(Clone, Debug)]
 enum Fault {
@@ -124,19 +137,28 @@
     deployment.configure("k1");
     let faults: Arc<[Fault]> = faults.into();
     let written = Arc::new(AtomicBool::new(false));
+    let mut targets = Vec::new();
     for service in ["s", "lossy", "engine"] {
         for index in 0..TARGETS {
             let (faults, written) = (Arc::clone(&faults), Arc::clone(&written));
             let address = raw_target::start(deployment.host(20), move |connection| {
                 serve(connection, &faults, &written)
             });
-            let report = report_body(address, service, "ready", "1");
-            deployment.send_report(&format!("{service}-{index}"), &report);
+            targets.push((format!("{service}-{index}"), address, service));
         }
     }
+    // A target that reports nothing for six seconds gets no more requests.
+    let report_targets = |sequence: usize| {
+        for (name, address, service) in &targets {
+            let report = report_body(*address, service, "ready", &sequence.to_string());
+            deployment.send_report(name, &report);
+        }
+    };
+    report_targets(0);
     deployment.wait_ready();
     let mut broken = Vec::new();
     for (fault_index, fault) in faults.iter().enumerate() {
+        report_targets(fault_index + 1);
         for (place_index, place) in Place::iter().enumerate() {
             let (method, path) = place.request();
             let mut attempt = 0;
@@ -170,3 +192,98 @@
     let broken = broken_replies(29, faults.collect());
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// How a target ends an early answer.
+#[derive(Clone, Copy, PartialEq)]
+enum End {
+    Reset,
+    /// It closes its side, which shows the end of the answer, and resets the connection.
+    CloseThenReset,
+}
+
+/// Answers an upload that it does not read, while the router is suspended: the answer and the end
+/// of the connection arrive at once.
+fn answer_early(connection: &mut RawConnection, router: Pid, end: End) -> Option<()> {
+    let request = connection.read_request()?;
+    let is_stream = request.head.contains(" /chat/");
+    let (kind, body) = if is_stream {
+        (EVENT_STREAM, "id: 1\ndata: part\n\n")
+    } else {
+        ("", "part")
+    };
+    let framed = answer(request.id(), "200 OK", kind, "");
+    let unframed = framed.replace("Content-Length: 0\r\n", "");
+    thread::sleep(PAUSE);
+    kill_process(router, Signal::STOP).ok()?;
+    connection.write(&format!("{unframed}{body}"))?;
+    if end == End::CloseThenReset {
+        connection.close_writing()?;
+    }
+    connection.reset_at_end()?;
+    thread::spawn(move || {
+        thread::sleep(PAUSE);
+        kill_process(router, Signal::CONT).expect("the router goes on");
+    });
+    None
+}
+
+/// Sends uploads that are answered early; returns the answers.
+fn upload(network: u8, path: &str, service: &str, end: End) -> Vec<Option<Reply>> {
+    let mut deployment = Deployment::start(network);
+    deployment.configure("k1");
+    let router = deployment.process_id("router");
+    for index in 0..UPLOADS {
+        let address = raw_target::start(deployment.host(20), move |connection| {
+            answer_early(connection, router, end)
+        });
+        let report = report_body(address, service, "ready", "1");
+        deployment.send_report(&format!("t{index}"), &report);
+    }
+    deployment.wait_ready();
+    thread::sleep(super::versions::SPREAD_TIME);
+    let body = vec![b'x'; UPLOAD_BYTES];
+    let replies = (0..UPLOADS).map(|index| {
+        let text = request_text("POST", path, &format!("id-{index}"), "k1");
+        let text = text.replace("Length: 0", &format!("Length: {UPLOAD_BYTES}"));
+        let mut stream = TcpStream::connect(deployment.caller_address()).expect("a connection");
+        stream.write_all(text.as_bytes()).expect("a head is sent");
+        stream.write_all(&body).expect("a body is sent");
+        read_reply(&mut stream)
+    });
+    replies.collect()
+}
+
+/// Guards against the part of an answer that looks whole because the upload's write took the error
+/// of the connection.
+#[test]
+fn a_part_of_an_early_answer_that_is_reset_reaches_no_caller() {
+    for reply in upload(37, "/submit/1", "lossy", End::Reset) {
+        let reply = reply.expect("a reply");
+        assert_eq!(reply.status, 502, "{}\n\n{}", reply.head, reply.body);
+    }
+}
+
+#[test]
+fn an_early_stream_that_is_reset_does_not_look_whole() {
+    for reply in upload(38, "/chat/1", "engine", End::Reset)
+        .into_iter()
+        .flatten()
+    {
+        let is_whole = reply.status == 200 && reply.body.ends_with("0\r\n\r\n");
+        assert!(!is_whole, "{}\n\n{}", reply.head, reply.body);
+    }
+}
+
+/// A target that closes its side has shown the end of its answer.
+#[test]
+fn an_early_answer_that_is_closed_is_delivered() {
+    for reply in upload(39, "/submit/1", "lossy", End::CloseThenReset) {
+        let reply = reply.expect("a reply");
+        assert_eq!(
+            (reply.status, &reply.body[..]),
+            (200, "part"),
+            "{}",
+            reply.head
+        );
+    }
+}
--- a/crates/node/tests/deployment/harness.rs
+++ b/crates/node/tests/deployment/harness.rs
@@ -235,9 +235,13 @@
 
     /// Sends a signal to a process.
     pub fn signal(&self, name: &str, signal: Signal) {
+        kill_process(self.process_id(name), signal).expect("a signal");
+    }
+
+    pub fn process_id(&self, name: &str) -> Pid {
         let id = self.processes[name].id();
         let id = i32::try_from(id).ok().and_then(Pid::from_raw);
-        kill_process(id.expect("a process id"), signal).expect("a signal");
+        id.expect("a process id")
     }
 
     /// Waits for a process to exit; returns whether it reported success.
--- a/crates/node/tests/deployment/raw_target.rs
+++ b/crates/node/tests/deployment/raw_target.rs
@@ -1,9 +1,10 @@
 //! A target that writes raw bytes, chosen by the test.
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use socket2::SockRef;
 
@@ -73,6 +74,17 @@
     pub fn write(&mut self, text: &str) -> Option<()> {
         self.stream.write_all(text.as_bytes()).ok()
     }
+
+    /// Makes the connection end with a reset once it is dropped.
+    pub fn reset_at_end(&self) -> Option<()> {
+        let no_linger = Some(Duration::ZERO);
+        SockRef::from(&self.stream).set_linger(no_linger).ok()
+    }
+
+    /// Closes the own side, which shows the end of what was written.
+    pub fn close_writing(&self) -> Option<()> {
+        self.stream.shutdown(Shutdown::Write).ok()
+    }
 }
 
 /// Accepts connections on a free port, and serves each by `serve` until that returns `None`.
