Test early answers that are reset at the own interface

A target answers an upload of 7 MB early, without a length, and resets the connection. Nothing else changed for it.

--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -3,10 +3,21 @@
 
 mod support;
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
 use bamboospur_types::ResultCode as Code;
+use serde_json::json;
+use socket2::SockRef;
 use support::broken_heads::{INVALID_STATUSES, invalid_field_lines};
-use support::{Node, Target, TargetAction};
+use support::{Heartbeat, Node, Target, TargetAction, eventually};
 
+/// Longer than what both ends of a connection buffer.
+const UPLOAD_BYTES: usize = 7_000_000;
+/// Time until a node has filled the buffers of a connection that is not read.
+const PAUSE: Duration = Duration::from_millis(100);
 const BODY: &str = "broken";
 const FRAMED: &str = "content-length: 6\r\n\r\nbroken";
 const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n";
@@ -143,3 +154,79 @@
         assert!(engine.resumes() > resumes, "{status}: {answer:?}");
     }
 }
+
+/// Starts a target that reads the head of a request, writes `text` early and resets the connection.
+fn start_early_target(text: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            thread::spawn(move || answer_early(&stream, text));
+        }
+    });
+    address
+}
+
+fn answer_early(mut stream: &TcpStream, text: &str) -> Option<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).ok()?.to_ascii_lowercase();
+    let (_, id) = head.split_once("x-request-id: ")?;
+    let (id, _) = id.split_once("\r\n")?;
+    thread::sleep(PAUSE);
+    stream.write_all(text.replace("ID", id).as_bytes()).ok()?;
+    SockRef::from(stream).set_linger(Some(Duration::ZERO)).ok()
+}
+
+/// Guards against a part of an answer that looks whole because its connection was reset while the
+/// request was written.
+#[test]
+fn a_part_of_an_early_answer_that_is_reset_reaches_no_caller() {
+    let unframed = with_status("200", UNFRAMED);
+    let events = with_status("200", &events(1).replace("data: [DONE]\n\n", ""));
+    for text in [unframed, events] {
+        let node = Node::start();
+        let address = start_early_target(text.clone().leak()).to_string();
+        let heartbeats = ["records", "demo-chat"].map(|pool| {
+            let kind = if pool == "records" {
+                "service"
+            } else {
+                "engine"
+            };
+            let offers = if pool == "records" {
+                vec![]
+            } else {
+                vec![pool]
+            };
+            let record = json!({
+                "name": pool, "incarnation": 1, "address": address, "data_centre": "dev",
+                "pool": pool, "kind": kind, "offers": offers, "capacity_tokens": 10_000_000,
+                "capacity_requests": 64, "checks_fencing": false,
+            });
+            Heartbeat::start(node.operators, record)
+        });
+        eventually("the targets join", || {
+            node.status().matches(&address).count() >= heartbeats.len()
+        });
+        let caller = node.caller().with_key("early");
+        let answer = caller.post_record(&"x".repeat(UPLOAD_BYTES));
+        assert_eq!(
+            (answer.status, answer.outcome()),
+            (502, "unknown"),
+            "{answer:?}"
+        );
+        let message = "x".repeat(UPLOAD_BYTES);
+        let chat = json!({
+            "model": "demo-chat", "stream": true,
+            "messages": [{"role": "user", "content": message}],
+        });
+        let path = "/v1/chat/completions";
+        let answer = node.caller().post(path, &chat.to_string());
+        assert!(!answer.has_end_event(), "{answer:?}");
+        assert_ne!(answer.outcome(), "answered", "{answer:?}");
+    }
+}
