Take an order for done only by a whole answer

An engine answered an order with 200 and ended the connection before the end of the body: the order counted as done. The leader plans from that, and operators read it in `orders.done`.

Cause: the thread that calls engines read the head alone.

Statuses 000, 101, 600 and 500 are unknown as well, the first three since the status is classified.

A result that rests on 200 is read to the end of the body first. A refusal is stated by its head alone, as for requests of callers.

--- a/crates/node/src/actors/orders.rs
+++ b/crates/node/src/actors/orders.rs
@@ -16,7 +16,7 @@
 use bamboospur_orders::{Action, FencingToken, Order, OrderResult, Report};
 use bamboospur_types::{BufferBudget, Offer, TargetId};
 use bamboospur_upstream::{
-    Call, CancelHandle, Client, ClientSettings, ReadTimeouts, RequestIdEcho,
+    Answer, Call, CancelHandle, Client, ClientSettings, Failure, ReadTimeouts, RequestIdEcho,
 };
 use bytes::Bytes;
 use serde::Deserialize;
@@ -44,9 +44,10 @@
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Engines asked for a report in parallel.
 const MAX_PARALLEL_REPORTS: usize = 16;
-/// Maximum size of an engine's report, which has some hundred bytes for each loaded
-/// adapter.
-const MAX_REPORT_BYTES: usize = 1024 * 1024;
+/// Maximum size of an engine's answer. A report has some hundred bytes for each loaded adapter.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+/// HTTP status of a report, and of the answer to an order that was carried out.
+const OK: u16 = 200;
 /// Memory for the answers of all engines together.
 const MAX_ANSWERS_BYTES: usize = 8 * 1024 * 1024;
 /// HTTP statuses by which an engine refuses an order: invalid order, unknown path,
@@ -273,14 +274,12 @@
         };
         let wait = left + ANSWER_WAIT_AFTER_DEADLINE;
         let call = call(engine, "POST", order_body(order).into(), order.id, wait);
-        match self.client.send(&call, &CancelHandle::default()) {
-            Ok(answer) if answer.status == 200 => OrderResult::Done,
-            Ok(answer) if REFUSAL_STATUSES.contains(&answer.status) => OrderResult::NotRun,
-            Ok(answer) if answer.proves_not_run() => OrderResult::NotRun,
-            Ok(_) => OrderResult::Unknown,
+        let answered = self.client.send(&call, &CancelHandle::default());
+        match answered.and_then(order_result) {
+            Ok(result) => result,
             Err(failure) if failure.proves_not_run() => OrderResult::NotRun,
             Err(failure) => {
-                warn!(order = order.id, %failure, "no answer to an order; its result is unknown");
+                warn!(order = order.id, %failure, "no whole answer to an order; its result is unknown");
                 OrderResult::Unknown
             }
         }
@@ -345,7 +344,7 @@
         let idle = !self.busy().contains(&engine.record.id());
         let call = call(engine, "GET", Bytes::new(), 0, REPORT_TIMEOUT);
         let mut answer = self.client.send(&call, &CancelHandle::default()).ok()?;
-        let body = answer.body.read_whole(MAX_REPORT_BYTES).ok()?;
+        let body = answer.body.read_whole(MAX_ANSWER_BYTES).ok()?;
         let Ok(state) = serde_json::from_slice::<EngineState>(&body.to_vec()) else {
             let engine = &engine.record.name;
             warn!(
@@ -366,6 +365,20 @@
     }
 }
 
+/// Returns the result that an answer to an order states. A refusal is stated by its head alone.
+fn order_result(mut answer: Answer) -> Result<OrderResult, Failure> {
+    if answer.status == OK {
+        answer.body.read_whole(MAX_ANSWER_BYTES)?;
+        return Ok(OrderResult::Done);
+    }
+    let is_refusal = REFUSAL_STATUSES.contains(&answer.status) || answer.proves_not_run();
+    Ok(if is_refusal {
+        OrderResult::NotRun
+    } else {
+        OrderResult::Unknown
+    })
+}
+
 fn call(engine: &EngineRecord, method: &str, body: Bytes, id: u64, left: Duration) -> Call {
     Call {
         address: engine.record.address,
--- a/crates/node/tests/operators/engine.rs
+++ b/crates/node/tests/operators/engine.rs
@@ -22,6 +22,21 @@
     pub hold_orders: bool,
     /// Number of orders whose answer is not sent after the order was executed.
     pub answers_to_lose: usize,
+    /// How the engine answers orders.
+    pub order_answer: EngineAnswer,
+    /// How the engine answers `GET /orders`.
+    pub report_answer: EngineAnswer,
+}
+
+/// How an engine answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EngineAnswer {
+    #[default]
+    Whole,
+    /// The connection ends before the stated end of the body.
+    Cut,
+    /// The status is this one, with the body of a whole answer.
+    Status(u16),
 }
 
 /// An engine that takes orders and no requests.
@@ -92,18 +107,34 @@
     }
     let mut body = vec![0; length];
     let _ = reader.read_exact(&mut body);
-    if line.starts_with("POST") {
+    let is_order = line.starts_with("POST");
+    if is_order {
         state.lock().expect("book").started_count += 1;
         while state.lock().expect("book").hold_orders {
             thread::sleep(Duration::from_millis(10));
         }
     }
-    let Some(text) = respond(&line, &body, &mut state.lock().expect("book")) else {
+    let mut state = state.lock().expect("book");
+    let Some(mut text) = respond(&line, &body, &mut state) else {
         return;
     };
+    let length = text.len();
+    let kind = if is_order {
+        state.order_answer
+    } else {
+        state.report_answer
+    };
+    drop(state);
+    let status = match kind {
+        EngineAnswer::Whole => 200,
+        EngineAnswer::Cut => {
+            text.truncate(length - 1);
+            200
+        }
+        EngineAnswer::Status(status) => status,
+    };
     let answer = format!(
-        "HTTP/1.1 200 OK\r\nConnection: close\r\nx-request-id: {id}\r\nContent-Length: {}\r\n\r\n{text}",
-        text.len()
+        "HTTP/1.1 {status:03} Test\r\nConnection: close\r\nx-request-id: {id}\r\nContent-Length: {length}\r\n\r\n{text}"
     );
     let _ = reader.get_mut().write_all(answer.as_bytes());
 }
--- a/crates/node/tests/operators/orders.rs
+++ b/crates/node/tests/operators/orders.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 
 use crate::ctl::Ctl;
-use crate::engine::Engine;
+use crate::engine::{Engine, EngineAnswer};
 use crate::process::{Process, free_address};
 use crate::support::{Caller, Node, eventually, test_folder};
 
@@ -84,6 +84,38 @@
     );
 }
 
+/// Returns the number of orders with this result.
+fn ended_orders(node: &Node, result: &str) -> u64 {
+    let status: Value = serde_json::from_str(&node.status()).expect("JSON");
+    status["counters"][format!("orders.{result}")]
+        .as_u64()
+        .unwrap_or(0)
+}
+
+/// Guards against an order that counts as done, or as not run, by an answer that is no whole one
+/// of the engine.
+#[test]
+fn a_broken_answer_to_an_order_leaves_its_result_unknown() {
+    for broken in [
+        EngineAnswer::Cut,
+        EngineAnswer::Status(101),
+        EngineAnswer::Status(600),
+        EngineAnswer::Status(0),
+        EngineAnswer::Status(500),
+    ] {
+        let node = Node::start();
+        let ctl = ctl(&node);
+        let engine = Engine::start("engine", node.operators, 0);
+        engine.state.lock().expect("book").order_answer = broken;
+        ctl.expect_success(&["set", VERSION, "{ replicas = 1 }"]);
+        eventually("the order has ended", || {
+            ended_orders(&node, "unknown") + ended_orders(&node, "done") > 0
+        });
+        let ended = ["done", "not_run"].map(|result| ended_orders(&node, result));
+        assert_eq!(ended, [0, 0], "{broken:?}: {}", node.status());
+    }
+}
+
 /// Guards against a second order to an engine whose load outlasts the deadline.
 #[test]
 fn a_load_that_takes_long_is_not_ordered_again() {
