Take an engine's report only from an answer with status 200

An engine in trouble, or a proxy in front of it, answered GET /orders with 404 or 500 and a body like that of a report: it was used, and orders were planned and sent by it.

Cause: the body was parsed without a look at the status.

Evidence: tests/operators/orders.rs, "an engine whose reports are broken gets no orders": an order was sent after a report with 404 before, and none is sent now with 000, 101, 204, 404, 500, 600 or a cut body; once whole reports come, the version is ordered. On the code before, the test ended at 404; the statuses after it were not reached there.

A report is the whole body of an answer with 200. One that fails is logged with its reason; before, an engine that did not answer left no line.

--- a/crates/node/src/actors/orders.rs
+++ b/crates/node/src/actors/orders.rs
@@ -16,7 +16,8 @@
 use bamboospur_orders::{Action, FencingToken, Order, OrderResult, Report};
 use bamboospur_types::{BufferBudget, Offer, TargetId};
 use bamboospur_upstream::{
-    Answer, Call, CancelHandle, Client, ClientSettings, Failure, ReadTimeouts, RequestIdEcho,
+    Answer, Call, CancelHandle, Client, ClientSettings, Failure, FailureKind, ReadTimeouts,
+    RequestIdEcho,
 };
 use bytes::Bytes;
 use serde::Deserialize;
@@ -343,16 +344,12 @@
         let at = SystemTime::now();
         let idle = !self.busy().contains(&engine.record.id());
         let call = call(engine, "GET", Bytes::new(), 0, REPORT_TIMEOUT);
-        let mut answer = self.client.send(&call, &CancelHandle::default()).ok()?;
-        let body = answer.body.read_whole(MAX_ANSWER_BYTES).ok()?;
-        let Ok(state) = serde_json::from_slice::<EngineState>(&body.to_vec()) else {
+        let answered = self.client.send(&call, &CancelHandle::default());
+        let state = answered.and_then(engine_state).inspect_err(|failure| {
             let engine = &engine.record.name;
-            warn!(
-                engine,
-                "failed to decode an engine's answer to GET /orders; skipping its report"
-            );
-            return None;
-        };
+            info!(engine, %failure, "an engine sent no valid report; asking again in the next round");
+        });
+        let state = state.ok()?;
         let report = Report {
             requested_at: at,
             pool: engine.record.pool.clone(),
@@ -365,6 +362,16 @@
     }
 }
 
+/// Returns what an engine reports in its answer to `GET /orders`.
+fn engine_state(mut answer: Answer) -> Result<EngineState, Failure> {
+    let body = answer.body.read_whole(MAX_ANSWER_BYTES)?;
+    let invalid = |detail: String| answer.body.failure(FailureKind::Malformed, &detail);
+    if answer.status != OK {
+        return Err(invalid(format!("the status is {}", answer.status)));
+    }
+    serde_json::from_slice(&body.to_vec()).map_err(|error| invalid(error.to_string()))
+}
+
 /// Returns the result that an answer to an order states. A refusal is stated by its head alone.
 fn order_result(mut answer: Answer) -> Result<OrderResult, Failure> {
     if answer.status == OK {
--- a/crates/node/tests/operators/orders.rs
+++ b/crates/node/tests/operators/orders.rs
@@ -116,6 +116,32 @@
     }
 }
 
+/// Guards against orders by a report that is no answer of the engine, or one to another question.
+#[test]
+fn an_engine_whose_reports_are_broken_gets_no_orders() {
+    for broken in [
+        EngineAnswer::Cut,
+        EngineAnswer::Status(101),
+        EngineAnswer::Status(204),
+        EngineAnswer::Status(404),
+        EngineAnswer::Status(500),
+        EngineAnswer::Status(600),
+        EngineAnswer::Status(0),
+    ] {
+        let node = Node::start();
+        let ctl = ctl(&node);
+        let engine = Engine::start("engine", node.operators, 0);
+        engine.state.lock().expect("book").report_answer = broken;
+        ctl.expect_success(&["set", VERSION, "{ replicas = 1 }"]);
+        let seen = engine.reports();
+        eventually("the engine is asked again", || engine.reports() >= seen + 3);
+        let started = engine.state.lock().expect("book").started_count;
+        assert_eq!(started, 0, "{broken:?}");
+        engine.state.lock().expect("book").report_answer = EngineAnswer::Whole;
+        eventually("the version is ordered", || engine.loads() == 1);
+    }
+}
+
 /// Guards against a second order to an engine whose load outlasts the deadline.
 #[test]
 fn a_load_that_takes_long_is_not_ordered_again() {
