Take no status outside of HTTP for an answer to the command line

bamboospurctl printed "accepted as revision 1" and exited with 0 for an answer with status 600, 700, 777 or 999, if its body was like that of an answer.

Cause: the body decides, and the status was not looked at.

Evidence: crates/ctl/tests/binary.rs failed before for these four statuses, for a change and for a read. With 000 to 101, fields with a blank or control byte, and bodies that are cut (with a length, in chunks and without both) it held before and holds now: an unknown outcome for a change, no server for a read. A part of a JSON object is none, so that a body without a length cannot look whole.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_control::operator::ResponseMeta;
-use bamboospur_types::ResultCode;
+use bamboospur_types::{ResponseStatus, ResultCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use ureq::Agent;
@@ -180,13 +180,16 @@
         }
         Err(error) => return AttemptResult::OutcomeUnknown(error.to_string()),
     };
+    let status = response.status();
+    if ResponseStatus::from(status.as_u16()) != ResponseStatus::Final {
+        return AttemptResult::OutcomeUnknown(format!("status {status}, which no answer has"));
+    }
     let body = response.body_mut().with_config().limit(MAX_RESPONSE_BYTES);
     let text = match body.read_to_string() {
         Ok(text) => text,
         Err(error) => return AttemptResult::OutcomeUnknown(error.to_string()),
     };
     let Ok(head) = serde_json::from_str::<ResponseMeta>(&text) else {
-        let status = response.status();
         return AttemptResult::OutcomeUnknown(format!("status {status} without a result code"));
     };
     let message = head.message.clone().unwrap_or_default();
--- a/crates/ctl/tests/binary.rs
+++ b/crates/ctl/tests/binary.rs
@@ -1,13 +1,17 @@
 //! Runs the real binary against fake servers. Checks that exit codes are right, that a
 //! change is made once when answers are lost, and that tokens are not printed.
 
+#[path = "../../node/tests/support/broken_heads.rs"]
+mod broken_heads;
 mod common;
 
 use std::fs;
 use std::path::PathBuf;
+use std::thread;
 
 use bamboospur_ctl::Exit;
-use common::{FakeGroup, SharedGroup, run, start_server};
+use broken_heads::{INVALID_STATUSES, invalid_field_lines};
+use common::{Broken, FakeGroup, SharedGroup, run, start_server};
 use strum::IntoEnumIterator;
 
 /// Address on which nothing listens: port 1 is reserved.
@@ -255,3 +259,74 @@
     let FakeGroup { settings, .. } = &*group.lock().expect("no panic");
     assert_eq!(settings.tree().fleet().retry.attempts, 4);
 }
+
+/// Answers that are no whole HTTP responses, made from the body of a whole one.
+fn broken_answers() -> Vec<Broken> {
+    let mut broken: Vec<Broken> = Vec::new();
+    for status in INVALID_STATUSES {
+        broken.push(Box::new(move |body: &str| {
+            let length = body.len();
+            format!("HTTP/1.1 {status} Trouble\r\nContent-Length: {length}\r\n\r\n{body}")
+        }));
+    }
+    for line in invalid_field_lines() {
+        broken.push(Box::new(move |body: &str| {
+            let length = body.len();
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n{line}\r\n\r\n{body}")
+        }));
+    }
+    broken.push(Box::new(|body| {
+        let (length, part) = (body.len(), &body[..body.len() - 1]);
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{part}")
+    }));
+    broken.push(Box::new(|body| {
+        format!(
+            "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}",
+            &body[..body.len() - 1]
+        )
+    }));
+    broken.push(Box::new(|body| {
+        let length = body.len();
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n")
+    }));
+    broken
+}
+
+/// Runs a command against servers with each broken answer; returns those that it did not end with
+/// `exit`.
+fn runs_without(exit: Exit, arguments: &[&str]) -> Vec<String> {
+    let mut failed = Vec::new();
+    thread::scope(|scope| {
+        let runs = broken_answers().into_iter().map(|broken| {
+            let answer = broken("{\"result\":\"ok\"}");
+            let run = scope.spawn(move || {
+                let (group, server) = start_group();
+                group.lock().expect("no panic").broken = Some(broken);
+                run(&[&server], arguments)
+            });
+            (answer, run)
+        });
+        let runs: Vec<_> = runs.collect();
+        for (answer, run) in runs {
+            let run = run.join().expect("a run");
+            if run.code != i32::from(exit.code()) || !run.out.is_empty() {
+                failed.push(format!("{answer:?}: {} {} {}", run.code, run.out, run.err));
+            }
+        }
+    });
+    failed
+}
+
+/// Guards against a change that is reported as made by an answer that is none.
+#[test]
+fn a_change_with_a_broken_answer_has_an_unknown_outcome() {
+    let arguments = ["set", "teams.demo.priority", "7", "--base-version", "0"];
+    let failed = runs_without(Exit::Doubt, &arguments);
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+#[test]
+fn nothing_of_a_broken_answer_is_printed() {
+    let failed = runs_without(Exit::Unreachable, &["history"]);
+    assert!(failed.is_empty(), "{failed:#?}");
+}
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -19,6 +19,9 @@
 
 pub const TOKEN: &str = "token-that-is-never-printed";
 
+/// Turns the body of an answer into the bytes of a broken answer.
+pub type Broken = Box<dyn Fn(&str) -> String + Send>;
+
 /// State of the fake control group, shared by its servers.
 #[derive(Default)]
 pub struct FakeGroup {
@@ -30,6 +33,8 @@
     pub not_in_force_answers: usize,
     /// Whether the servers know no leader.
     pub leaderless: bool,
+    /// What is sent in place of whole answers.
+    pub broken: Option<Broken>,
     /// Number of requests for a change, including those whose answer is lost.
     pub changes_received: usize,
 }
@@ -75,11 +80,16 @@
         Some(error_body(ResultCode::Unauthenticated))
     };
     let Some(text) = text else { return };
-    let head = format!(
-        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
-        text.len()
-    );
-    let _ = reader.get_mut().write_all((head + &text).as_bytes());
+    let whole = || {
+        let length = text.len();
+        format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{text}")
+    };
+    let group = group.lock().expect("no panic");
+    let answer = group
+        .broken
+        .as_ref()
+        .map_or_else(whole, |broken| broken(&text));
+    let _ = reader.get_mut().write_all(answer.as_bytes());
 }
 
 fn error_body(code: ResultCode) -> String {
