Soak targets with broken answers

New: deployment/broken_soak.rs. Targets write statuses and field names that HTTP does not have, behind late answers too, cut answers with a close or a reset, and answer uploads of up to 4 MiB early. Callers keep their connections until the router is gone. Routers are suspended together, killed, and terminated or reloaded while suspended; control instances are killed and configurations change meanwhile. Each answer with 200 must be that of its own request, whole, and no refused request may run.

--- a/crates/node/tests/deployment/answers.rs
+++ b/crates/node/tests/deployment/answers.rs
@@ -261,15 +261,15 @@
 }
 
 /// Requests that each fuzzed target has run, by id.
-type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
+pub type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
 
 /// Body of the answer to a request; its length differs between requests.
-fn body_of(id: &str) -> String {
+pub fn body_of(id: &str) -> String {
     let length = id.bytes().map(usize::from).sum::<usize>() % 300;
     format!("answer to {id} {}", "x".repeat(length))
 }
 
-fn events_of(id: &str) -> [String; 5] {
+pub fn events_of(id: &str) -> [String; 5] {
     [1, 2, 3, 4, 5].map(|number| format!("id: {number}\ndata: {id} {number}\n\n"))
 }
 
@@ -338,7 +338,7 @@
 }
 
 /// Checks the answer to one request; `runs` is how often targets ran it.
-fn check_answer(path: &str, id: &str, reply: Option<&Reply>, runs: u32) {
+pub fn check_answer(path: &str, id: &str, reply: Option<&Reply>, runs: u32) {
     let at_most = if path.starts_with("/submit") { 1 } else { 2 };
     assert!(runs <= at_most, "{id} ran {runs} times");
     let Some(reply) = reply else {
--- a/crates/node/tests/deployment/caller.rs
+++ b/crates/node/tests/deployment/caller.rs
@@ -4,6 +4,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use super::harness::Reply;
+
 /// Longest wait of a caller for the next bytes.
 const READ_TIMEOUT: Duration = Duration::from_secs(7);
 
@@ -50,13 +52,54 @@
         read
     }
 
+    /// Sends a request and reads its answer. The body is as it was sent: one in chunks that breaks
+    /// off is without its last chunk, and one with a length that does is no answer.
+    pub fn send(&mut self, head: &str, body: &[u8]) -> Option<Reply> {
+        let sent = self.stream.write_all(head.as_bytes());
+        let sent = sent.and_then(|()| self.stream.write_all(body));
+        let reply = sent.ok().and_then(|()| self.read_reply());
+        let is_whole = reply.as_ref().is_some_and(Reply::is_whole);
+        self.open &= is_whole;
+        reply
+    }
+
+    fn read_reply(&mut self) -> Option<Reply> {
+        let head = self.read_head()?;
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        let mut body = Vec::new();
+        if let Some(length) = content_length(&head) {
+            body = self.read_count(length)?;
+        } else {
+            while let Some(chunk) = self.read_chunk() {
+                body.extend_from_slice(&chunk);
+                if chunk.starts_with(b"0\r\n") {
+                    break;
+                }
+            }
+        }
+        let body = String::from_utf8(body).ok()?;
+        Some(Reply { status, head, body })
+    }
+
+    /// Reads a chunk with its size and line ends.
+    fn read_chunk(&mut self) -> Option<Vec<u8>> {
+        let mut chunk = self.read_until(b"\r\n")?;
+        let size = std::str::from_utf8(&chunk).ok()?.trim();
+        let size = usize::from_str_radix(size, 16).ok()?;
+        chunk.append(&mut self.read_count(size + 2)?);
+        Some(chunk)
+    }
+
+    fn read_head(&mut self) -> Option<String> {
+        let head = String::from_utf8(self.read_until(b"\r\n\r\n")?).ok()?;
+        self.open &= !head.to_ascii_lowercase().contains("connection: close");
+        Some(head)
+    }
+
     /// Reads an answer to its end; `None` if it broke off.
     fn read_answer(&mut self, read: &mut StreamRead) -> Option<()> {
-        let head = self.read_until(b"\r\n\r\n")?;
-        let head = String::from_utf8(head).ok()?.to_ascii_lowercase();
-        self.open &= !head.contains("connection: close");
-        if let Some((_, rest)) = head.split_once("content-length: ") {
-            let length: usize = rest.lines().next()?.trim().parse().ok()?;
+        let head = self.read_head()?;
+        if let Some(length) = content_length(&head) {
             self.read_count(length)?;
             return Some(());
         }
@@ -100,6 +143,12 @@
     }
 }
 
+fn content_length(head: &str) -> Option<usize> {
+    let head = head.to_ascii_lowercase();
+    let (_, rest) = head.split_once("content-length: ")?;
+    rest.lines().next()?.trim().parse().ok()
+}
+
 /// Parses events with an id and the name of their target as data.
 fn parse_events(text: &str) -> Vec<(u64, String)> {
     let event = |text: &str| {
--- a/crates/node/tests/deployment/harness.rs
+++ b/crates/node/tests/deployment/harness.rs
@@ -33,6 +33,14 @@
     pub body: String,
 }
 
+impl Reply {
+    /// Whether a body in chunks has its last chunk; one with a length is whole.
+    pub fn is_whole(&self) -> bool {
+        let is_chunked = self.head.contains("Transfer-Encoding: chunked");
+        !is_chunked || self.body.ends_with("0\r\n\r\n")
+    }
+}
+
 /// Sends a request on a new connection; returns `None` without a whole answer.
 pub fn call(address: SocketAddr, text: &str) -> Option<Reply> {
     let mut stream = TcpStream::connect(address).ok()?;
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -5,6 +5,7 @@
 mod broken;
 #[path = "../support/broken_heads.rs"]
 mod broken_heads;
+mod broken_soak;
 mod caller;
 mod callers;
 mod crashing;
