Test broken answers in chunks at the own interface

Cuts at each byte before the end of the last chunk, and sizes and line ends that are malformed: none of them reaches a caller of the own interface, and nothing changed for them. A body is complete with its last chunk, also without the empty line after it (RFC 9112, section 8), where the role router still waits for that line.

--- a/crates/http1/tests/codec.rs
+++ b/crates/http1/tests/codec.rs
@@ -80,6 +80,7 @@
         "3\r\nabcd\r\n",
         "\r\n",
         "-1\r\n",
+        "+3\r\nabc\r\n",
         "3\nabc\r\n",
         "fffffffffffffffff\r\n",
     ] {
--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -155,6 +155,32 @@
     }
 }
 
+/// Guards against an answer in chunks that looks whole although a part of it is missing or is no
+/// chunk.
+#[test]
+fn a_broken_answer_in_chunks_reaches_no_caller() {
+    let node = Node::start();
+    // With the last chunk a body is complete, also without the line after it (RFC 9112, section 8).
+    let last_chunk_end = CHUNKED.len() - 2;
+    let cuts = (1..last_chunk_end).map(|cut| CHUNKED[..cut].to_owned());
+    let sizes = ["", "-6", "0x6", "6 6", "g", "fffffffffffffffff6", "7", "5"];
+    let sizes = sizes.map(|size| CHUNKED.replace("\r\n6\r\n", &format!("\r\n{size}\r\n")));
+    let ends = ["\n0\r\n\r\n", "xx0\r\n\r\n", "\r\n0\r\nbad name: x"];
+    let ends = ends.map(|end| CHUNKED.replace("\r\n0\r\n\r\n", end));
+    let twice = CHUNKED.replacen("chunked", "chunked, chunked", 1);
+    let texts = cuts.chain(sizes).chain(ends).chain([twice]);
+    let broken = broken_replies(&node, texts.map(|rest| with_status("200", &rest)));
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+#[test]
+fn an_answer_whose_chunk_size_has_a_sign_reaches_no_caller() {
+    let node = Node::start();
+    let rest = CHUNKED.replace("\r\n6\r\n", "\r\n+6\r\n");
+    let broken = broken_replies(&node, [with_status("200", &rest)].into_iter());
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
 /// Starts a target that reads the head of a request, writes `text` early and resets the connection.
 fn start_early_target(text: &'static str) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
