Take an ambiguous length for no answer at the own interface

Callers of the own interface got an answer with a Content-Length beside a transfer coding, such as gzip or chunked, with 200 and the outcome "answered". Proxies and clients differ on where such an answer ends; the rest of it could be taken for another answer.

Cause: the check asked whether one of the fields is there, not whether they agree.

Evidence: tests/broken_answers.rs, three of 17 framings reached the caller before: a length beside gzip, and a right and a wrong length beside chunked. The roles refuse them.

The end of a response is classified from all its fields: shown, shown by the close alone, or ambiguous, which fails the call as malformed. Two lengths are ambiguous as in the roles, also if they are equal.

--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -173,6 +173,37 @@
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
+/// Guards against an answer whose end two readers would see at different places.
+#[test]
+fn an_answer_with_an_ambiguous_length_reaches_no_caller() {
+    let node = Node::start();
+    let framings = [
+        "content-length: +6\r\n",
+        "content-length: -6\r\n",
+        "content-length: 0x6\r\n",
+        "content-length: 6 6\r\n",
+        "content-length: 6x\r\n",
+        "content-length: \r\n",
+        "content-length: 6, 7\r\n",
+        "content-length: 99999999999999999999\r\n",
+        "content-length: 6\r\ncontent-length: 7\r\n",
+        "content-length: 7\r\ncontent-length: 6\r\n",
+        "content-length: 6\r\ntransfer-encoding: gzip\r\n",
+        "transfer-encoding: identity\r\n",
+        "transfer-encoding: gzip\r\n",
+        "transfer-encoding: xchunked\r\n",
+    ];
+    let texts = framings.map(|fields| with_status("200", &format!("{fields}\r\nbroken")));
+    let in_chunks = [
+        "content-length: 6\r\n",
+        "content-length: 16\r\n",
+        "transfer-encoding: gzip\r\n",
+    ];
+    let in_chunks = in_chunks.map(|field| with_status("200", &format!("{field}{CHUNKED}")));
+    let broken = broken_replies(&node, texts.into_iter().chain(in_chunks));
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
 #[test]
 fn an_answer_whose_chunk_size_has_a_sign_reaches_no_caller() {
     let node = Node::start();
--- a/crates/upstream/src/answer.rs
+++ b/crates/upstream/src/answer.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 
 use bamboospur_types::{BufferBudget, ChunkedBuffer, ResponseStatus};
-use ureq::http::HeaderMap;
-use ureq::http::Response;
+use ureq::http::{HeaderMap, HeaderValue, Response};
 use ureq::{Body, BodyReader};
 
 use crate::call::{Call, RequestIdEcho};
@@ -42,12 +41,18 @@
         let status = parts.status.as_u16();
         check_status(&state, status)?;
         check_request_id(call, &state, &parts.headers)?;
-        let framed = is_framed(call, status, &parts.headers);
-        let events = is_event_stream(&parts.headers);
-        if !framed && !events {
-            let detail =
-                "the response has neither Content-Length nor chunked transfer coding".to_owned();
-            return Err(state.failure(FailureKind::Unframed, detail));
+        match End::of(call, status, &parts.headers) {
+            End::Shown => {}
+            // The last event shows the end of a stream.
+            End::Close if is_event_stream(&parts.headers) => {}
+            End::Close => {
+                let detail = "the response has neither Content-Length nor chunked transfer coding";
+                return Err(state.failure(FailureKind::Unframed, detail.to_owned()));
+            }
+            End::Ambiguous => {
+                let detail = "the length of the response is ambiguous";
+                return Err(state.failure(FailureKind::Malformed, detail.to_owned()));
+            }
         }
         let reader = body.into_with_config().limit(u64::MAX).reader();
         let body = AnswerBody {
@@ -115,11 +120,35 @@
     }
 }
 
-fn is_framed(call: &Call, status: u16, headers: &HeaderMap) -> bool {
-    let has_no_body = call.method == "HEAD" || matches!(status, 204 | 304);
-    let chunked = headers.get("transfer-encoding");
-    let chunked = chunked.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"chunked"));
-    has_no_body || chunked || headers.contains_key("content-length")
+/// What shows the end of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// The head, a length or the last chunk.
+    Shown,
+    /// Only the close of the connection.
+    Close,
+    /// Two readers could see it at different places.
+    Ambiguous,
+}
+
+impl End {
+    fn of(call: &Call, status: u16, headers: &HeaderMap) -> Self {
+        if call.method == "HEAD" || matches!(status, 204 | 304) {
+            return Self::Shown;
+        }
+        let mut codings = headers.get_all("transfer-encoding").iter();
+        let mut lengths = headers.get_all("content-length").iter();
+        match (codings.next(), lengths.next()) {
+            (None, None) => Self::Close,
+            (None, Some(_)) if lengths.next().is_none() => Self::Shown,
+            (Some(coding), None) if codings.next().is_none() && is_chunked(coding) => Self::Shown,
+            _ => Self::Ambiguous,
+        }
+    }
+}
+
+fn is_chunked(coding: &HeaderValue) -> bool {
+    coding.as_bytes().eq_ignore_ascii_case(b"chunked")
 }
 
 fn is_event_stream(headers: &HeaderMap) -> bool {
