--- a/crates/http1/tests/codec.rs
+++ b/crates/http1/tests/codec.rs
@@ -36,11 +36,16 @@
         "Content-Length: 3\r\nContent-Length: 4\r\n",
         "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
         "Content-Length: +3\r\n",
+        "Content-Length: 3\r\nTransfer-Encoding: gzip\r\n",
         "Transfer-Encoding: gzip, chunked\r\n",
         "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
     ] {
         let head = request(&format!("POST / HTTP/1.1\r\n{fields}\r\n"));
         assert_eq!(head.framing(), Err(BodyError::Ambiguous), "{fields}");
+        let parsed = ResponseHead::parse(format!("HTTP/1.1 200 OK\r\n{fields}\r\n").as_bytes());
+        let (head, _) = parsed.expect("a head").expect("a whole head");
+        let framing = head.framing("POST");
+        assert_eq!(framing, Err(BodyError::Ambiguous), "{fields}");
     }
 }
 
