Let a request in flight arrive at a target whose departure is refused

Traced by the logs of that run: the control instance refused the call at 48.972672, the router took the target out at 48.972884, and request id-95, which it had placed there just before, ended at 48.973051. The next request, at 48.978693, went to the other target, and none of the 49 after it went back. The test reads the count as soon as the refusal is there, within these 0.4 ms.

That case is allowed: a refused departure promises nothing, and after an acknowledged one requests may arrive for two seconds (DRAIN_TIME). The count is read 50 ms later now, and the target is watched for as long as before.

--- a/crates/node/tests/deployment/departures.rs
+++ b/crates/node/tests/deployment/departures.rs
@@ -19,6 +19,8 @@
 const RESTART_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time to the refusal of a call that cannot be served.
 const MAX_REFUSAL_TIME: Duration = Duration::from_millis(400);
+/// Time in which a request arrives that a router sent before it heard of a departure.
+const IN_FLIGHT_TIME: Duration = Duration::from_millis(50);
 /// Time between two reports of a target.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
 
@@ -226,6 +228,7 @@
         "{:?}",
         sent_at.elapsed()
     );
+    thread::sleep(IN_FLIGHT_TIME);
     let runs = traffic.targets[0].runs();
     thread::sleep(RESTART_PAUSE);
     assert_eq!(
