Reset the connection of a caller without chunks whose stream breaks off

A caller of HTTP/1.0 took a part of an event stream for a whole one: the target had broken off, and the router ended the body by a regular close of the caller's connection.

Cause: a body without length and chunks ends with its connection, and nothing told the close of a complete one from any other.

Found while looking where else a reset can look like an end.

The connection is set to end with a reset when such a body begins, and to end regularly when it is complete, so that the end of the process shows no end either. Callers of HTTP/1.1 get chunks, and nothing changes for them.

--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -13,6 +13,7 @@
 use crate::head::{HeadError, RequestHead, ResponseHead};
 use crate::headers::{Headers, write_field};
 use crate::io::{ReadBuffer, is_out_of_memory, read, wait_for_close, write_all};
+use crate::socket;
 
 /// Longest body that is copied behind its head, to be written with it in one call.
 const MAX_COPIED_BODY_BYTES: usize = 4 * 1024;
@@ -339,7 +340,7 @@
 
     /// Writes the head of a response whose body follows by [`Responder::write_chunk`].
     /// A body of unknown length is chunked, or ended by closing the connection when the
-    /// caller does not support chunks.
+    /// caller does not support chunks. The connection is reset then if the body stays incomplete.
     ///
     /// # Errors
     ///
@@ -360,6 +361,11 @@
             Framing::UntilClose => {}
         }
         out.extend_from_slice(b"\r\n");
+        if framing == Framing::UntilClose {
+            // Until the body is complete, a regular close would end it, also that of a process
+            // that is killed.
+            socket::set_reset_on_close(self.stream, true)?;
+        }
         self.progress = ResponseProgress::Part(framing);
         self.write(&out).await
     }
@@ -389,8 +395,14 @@
     ///
     /// Returns the error of the socket.
     pub async fn finish(&mut self) -> io::Result<()> {
-        if self.progress == ResponseProgress::Part(Framing::Chunked) {
-            self.write(b"0\r\n\r\n").await?;
+        match self.progress {
+            ResponseProgress::Part(Framing::Chunked) => self.write(b"0\r\n\r\n").await?,
+            ResponseProgress::Part(Framing::UntilClose) => {
+                socket::set_reset_on_close(self.stream, false)?;
+            }
+            ResponseProgress::Nothing
+            | ResponseProgress::Part(Framing::Length(_))
+            | ResponseProgress::Whole => {}
         }
         self.progress = ResponseProgress::Whole;
         Ok(())
--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -35,6 +35,16 @@
     Ok(socket.into())
 }
 
+/// Makes a connection end with a reset when it is closed, or with a regular close again. With a
+/// reset, bytes that are not sent yet are lost.
+///
+/// # Errors
+///
+/// Returns the error of the socket.
+pub fn set_reset_on_close(stream: &TcpStream, resets: bool) -> io::Result<()> {
+    SockRef::from(stream).set_linger(resets.then_some(Duration::ZERO))
+}
+
 /// Disables Nagle's algorithm and breaks the connection when the peer acknowledges
 /// nothing for `peer_timeout`: the TCP user timeout covers written bytes, keep-alive
 /// probes cover an idle connection.
--- a/crates/node/tests/deployment/broken.rs
+++ b/crates/node/tests/deployment/broken.rs
@@ -3,7 +3,7 @@
 //! Nothing of such an answer reaches a caller: the attempt has failed, and the request may have
 //! run.
 
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -287,3 +287,43 @@
         );
     }
 }
+
+/// Guards against a stream that breaks off and looks whole to a caller of HTTP/1.0, for whom it
+/// ends with its connection.
+#[test]
+fn a_stream_that_breaks_off_is_reset_for_callers_without_chunks() {
+    let mut deployment = Deployment::start(78);
+    deployment.configure("k1");
+    let address = raw_target::start(deployment.host(20), |connection| {
+        let request = connection.read_request()?;
+        let head = answer(request.id(), "200 OK", EVENT_STREAM, "");
+        let event = "id: 1\ndata: own\n\n";
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        connection.write(&head.replace("Content-Length: 0\r\n", CHUNKED))?;
+        connection.write(&chunk)?;
+        thread::sleep(PAUSE);
+        if request.id() == "whole" {
+            connection.write("0\r\n\r\n")?;
+        }
+        None
+    });
+    deployment.send_report("t", &report_body(address, "engine", "ready", "1"));
+    deployment.wait_ready();
+    let read = |id: &str| {
+        let mut stream = TcpStream::connect(deployment.caller_address()).expect("a connection");
+        let text = request_text("POST", "/chat/1", id, "k1").replace("HTTP/1.1", "HTTP/1.0");
+        stream
+            .write_all(text.as_bytes())
+            .expect("a request is sent");
+        let mut reply = String::new();
+        let end = stream.read_to_string(&mut reply);
+        (reply, end.map_err(|error| error.kind()))
+    };
+    let (reply, end) = read("whole");
+    assert!(
+        reply.contains("data: own") && end.is_ok(),
+        "{reply} {end:?}"
+    );
+    let (reply, end) = read("cut");
+    assert_eq!(end, Err(ErrorKind::ConnectionReset), "{reply}");
+}
