Share the settings of soaks and the removal of fields in tests

Three soaks read numbers from the environment by copies of one function, and two tests removed the length of an answer in two ways. No check changed.

--- a/crates/node/tests/deployment/broken.rs
+++ b/crates/node/tests/deployment/broken.rs
@@ -15,7 +15,7 @@
 
 use super::broken_heads::{INVALID_STATUSES, invalid_field_lines};
 use super::harness::{Deployment, Reply, eventually, read_reply, report_body, request_text};
-use super::raw_target::{self, RawConnection, answer};
+use super::raw_target::{self, RawConnection, answer, without_length};
 
 /// Targets of each service; a router avoids those that have just failed.
 const TARGETS: u32 = 3;
@@ -211,11 +211,10 @@
     } else {
         ("", "part")
     };
-    let framed = answer(request.id(), "200 OK", kind, "");
-    let unframed = framed.replace("Content-Length: 0\r\n", "");
+    let head = without_length(&answer(request.id(), "200 OK", kind, ""));
     thread::sleep(PAUSE);
     kill_process(router, Signal::STOP).ok()?;
-    connection.write(&format!("{unframed}{body}"))?;
+    connection.write(&format!("{head}{body}"))?;
     if end == End::CloseThenReset {
         connection.close_writing()?;
     }
--- a/crates/node/tests/deployment/broken_soak.rs
+++ b/crates/node/tests/deployment/broken_soak.rs
@@ -20,9 +20,9 @@
 use super::broken_heads::{INVALID_STATUSES, invalid_field_lines};
 use super::caller::KeptConnection;
 use super::harness::{
-    CALLER_PORT, CONTROL_PORT, Deployment, Reply, json_call, report_body, request_text,
+    CALLER_PORT, CONTROL_PORT, Deployment, Reply, env_number, json_call, report_body, request_text,
 };
-use super::raw_target::{self, RawConnection, RawRequest, answer};
+use super::raw_target::{self, RawConnection, RawRequest, answer, without_length};
 
 const CALLER_COUNT: u64 = 24;
 const TARGETS: u32 = 6;
@@ -51,14 +51,6 @@
     answer(id, "200 OK", EVENT_STREAM, &events)
 }
 
-/// Removes the length from a head.
-fn unframed(head: &str) -> String {
-    let lines = head.split_inclusive("\r\n");
-    lines
-        .filter(|line| !line.starts_with("Content-Length"))
-        .collect()
-}
-
 /// Serves one request with a fault that the choices pick, or none.
 fn serve(connection: &mut RawConnection, choices: &Mutex<Rng>, runs: &Runs) -> Option<()> {
     let mut request = connection.read_request()?;
@@ -72,7 +64,7 @@
     thread::sleep(Duration::from_millis(choices.below(60)));
     match choices.below(14) {
         0 | 1 => {
-            connection.write(&(unframed(head) + part))?;
+            connection.write(&(without_length(head) + part))?;
             connection.reset_at_end()?;
             return None;
         }
@@ -319,10 +311,6 @@
     assert!(answered > 0, "seed {seed}: no request was served");
 }
 
-fn env_number(name: &str) -> Option<u64> {
-    std::env::var(name).ok()?.parse().ok()
-}
-
 #[test]
 fn callers_get_whole_answers_from_targets_with_broken_ones() {
     let seed = env_number("BROKEN_SOAK_SEED").unwrap_or(1);
--- a/crates/node/tests/deployment/harness.rs
+++ b/crates/node/tests/deployment/harness.rs
@@ -72,6 +72,11 @@
     call(address, &text)
 }
 
+/// Returns a setting of a soak from the environment.
+pub fn env_number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
 pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
     let end = Instant::now() + STATE_TIMEOUT;
     while !holds() {
--- a/crates/node/tests/deployment/raw_target.rs
+++ b/crates/node/tests/deployment/raw_target.rs
@@ -124,8 +124,15 @@
 
 /// Removes the request id from an answer.
 pub fn without_id(answer: &str) -> String {
+    without_field(answer, "X-Bamboospur-Request-Id")
+}
+
+/// Removes the length from an answer.
+pub fn without_length(answer: &str) -> String {
+    without_field(answer, "Content-Length")
+}
+
+fn without_field(answer: &str, name: &str) -> String {
     let lines = answer.split_inclusive("\r\n");
-    lines
-        .filter(|line| !line.starts_with("X-Bamboospur-Request-Id"))
-        .collect()
+    lines.filter(|line| !line.starts_with(name)).collect()
 }
--- a/crates/node/tests/deployment/soak.rs
+++ b/crates/node/tests/deployment/soak.rs
@@ -22,8 +22,8 @@
 use super::foreign;
 use super::harness::{
     Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, REPORT_PORT, SINGLE_RELAY_OPTIONS, Target,
-    call, config, eventually, has_other_program, json_call, next_report_address, report_body,
-    request_text,
+    call, config, env_number, eventually, has_other_program, json_call, next_report_address,
+    report_body, request_text,
 };
 use super::proxy::{Mode, Proxy};
 
@@ -514,10 +514,6 @@
     departed.iter().take(count).map(Target::runs).collect()
 }
 
-fn env_number(name: &str) -> Option<u64> {
-    std::env::var(name).ok()?.parse().ok()
-}
-
 #[test]
 fn promises_hold_under_faults_with_relays() {
     soak(2, 98, Duration::from_secs(12));
--- a/crates/node/tests/deployment/stream_soak.rs
+++ b/crates/node/tests/deployment/stream_soak.rs
@@ -19,8 +19,8 @@
 
 use super::caller::{KeptConnection, StreamRead};
 use super::harness::{
-    Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, SINGLE_RELAY_OPTIONS, Target, json_call,
-    report_body, request_text,
+    Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, SINGLE_RELAY_OPTIONS, Target, env_number,
+    json_call, report_body, request_text,
 };
 
 const CALLER_COUNT: u64 = 30;
@@ -303,10 +303,6 @@
     *world.disturbed_at.lock().expect("a time") = Instant::now();
 }
 
-fn env_number(name: &str) -> Option<u64> {
-    std::env::var(name).ok()?.parse().ok()
-}
-
 fn start_world(seed: u64, network: u8) -> World {
     let options = if seed.is_multiple_of(2) {
         SINGLE_RELAY_OPTIONS
