Use one rule for where a response ends on both interfaces

The check of the own interface repeated what ResponseHead::framing does for the roles. It calls that now, so that the two cannot drift apart.

--- a/crates/upstream/src/answer.rs
+++ b/crates/upstream/src/answer.rs
@@ -3,8 +3,9 @@
 use std::io::{self, Read};
 use std::sync::Arc;
 
+use bamboospur_http1::{BodyError, Framing, Headers, ResponseHead};
 use bamboospur_types::{BufferBudget, ChunkedBuffer, ResponseStatus};
-use ureq::http::{HeaderMap, HeaderValue, Response};
+use ureq::http::{HeaderMap, Response};
 use ureq::{Body, BodyReader};
 
 use crate::call::{Call, RequestIdEcho};
@@ -41,18 +42,15 @@
         let status = parts.status.as_u16();
         check_status(&state, status)?;
         check_request_id(call, &state, &parts.headers)?;
-        match End::of(call, status, &parts.headers) {
-            End::Shown => {}
+        match framing(call, status, &parts.headers) {
+            Ok(Framing::Length(_) | Framing::Chunked) => {}
             // The last event shows the end of a stream.
-            End::Close if is_event_stream(&parts.headers) => {}
-            End::Close => {
+            Ok(Framing::UntilClose) if is_event_stream(&parts.headers) => {}
+            Ok(Framing::UntilClose) => {
                 let detail = "the response has neither Content-Length nor chunked transfer coding";
                 return Err(state.failure(FailureKind::Unframed, detail.to_owned()));
             }
-            End::Ambiguous => {
-                let detail = "the length of the response is ambiguous";
-                return Err(state.failure(FailureKind::Malformed, detail.to_owned()));
-            }
+            Err(error) => return Err(state.failure(FailureKind::Malformed, error.to_string())),
         }
         let reader = body.into_with_config().limit(u64::MAX).reader();
         let body = AnswerBody {
@@ -120,35 +118,21 @@
     }
 }
 
-/// What shows the end of a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum End {
-    /// The head, a length or the last chunk.
-    Shown,
-    /// Only the close of the connection.
-    Close,
-    /// Two readers could see it at different places.
-    Ambiguous,
-}
-
-impl End {
-    fn of(call: &Call, status: u16, headers: &HeaderMap) -> Self {
-        if call.method == "HEAD" || matches!(status, 204 | 304) {
-            return Self::Shown;
-        }
-        let mut codings = headers.get_all("transfer-encoding").iter();
-        let mut lengths = headers.get_all("content-length").iter();
-        match (codings.next(), lengths.next()) {
-            (None, None) => Self::Close,
-            (None, Some(_)) if lengths.next().is_none() => Self::Shown,
-            (Some(coding), None) if codings.next().is_none() && is_chunked(coding) => Self::Shown,
-            _ => Self::Ambiguous,
+/// Returns how the body of a response is delimited, by the rules of the other HTTP client.
+fn framing(call: &Call, status: u16, headers: &HeaderMap) -> Result<Framing, BodyError> {
+    let mut fields = Headers::default();
+    for name in ["transfer-encoding", "content-length"] {
+        for value in headers.get_all(name) {
+            fields.push(name, value.to_str().map_err(|_| BodyError::Ambiguous)?);
         }
     }
-}
-
-fn is_chunked(coding: &HeaderValue) -> bool {
-    coding.as_bytes().eq_ignore_ascii_case(b"chunked")
+    let head = ResponseHead {
+        status,
+        reason: String::new(),
+        is_http11: true,
+        headers: fields,
+    };
+    head.framing(&call.method)
 }
 
 fn is_event_stream(headers: &HeaderMap) -> bool {
