Report the targets of upload tests again, and expect each of their streams

The targets of the early uploads reported once, like those of the tests beside them that ran into the six seconds after which a silent target gets no more requests; on a slower machine they would too. They report before each upload now. An early stream that is reset must be answered, where a missing answer passed before. Three soaks share the index and the names of their routers.

--- a/crates/node/tests/deployment/broken.rs
+++ b/crates/node/tests/deployment/broken.rs
@@ -4,7 +4,7 @@
 //! run.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -27,7 +27,7 @@
 /// Largest request body that a router takes.
 const UPLOAD_BYTES: usize = 4 * 1024 * 1024;
 /// Uploads of each kind that are answered early.
-const UPLOADS: u32 = 8;
+const UPLOADS: usize = 8;
 /// Time until a router has filled the buffers of a connection that is not read, and until bytes
 /// arrive at a suspended process.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -131,6 +131,18 @@
     Err(format!("{}\n\n{}", reply.head, reply.body))
 }
 
+/// Reports targets once more: one that reports nothing for six seconds gets no more requests.
+fn report_targets(
+    deployment: &Deployment,
+    targets: &[(String, SocketAddr, &str)],
+    sequence: usize,
+) {
+    for (name, address, service) in targets {
+        let report = report_body(*address, service, "ready", &sequence.to_string());
+        deployment.send_report(name, &report);
+    }
+}
+
 /// Lets targets answer with each fault at each place; returns what callers got that they must not.
 fn broken_replies(network: u8, faults: Vec<Fault>) -> Vec<String> {
     let mut deployment = Deployment::start(network);
@@ -147,18 +159,11 @@
             targets.push((format!("{service}-{index}"), address, service));
         }
     }
-    // A target that reports nothing for six seconds gets no more requests.
-    let report_targets = |sequence: usize| {
-        for (name, address, service) in &targets {
-            let report = report_body(*address, service, "ready", &sequence.to_string());
-            deployment.send_report(name, &report);
-        }
-    };
-    report_targets(0);
+    report_targets(&deployment, &targets, 0);
     deployment.wait_ready();
     let mut broken = Vec::new();
     for (fault_index, fault) in faults.iter().enumerate() {
-        report_targets(fault_index + 1);
+        report_targets(&deployment, &targets, fault_index + 1);
         for (place_index, place) in Place::iter().enumerate() {
             let (method, path) = place.request();
             let mut attempt = 0;
@@ -231,17 +236,19 @@
     let mut deployment = Deployment::start(network);
     deployment.configure("k1");
     let router = deployment.process_id("router");
-    for index in 0..UPLOADS {
+    let targets = (0..UPLOADS).map(|index| {
         let address = raw_target::start(deployment.host(20), move |connection| {
             answer_early(connection, router, end)
         });
-        let report = report_body(address, service, "ready", "1");
-        deployment.send_report(&format!("t{index}"), &report);
-    }
+        (format!("t{index}"), address, service)
+    });
+    let targets: Vec<_> = targets.collect();
+    report_targets(&deployment, &targets, 0);
     deployment.wait_ready();
     thread::sleep(super::versions::SPREAD_TIME);
     let body = vec![b'x'; UPLOAD_BYTES];
-    let replies = (0..UPLOADS).map(|index| {
+    let replies = (1..=UPLOADS).map(|index| {
+        report_targets(&deployment, &targets, index);
         let text = request_text("POST", path, &format!("id-{index}"), "k1");
         let text = text.replace("Length: 0", &format!("Length: {UPLOAD_BYTES}"));
         let mut stream = TcpStream::connect(deployment.caller_address()).expect("a connection");
@@ -264,10 +271,8 @@
 
 #[test]
 fn an_early_stream_that_is_reset_does_not_look_whole() {
-    for reply in upload(38, "/chat/1", "engine", End::Reset)
-        .into_iter()
-        .flatten()
-    {
+    for reply in upload(38, "/chat/1", "engine", End::Reset) {
+        let reply = reply.expect("a reply");
         let is_whole = reply.status == 200 && reply.body.ends_with("0\r\n\r\n");
         assert!(!is_whole, "{}\n\n{}", reply.head, reply.body);
     }
--- a/crates/node/tests/deployment/broken_soak.rs
+++ b/crates/node/tests/deployment/broken_soak.rs
@@ -20,14 +20,13 @@
 use super::broken_heads::{INVALID_STATUSES, invalid_field_lines};
 use super::caller::KeptConnection;
 use super::harness::{
-    CALLER_PORT, CONTROL_PORT, Deployment, Reply, env_number, json_call, report_body, request_text,
+    CALLER_PORT, CONTROL_PORT, Deployment, FIRST_ROUTER_INDEX, Reply, env_number, json_call,
+    report_body, request_text, router_name,
 };
 use super::raw_target::{self, RawConnection, RawRequest, answer, without_length};
 
 const CALLER_COUNT: u64 = 24;
 const TARGETS: u32 = 6;
-/// Index of the first router; the others have the next ones.
-const FIRST_ROUTER_INDEX: u8 = 30;
 /// Lengths of request bodies; the longest one is not buffered as a whole by a connection.
 const BODY_BYTES: [usize; 6] = [0, 0, 0, 3_000, 200_000, 4 * 1024 * 1024];
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
@@ -166,10 +165,6 @@
     }
 }
 
-fn router_name(index: u8) -> String {
-    format!("router-{index}")
-}
-
 fn restart(deployment: &mut Deployment, router: u8) {
     deployment.start_router_at(router, &router_name(router));
 }
--- a/crates/node/tests/deployment/harness.rs
+++ b/crates/node/tests/deployment/harness.rs
@@ -20,6 +20,8 @@
 const LINK_PORT: u16 = 9110;
 /// Second port of the range, where routers take reports of targets.
 pub const REPORT_PORT: u16 = LINK_PORT + 1;
+/// Index of the first router of a soak; the others have the next ones.
+pub const FIRST_ROUTER_INDEX: u8 = 30;
 /// Memory limit of each process.
 pub const MEMORY_MB: u64 = 260;
 /// Longest wait for a state that the processes reach without further input.
@@ -72,6 +74,11 @@
     call(address, &text)
 }
 
+/// Returns the name of a router of a soak.
+pub fn router_name(index: u8) -> String {
+    format!("router-{index}")
+}
+
 /// Returns a setting of a soak from the environment.
 pub fn env_number(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
--- a/crates/node/tests/deployment/soak.rs
+++ b/crates/node/tests/deployment/soak.rs
@@ -21,15 +21,13 @@
 
 use super::foreign;
 use super::harness::{
-    Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, REPORT_PORT, SINGLE_RELAY_OPTIONS, Target,
-    call, config, env_number, eventually, has_other_program, json_call, next_report_address,
-    report_body, request_text,
+    Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, FIRST_ROUTER_INDEX, REPORT_PORT,
+    SINGLE_RELAY_OPTIONS, Target, call, config, env_number, eventually, has_other_program,
+    json_call, next_report_address, report_body, request_text, router_name,
 };
 use super::proxy::{Mode, Proxy};
 
 const CALLER_COUNT: u64 = 6;
-/// Index of the first router; the others have the next ones.
-const FIRST_ROUTER_INDEX: u8 = 30;
 /// Shortest time between two losses of a disk. It is enough for a group of three to
 /// replace the lost voter and so to tolerate the next loss.
 const MIN_DISK_LOSS_INTERVAL: Duration = Duration::from_secs(10);
@@ -63,10 +61,6 @@
     targets: Vec<(&'static str, &'static str, Target, Proxy)>,
 }
 
-fn router_name(index: u8) -> String {
-    format!("router-{index}")
-}
-
 fn start(network: u8, routers: u8, control_options: &'static [&'static str]) -> SoakSetup {
     let mut deployment = Deployment::with_options(network, control_options);
     let routers: Vec<u8> = (FIRST_ROUTER_INDEX..).take(routers.into()).collect();
--- a/crates/node/tests/deployment/stream_soak.rs
+++ b/crates/node/tests/deployment/stream_soak.rs
@@ -19,14 +19,12 @@
 
 use super::caller::{KeptConnection, StreamRead};
 use super::harness::{
-    Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, SINGLE_RELAY_OPTIONS, Target, env_number,
-    json_call, report_body, request_text,
+    Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, FIRST_ROUTER_INDEX, SINGLE_RELAY_OPTIONS,
+    Target, env_number, json_call, report_body, request_text,
 };
 
 const CALLER_COUNT: u64 = 30;
 const ENGINE_COUNT: usize = 6;
-/// Index of the first router; the others have the next ones.
-const FIRST_ROUTER_INDEX: u8 = 30;
 /// Attempts of a caller to go on with one stream.
 const MAX_RESUMES: usize = 3;
 /// Time from the drain of an engine to its departure.
