--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -43,7 +43,7 @@
         /// The bytes are not an HTTP/1 response head, its status is none of HTTP, the head is too
         /// large, or it follows too many informational ones.
         InvalidResponse {
-            display("the target sent bytes that are not an HTTP/1 response head, or a head that is too large")
+            display("the target sent bytes that are not an HTTP/1 response head, or a head that is too large or has a status that HTTP does not have")
         }
         /// The response body cannot be decoded.
         Body(error: BodyError) {
