--- a/crates/node/tests/deployment/harness.rs
+++ b/crates/node/tests/deployment/harness.rs
@@ -17,13 +17,17 @@
 pub const CONTROL_PORT: u16 = 9101;
 pub const CALLER_PORT: u16 = 9102;
 pub const READY_PORT: u16 = 9103;
-const LINK_PORT: u16 = 9110;
+pub const LINK_PORT: u16 = 9110;
 /// Second port of the range, where routers take reports of targets.
 pub const REPORT_PORT: u16 = LINK_PORT + 1;
 /// Index of the first router of a soak; the others have the next ones.
 pub const FIRST_ROUTER_INDEX: u8 = 30;
 /// Memory limit of each process.
 pub const MEMORY_MB: u64 = 260;
+/// File descriptors that each process may open.
+pub const MAX_FDS: u64 = 4_100;
+/// Longest wait of a caller for a connection, and for the next bytes of an answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(8);
 /// Longest wait for a state that the processes reach without further input.
 const STATE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -45,8 +49,8 @@
 
 /// Sends a request on a new connection; returns `None` without a whole answer.
 pub fn call(address: SocketAddr, text: &str) -> Option<Reply> {
-    let mut stream = TcpStream::connect(address).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(8))).ok()?;
+    let mut stream = TcpStream::connect_timeout(&address, CALL_TIMEOUT).ok()?;
+    stream.set_read_timeout(Some(CALL_TIMEOUT)).ok()?;
     stream.write_all(text.as_bytes()).ok()?;
     read_reply(&mut stream)
 }
@@ -84,12 +88,46 @@
     std::env::var(name).ok()?.parse().ok()
 }
 
-pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+pub fn eventually(what: &str, holds: impl FnMut() -> bool) {
+    assert!(comes_true(holds), "not within {STATE_TIMEOUT:?}: {what}");
+}
+
+/// Waits until a condition holds; returns false if it does not within [`STATE_TIMEOUT`].
+pub fn comes_true(mut holds: impl FnMut() -> bool) -> bool {
     let end = Instant::now() + STATE_TIMEOUT;
     while !holds() {
-        assert!(Instant::now() < end, "not within {STATE_TIMEOUT:?}: {what}");
+        if Instant::now() >= end {
+            return false;
+        }
         thread::sleep(Duration::from_millis(50));
     }
+    true
+}
+
+/// Limits of the machine that the settings of each process state.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessLimits {
+    pub memory_mb: u64,
+    pub max_fds: u64,
+}
+
+impl Default for ProcessLimits {
+    fn default() -> Self {
+        Self {
+            memory_mb: MEMORY_MB,
+            max_fds: MAX_FDS,
+        }
+    }
+}
+
+/// How the processes of a deployment are started.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DeploymentSettings {
+    /// Command-line options of the control instances.
+    pub control_options: &'static [&'static str],
+    /// Command-line options of the routers.
+    pub router_options: &'static [&'static str],
+    pub limits: ProcessLimits,
 }
 
 /// Processes of one deployment. They are killed when this value is dropped.
@@ -99,8 +137,7 @@
     pub processes: BTreeMap<String, Child>,
     /// Version of the newest configuration.
     pub version: u64,
-    /// Command-line options of the control instances.
-    control_options: &'static [&'static str],
+    settings: DeploymentSettings,
     /// Processes started so far.
     starts: u32,
 }
@@ -148,6 +185,15 @@
     }
 
     pub fn with_options(network: u8, control_options: &'static [&'static str]) -> Self {
+        let settings = DeploymentSettings {
+            control_options,
+            ..DeploymentSettings::default()
+        };
+        Self::with_settings(network, settings)
+    }
+
+    /// Starts three control instances.
+    pub fn with_settings(network: u8, settings: DeploymentSettings) -> Self {
         let name = format!("bamboospur-deployment-{}-{network}", std::process::id());
         let folder = disk::test_root().join(name);
         fs::create_dir_all(&folder).expect("a folder");
@@ -156,7 +202,7 @@
             folder,
             processes: BTreeMap::new(),
             version: 0,
-            control_options,
+            settings,
             starts: 0,
         };
         for index in 1..=3 {
@@ -185,11 +231,13 @@
             "nodeName = \"n{index}\"\nip = \"{}\"\nzone = \"north\"\n\
              portRange = [{LINK_PORT}, {}]\nseeds = [{}]\nbootstrap = {first_start}\n\
              heartbeatMs = 1200\n{rest}\n[zones]\nnorth = \"a\"\nsouth = \"a\"\n\
-             [limits]\nmemoryMb = {MEMORY_MB}\n\
+             [limits]\nmemoryMb = {}\nmaxFds = {}\n\
              [bounds]\ngraceS = 8\nrevokeMs = 5000\nfailClosed = true\n",
             self.host(index),
             LINK_PORT + 10,
-            seeds.join(",")
+            seeds.join(","),
+            self.settings.limits.memory_mb,
+            self.settings.limits.max_fds,
         )
     }
 
@@ -232,8 +280,8 @@
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("a settings file");
         let options = match role {
-            "control" => self.control_options,
-            _ => &[],
+            "control" => self.settings.control_options,
+            _ => self.settings.router_options,
         };
         self.starts += 1;
         let child = disk::command(&program(self.starts))
--- a/crates/node/tests/support/node.rs
+++ b/crates/node/tests/support/node.rs
@@ -74,6 +74,11 @@
         target
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn caller(&self) -> Caller {
         Caller::new(self.callers)
     }
