Bound the connections of each listener, and what arrives unread on them

Callers saw: a process that runs out of memory or descriptors, or no answer beside a crowd. Cause: nothing bounded the connections of the roles, and each socket had the kernel's default receive buffer, which grows: 126 KB are unread on a connection that nobody reads, 1.1 MB on one that is read slowly (seen with a listener of its own on loopback).

Change: each listener has a number of connections, a backlog and a size of receive buffer, set before connections are accepted so that those in the backlog have it as well. memory.rs divides the memory and the descriptors of a process (maxFds is read now) among its listeners. When a listener is full, the connections that progressed least for their time give way after half a second: unfinished requests, then idle ones, then, after their response, those that had requests before. A request in progress never ends for it; an unfinished one gets 503 with Retry-After, since it has not run. A refused call of an operator or target is read on for 0.3 s, so that the refusal is not lost by a reset.

--- a/crates/fleet/src/calls.rs
+++ b/crates/fleet/src/calls.rs
@@ -7,18 +7,17 @@
 use bamboospur_http1::server::{
     ReadError, ReadLimits, Request, Responder, ServerConnection, build_response_head,
 };
-use bamboospur_http1::socket;
+use bamboospur_http1::{Place, socket};
 use bamboospur_platform::calls::{Call, report_response_body};
 use bamboospur_platform::report;
 use bamboospur_registry::{Announcement, StartTime, TargetName};
-use bamboospur_types::BufferBudget;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use tracing::{info, warn};
 
-use crate::process::{accept, spawn_detached};
+use crate::process::{Listener, spawn_detached};
 
 /// Time limit for the answer to a call. Operators and targets try another instance
 /// after one second.
@@ -26,6 +25,9 @@
 /// A connection whose peer acknowledges nothing for this time is closed.
 const ACK_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time for which input is still read and discarded after a request was refused.
+pub const DISCARD_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// HTTP answer to a call.
 #[derive(Debug)]
 pub struct Answer {
@@ -77,29 +79,26 @@
     pub reply: oneshot::Sender<Option<SocketAddr>>,
 }
 
-/// Accepts connections for ever and answers their requests, which are buffered within `buffers`,
-/// with `handle`. `who` names the callers in log lines.
+/// Accepts connections for ever and answers their requests with `handle`.
 pub async fn serve<F>(
-    listener: TcpListener,
-    who: &'static str,
+    listener: Listener,
     limits: ReadLimits,
-    buffers: BufferBudget,
     handle: impl Fn(Request) -> F + 'static,
 ) where
     F: Future<Output = Answer> + 'static,
 {
     let handle = Rc::new(handle);
     loop {
-        let stream = accept(&listener, who).await;
-        let connection = serve_connection(stream, limits, buffers.clone(), Rc::clone(&handle));
+        let (stream, place) = listener.accept().await;
+        let connection = serve_connection(stream, place, limits, Rc::clone(&handle));
         spawn_detached(connection);
     }
 }
 
 async fn serve_connection<F>(
     stream: TcpStream,
+    place: Place,
     limits: ReadLimits,
-    buffers: BufferBudget,
     handle: Rc<impl Fn(Request) -> F>,
 ) where
     F: Future<Output = Answer>,
@@ -108,7 +107,7 @@
         warn!(%error, "failed to set the socket options of a target's or operator's connection; closing it");
         return;
     }
-    let mut connection = ServerConnection::new(stream, &buffers);
+    let mut connection = ServerConnection::new(stream, place);
     loop {
         let request = connection.read_request(&limits).await;
         let (mut responder, _) = connection.split();
@@ -120,7 +119,11 @@
             Err(ReadError::Closed | ReadError::Broken) => return,
             Err(error) => {
                 responder.close_after();
-                read_error_answer(error)
+                let answer = read_error_answer(error);
+                // The peer may have closed the connection already.
+                let _sent = write_answer(&mut responder, &answer).await;
+                connection.discard(DISCARD_TIMEOUT).await;
+                return;
             }
         };
         if answer.closes_connection {
@@ -143,6 +146,10 @@
         ReadError::BodyTooLarge => Answer::error(413, "the body is too large"),
         ReadError::TooSlow => Answer::error(408, "the request came too slowly"),
         ReadError::NoMemory => Answer::error(503, "there is no memory for the request; repeat it"),
+        ReadError::Displaced => Answer::error(
+            503,
+            "there are too many connections and this request was not complete; repeat it",
+        ),
         ReadError::Malformed | ReadError::Closed | ReadError::Broken => {
             Answer::error(400, "the request is malformed")
         }
--- a/crates/fleet/src/control/calls.rs
+++ b/crates/fleet/src/control/calls.rs
@@ -6,8 +6,6 @@
 use bamboospur_http1::server::{ReadLimits, Request};
 use bamboospur_platform::calls::Call;
 use bamboospur_platform::config;
-use bamboospur_types::BufferBudget;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -15,29 +13,24 @@
 
 use super::event::{Event, PutResult};
 use crate::calls::{self, ANSWER_TIMEOUT, Answer, parse_target_update, submit_target_update};
+use crate::process::Listener;
 
 /// Limits on requests. A configuration with thousands of routes fits the body limit.
 const READ_LIMITS: ReadLimits = ReadLimits {
     head_bytes: 16 * 1024,
     body_bytes: 16 * 1024 * 1024,
     head_timeout: Duration::from_secs(5),
+    body_timeout: Duration::from_mins(1),
     idle_timeout: Duration::from_secs(20),
 };
 
 /// Accepts calls for ever.
-pub async fn serve(listener: TcpListener, buffers: BufferBudget, events: Sender<Event>) {
+pub async fn serve(listener: Listener, events: Sender<Event>) {
     let answer = move |request| {
         let events = events.clone();
         async move { handle(&request, &events).await }
     };
-    calls::serve(
-        listener,
-        "operators and targets",
-        READ_LIMITS,
-        buffers,
-        answer,
-    )
-    .await;
+    calls::serve(listener, READ_LIMITS, answer).await;
 }
 
 async fn handle(request: &Request, events: &Sender<Event>) -> Answer {
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -23,7 +23,6 @@
 
 use std::time::Duration;
 
-use bamboospur_http1::socket;
 use bamboospur_platform::settings::ProcessSettings;
 use tokio::sync::mpsc::{Sender, channel};
 use tokio::sync::oneshot;
@@ -32,8 +31,8 @@
 
 use crate::exposition;
 use crate::link;
-use crate::memory::Buffers;
-use crate::process::{self, spawn_essential};
+use crate::memory::{Buffers, ControlDoors, ProcessLimits};
+use crate::process::{self, Listener, spawn_essential};
 use crate::settings_file::SettingsFile;
 use crate::signals::Signals;
 pub use departures::Departures;
@@ -77,10 +76,13 @@
         .operator_address
         .ok_or("the settings name no address for operators")?;
     let mut signals = Signals::new().map_err(failed("signals"))?;
-    let calls = socket::listen(operators).map_err(failed("address for operators"))?;
-    let links = socket::listen(settings.link_address).map_err(failed("address for links"))?;
+    let limits = ProcessLimits::new(settings.memory_limit_bytes, settings.descriptor_limit);
+    let doors = ControlDoors::from(limits);
+    let buffers = Buffers::new(limits);
+    let who = "operators and targets";
+    let calls = Listener::bind(operators, doors.calls, &buffers.requests, who)?;
+    let links = Listener::bind(settings.link_address, doors.links, &buffers.links, "links")?;
     let (events, receiver) = channel(MAX_QUEUED_EVENTS);
-    let buffers = Buffers::new(settings.memory_limit_bytes);
     let host = host::Host::start(&settings, control_settings.fanout, &buffers, events.clone())?;
     info!(
         instance = settings.instance,
@@ -91,26 +93,19 @@
         first_start = settings.first_start,
         "control instance started"
     );
-    spawn_essential(
-        "calls",
-        calls::serve(calls, buffers.requests.clone(), events.clone()),
-    );
-    spawn_essential(
-        "links",
-        link::serve(
-            links,
-            buffers.links.clone(),
-            events.clone(),
-            Event::Accepted,
-        ),
-    );
+    spawn_essential("calls", calls::serve(calls, events.clone()));
+    spawn_essential("links", link::serve(links, events.clone(), Event::Accepted));
     spawn_essential("host", host.run(receiver));
 
     if let Some(port) = control_settings.metrics_port {
         let events = events.clone();
-        exposition::start(settings.ip, port, buffers.requests, move || {
-            metrics_text(events.clone())
-        });
+        exposition::start(
+            settings.ip,
+            port,
+            doors.metrics,
+            &buffers.requests,
+            move || metrics_text(events.clone()),
+        );
     }
 
     let forward_seeds = async |settings: &ProcessSettings| {
--- a/crates/fleet/src/exposition.rs
+++ b/crates/fleet/src/exposition.rs
@@ -4,13 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bamboospur_http1::DoorSettings;
 use bamboospur_http1::server::{ReadLimits, ServerConnection, build_response_head};
-use bamboospur_http1::socket;
 use bamboospur_types::BufferBudget;
-use tokio::net::TcpListener;
 use tracing::{info, warn};
 
-use crate::process::{self, spawn_detached};
+use crate::process::{Listener, spawn_detached};
 
 const METRICS_PATH: &str = "/metrics";
 /// Limits on requests for metrics, which have no body.
@@ -18,41 +17,38 @@
     head_bytes: 4 * 1024,
     body_bytes: 0,
     head_timeout: Duration::from_secs(2),
+    body_timeout: Duration::from_secs(2),
     idle_timeout: Duration::from_secs(10),
 };
 
 /// Starts a server that answers requests for metrics with `text`. If the port is not
 /// free, the process continues without metrics.
-pub fn start<F>(ip: Ipv4Addr, port: u16, buffers: BufferBudget, text: impl Fn() -> F + 'static)
-where
+pub fn start<F>(
+    ip: Ipv4Addr,
+    port: u16,
+    door: DoorSettings,
+    buffers: &BufferBudget,
+    text: impl Fn() -> F + 'static,
+) where
     F: Future<Output = String> + 'static,
 {
     let address = SocketAddr::new(ip.into(), port);
-    match socket::listen(address) {
+    match Listener::bind(address, door, buffers, "metrics") {
         Ok(listener) => {
             info!(%address, "serving metrics");
-            spawn_detached(accept_connections(listener, buffers, Rc::new(text)));
-        }
-        Err(error) => {
-            warn!(
-                %address,
-                %error,
-                "cannot listen on the metrics address; continuing without metrics"
-            );
+            spawn_detached(accept_connections(listener, Rc::new(text)));
         }
+        Err(error) => warn!(error, "continuing without metrics"),
     }
 }
 
-async fn accept_connections<F>(
-    listener: TcpListener,
-    buffers: BufferBudget,
-    text: Rc<impl Fn() -> F + 'static>,
-) where
+async fn accept_connections<F>(listener: Listener, text: Rc<impl Fn() -> F + 'static>)
+where
     F: Future<Output = String> + 'static,
 {
     loop {
-        let stream = process::accept(&listener, "metrics").await;
-        let connection = ServerConnection::new(stream, &buffers);
+        let (stream, place) = listener.accept().await;
+        let connection = ServerConnection::new(stream, place);
         spawn_detached(serve_connection(connection, Rc::clone(&text)));
     }
 }
--- a/crates/fleet/src/link/accept.rs
+++ b/crates/fleet/src/link/accept.rs
@@ -2,12 +2,10 @@
 
 use std::time::Duration;
 
-use bamboospur_types::BufferBudget;
-use bytes::Bytes;
-
 use bamboospur_http1::io::write_all;
-use bamboospur_http1::socket;
-use tokio::net::{TcpListener, TcpStream};
+use bamboospur_http1::{Place, socket};
+use bytes::Bytes;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::{Instant, sleep_until, timeout};
 use tracing::{info, warn};
@@ -15,7 +13,7 @@
 use super::codec::{FrameError, FrameReader};
 use super::frame::{Frame, Hello};
 use super::traffic;
-use crate::process::{accept, spawn_detached};
+use crate::process::{Listener, spawn_detached};
 
 /// Number of an accepted link, unique within the process.
 pub type LinkId = u64;
@@ -69,34 +67,43 @@
 
 /// Accepts links for ever.
 ///
-/// Frames are buffered within `buffers`; `convert` turns link events into events of the receiver.
+/// Frames are buffered within the budget of the listener; `convert` turns link events into events
+/// of the receiver.
 pub async fn serve<E: 'static>(
-    listener: TcpListener,
-    buffers: BufferBudget,
+    listener: Listener,
     events: Sender<E>,
     convert: fn(AcceptEvent) -> E,
 ) {
     let mut next_link: LinkId = 0;
     loop {
-        let stream = accept(&listener, "links").await;
+        let (stream, place) = listener.accept().await;
         next_link += 1;
-        let reader = FrameReader::new(&buffers);
-        spawn_detached(run_link(stream, reader, next_link, events.clone(), convert));
+        spawn_detached(run_link(stream, place, next_link, events.clone(), convert));
     }
 }
 
 async fn run_link<E>(
     stream: TcpStream,
-    mut reader: FrameReader,
+    place: Place,
     link: LinkId,
     events: Sender<E>,
     convert: fn(AcceptEvent) -> E,
 ) {
-    let first_frame = timeout(HELLO_TIMEOUT, reader.next(&stream)).await;
-    let Ok(Ok(Frame::Hello(hello))) = first_frame else {
-        info!(link, "closing a link: no hello as the first frame");
+    let mut reader = FrameReader::new(place.budget());
+    let first_frame = tokio::select! {
+        biased;
+        () = place.displaced() => None,
+        frame = timeout(HELLO_TIMEOUT, reader.next(&stream)) => Some(frame),
+    };
+    let Some(Ok(Ok(Frame::Hello(hello)))) = first_frame else {
+        let displaced = first_frame.is_none();
+        info!(
+            link,
+            displaced, "closing a link: no hello as the first frame"
+        );
         return;
     };
+    place.start_serving();
     if let Err(error) = socket::set_socket_options(&stream, SILENCE_TIMEOUT) {
         warn!(%error, link, "failed to set the socket options of a link; closing the link");
         return;
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -6,10 +6,13 @@
 //! parts hold an [`Essential`], and the process ends with the first of them.
 
 use std::future::pending;
+use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
+use bamboospur_http1::{Door, DoorSettings, Place, socket};
 use bamboospur_platform::settings::ProcessSettings;
+use bamboospur_types::BufferBudget;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
@@ -163,15 +166,53 @@
     }
 }
 
-/// Accepts the next connection, and tries again after errors. `who` names the callers
-/// in log lines.
-pub async fn accept(listener: &TcpListener, who: &'static str) -> TcpStream {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => return stream,
-            Err(error) => {
-                warn!(%error, who, "failed to accept a connection; trying again");
-                sleep(ACCEPT_PAUSE).await;
+/// Listening socket and the places of its connections.
+#[derive(Debug)]
+pub struct Listener {
+    socket: TcpListener,
+    door: Door,
+    /// Names the callers in log lines.
+    who: &'static str,
+}
+
+impl Listener {
+    /// Listens on an address. Connections buffer within `budget`; `who` names the callers in log
+    /// lines and errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message for the person who starts the process.
+    pub fn bind(
+        address: SocketAddr,
+        settings: DoorSettings,
+        budget: &BufferBudget,
+        who: &'static str,
+    ) -> Result<Self, String> {
+        let socket = socket::listen(address, &settings);
+        let socket = socket.map_err(|error| {
+            format!("cannot listen on {address} for {who}: {error}; choose another address")
+        })?;
+        Ok(Self {
+            socket,
+            door: Door::new(settings, budget),
+            who,
+        })
+    }
+
+    /// Accepts the next connection, and waits until there is a place for it. Tries again after
+    /// errors.
+    pub async fn accept(&self) -> (TcpStream, Place) {
+        loop {
+            match self.socket.accept().await {
+                Ok((stream, _)) => return (stream, self.door.enter().await),
+                Err(error) => {
+                    warn!(
+                        %error,
+                        who = self.who,
+                        "failed to accept a connection; trying again"
+                    );
+                    sleep(ACCEPT_PAUSE).await;
+                }
             }
         }
     }
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -17,7 +17,6 @@
 
 use bamboospur_platform::settings::ProcessSettings;
 use bamboospur_types::{BufferBudget, stable_id};
-use tokio::net::TcpListener;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::{interval, sleep_until};
 
@@ -33,7 +32,7 @@
 use crate::link::{self, AcceptEvent, DialEvent, DialedLink, Hello, Role, RouterLocation};
 use crate::loads::{MIN_LOADS_INTERVAL, loads_interval};
 use crate::outbox::Outbox;
-use crate::process::spawn_essential;
+use crate::process::{Listener, spawn_essential};
 
 /// Capacity of the event queue; links wait while the queue is full.
 const MAX_QUEUED_EVENTS: usize = 256;
@@ -80,8 +79,8 @@
 pub fn start(
     router: Rc<Router>,
     settings: &ProcessSettings,
-    links: TcpListener,
-    reports: TcpListener,
+    links: Listener,
+    reports: Listener,
     buffers: BufferBudget,
     origin_queries: Receiver<OriginQuery>,
 ) -> SeedUpdater {
@@ -91,9 +90,8 @@
         links: settings.link_address,
         reports: settings.report_address,
     };
-    let request_buffers = router.buffers.clone();
     let mut follower = Follower {
-        buffers: buffers.clone(),
+        buffers,
         reports: Reports::new(Rc::clone(&router)),
         router,
         hello: Hello {
@@ -117,13 +115,10 @@
         origin_queries: OriginQueries::default(),
     };
     follower.set_seeds(&settings.seeds);
-    spawn_essential(
-        "links",
-        link::serve(links, buffers, events.clone(), Event::Accepted),
-    );
+    spawn_essential("links", link::serve(links, events.clone(), Event::Accepted));
     spawn_essential(
         "reports",
-        reports::serve(reports, request_buffers, events.clone(), Event::Target),
+        reports::serve(reports, events.clone(), Event::Target),
     );
     spawn_essential("follower", follower.run(receiver, origin_queries));
     SeedUpdater(events)
--- a/crates/fleet/src/router/mod.rs
+++ b/crates/fleet/src/router/mod.rs
@@ -57,15 +57,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bamboospur_http1::socket;
 use bamboospur_platform::settings::ProcessSettings;
 use tokio::time::{Instant, interval, sleep};
 use tracing::info;
 
 use crate::exposition;
 use crate::link::Traffic;
-use crate::memory::Buffers;
-use crate::process::{self, spawn_essential};
+use crate::memory::{Buffers, ProcessLimits, RouterDoors};
+use crate::process::{self, Listener, spawn_essential};
 use crate::settings_file::SettingsFile;
 use crate::signals::Signals;
 use state::Router;
@@ -97,48 +96,41 @@
     let mut file = SettingsFile::open()?;
     let settings = file.settings.clone();
     let failed = |what: &'static str| move |error| format!("{what}: {error}");
-    let callers = settings
-        .caller_address
-        .ok_or("the settings name no address for callers")?;
-    let readiness = settings
-        .readiness_address
-        .ok_or("the settings name no address for readiness")?;
     let mut signals = Signals::new().map_err(failed("signals"))?;
-    let callers_listener = socket::listen(callers).map_err(failed("address for callers"))?;
-    let ready_listener = socket::listen(readiness).map_err(failed("address for readiness"))?;
-    let links = socket::listen(settings.link_address).map_err(failed("address for links"))?;
-    let reports = socket::listen(settings.report_address).map_err(failed("address for reports"))?;
-    let buffers = Buffers::new(settings.memory_limit_bytes);
-    let (router, origin_queries) = Router::new(&settings, buffers.requests);
+    let limits = ProcessLimits::new(settings.memory_limit_bytes, settings.descriptor_limit);
+    let doors = RouterDoors::from(limits);
+    let buffers = Buffers::new(limits);
+    let listeners = Listeners::bind(&settings, &doors, &buffers)?;
+    let (router, origin_queries) = Router::new(&settings, limits, buffers.requests);
     let router = Rc::new(router);
     info!(
         instance = settings.instance,
         data_centre = settings.data_centre,
-        %callers,
+        callers = ?settings.caller_address,
         seeds = ?settings.seeds,
         "router started"
     );
     let seeds = follow::start(
         Rc::clone(&router),
         &settings,
-        links,
-        reports,
+        listeners.links,
+        listeners.reports,
         buffers.links,
         origin_queries,
     );
     spawn_essential(
         "callers",
-        serve::serve_callers(callers_listener, Rc::clone(&router)),
+        serve::serve_callers(listeners.callers, Rc::clone(&router)),
     );
     spawn_essential(
         "readiness",
-        serve::serve_readiness(ready_listener, Rc::clone(&router)),
+        serve::serve_readiness(listeners.readiness, Rc::clone(&router)),
     );
 
     if let Some(port) = metrics_port {
         let router = Rc::clone(&router);
         let buffers = router.buffers.clone();
-        exposition::start(settings.ip, port, buffers, move || {
+        exposition::start(settings.ip, port, doors.metrics, &buffers, move || {
             ready(router.metrics_text() + &Traffic::now().text())
         });
     }
@@ -150,6 +142,36 @@
     stopped
 }
 
+/// Listeners of a router.
+struct Listeners {
+    callers: Listener,
+    readiness: Listener,
+    reports: Listener,
+    links: Listener,
+}
+
+impl Listeners {
+    fn bind(
+        settings: &ProcessSettings,
+        doors: &RouterDoors,
+        buffers: &Buffers,
+    ) -> Result<Self, String> {
+        let callers = settings
+            .caller_address
+            .ok_or("the settings name no address for callers")?;
+        let readiness = settings
+            .readiness_address
+            .ok_or("the settings name no address for readiness")?;
+        let bind = |address, door, who| Listener::bind(address, door, &buffers.requests, who);
+        Ok(Self {
+            callers: bind(callers, doors.callers, "callers")?,
+            readiness: bind(readiness, doors.readiness, "readiness")?,
+            reports: bind(settings.report_address, doors.reports, "reports")?,
+            links: Listener::bind(settings.link_address, doors.links, &buffers.links, "links")?,
+        })
+    }
+}
+
 async fn sweep(router: Rc<Router>) {
     let mut sweep = interval(SWEEP_INTERVAL);
     loop {
--- a/crates/fleet/src/router/pool.rs
+++ b/crates/fleet/src/router/pool.rs
@@ -18,12 +18,22 @@
 const MAX_IDLE_TIME: Duration = Duration::from_mins(1);
 
 /// Idle connections by address of the target.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
+    /// Most idle connections.
+    limit: usize,
     idle: BTreeMap<SocketAddr, Vec<ClientConnection>>,
 }
 
 impl Pool {
+    /// Creates an empty pool for at most this many connections.
+    pub const fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            idle: BTreeMap::new(),
+        }
+    }
+
     /// Removes and returns the most recently used connection that is still usable.
     pub fn take(&mut self, address: SocketAddr, now: Instant) -> Option<ClientConnection> {
         let idle = self.idle.get_mut(&address)?;
@@ -36,7 +46,7 @@
     }
 
     /// Adds a connection that is still usable after an answer with these header
-    /// fields.
+    /// fields, or closes it if there are too many.
     pub fn keep(
         &mut self,
         address: SocketAddr,
@@ -45,7 +55,7 @@
         now: Instant,
     ) {
         let idle = idle_time(fields);
-        if connection.can_keep_alive() && !idle.is_zero() {
+        if connection.can_keep_alive() && !idle.is_zero() && self.len() < self.limit {
             connection.set_idle(now + idle);
             self.idle.entry(address).or_default().push(connection);
         }
--- a/crates/fleet/src/router/reports.rs
+++ b/crates/fleet/src/router/reports.rs
@@ -12,8 +12,6 @@
 
 use bamboospur_http1::server::{ReadLimits, Request};
 use bamboospur_registry::{Announcement, Merge, Phase, StartTime, TargetName};
-use bamboospur_types::BufferBudget;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
 
@@ -22,12 +20,14 @@
     self, Answer, TargetCall, TargetUpdate, parse_target_update, submit_target_update,
 };
 use crate::link::{Frame, Ticket};
+use crate::process::Listener;
 
 /// Limits on requests of targets; a report takes some hundred bytes.
 const READ_LIMITS: ReadLimits = ReadLimits {
     head_bytes: 16 * 1024,
     body_bytes: 64 * 1024,
     head_timeout: Duration::from_secs(5),
+    body_timeout: Duration::from_secs(5),
     idle_timeout: Duration::from_secs(20),
 };
 /// Targets that reported within this time are sent to a control instance whose link
@@ -36,8 +36,7 @@
 
 /// Accepts calls of targets; never returns.
 pub async fn serve<E: 'static>(
-    listener: TcpListener,
-    buffers: BufferBudget,
+    listener: Listener,
     events: Sender<E>,
     convert: fn(TargetCall) -> E,
 ) {
@@ -45,7 +44,7 @@
         let events = events.clone();
         async move { handle(&request, &events, convert).await }
     };
-    calls::serve(listener, "targets", READ_LIMITS, buffers, answer).await;
+    calls::serve(listener, READ_LIMITS, answer).await;
 }
 
 async fn handle<E>(request: &Request, events: &Sender<E>, convert: fn(TargetCall) -> E) -> Answer {
--- a/crates/fleet/src/router/state.rs
+++ b/crates/fleet/src/router/state.rs
@@ -29,6 +29,7 @@
 use super::pool::Pool;
 use super::readiness::{Readiness, ReadinessSettings};
 use crate::clock::BootTime;
+use crate::memory::ProcessLimits;
 use crate::stream_origins::{OwnStreams, StreamId, StreamOrigin};
 
 /// The router's own detection of silent targets is disabled by a timeout of a year:
@@ -99,6 +100,7 @@
     /// Creates a router and the queue of its queries to control instances.
     pub fn new(
         settings: &ProcessSettings,
+        limits: ProcessLimits,
         buffers: BufferBudget,
     ) -> (Self, mpsc::Receiver<OriginQuery>) {
         let seed = stable_id(&settings.instance) ^ BootTime::now().0;
@@ -119,7 +121,7 @@
             readiness_changed: Notify::new(),
             registry: RefCell::new(Registry::new(registry)),
             dispatcher: RefCell::new(Dispatcher::new(dispatch, &settings.data_centre, seed)),
-            pool: RefCell::default(),
+            pool: RefCell::new(Pool::new(limits.idle_connections())),
             path_checks: RefCell::default(),
             metrics: RefCell::default(),
             rng: RefCell::new(Rng::new(seed)),
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -102,7 +102,7 @@
         peer_timeout: Duration,
         budget: &BufferBudget,
     ) -> Result<Self, ClientError> {
-        let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
+        let connected = timeout(connect_timeout, socket::connect(address)).await;
         let timed_out = |_| io::Error::from(ErrorKind::TimedOut);
         let stream = connected
             .map_err(timed_out)
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -1,7 +1,8 @@
 //! HTTP/1.1 heads, bodies, event streams and connections.
 //!
 //! [`body`], [`events`], [`head`] and [`headers`] parse and serialise bytes and do no
-//! I/O. [`io`] reads and writes sockets, [`socket`] sets their options, [`server`]
+//! I/O; nor does [`connections`], which decides how many connections a listener keeps, and
+//! which. [`door`] carries that out, [`io`] reads and writes sockets, [`socket`] sets their options, [`server`]
 //! reads requests from callers and writes responses, and [`client`] sends requests to
 //! targets.
 //!
@@ -11,6 +12,8 @@
 
 pub mod body;
 pub mod client;
+pub mod connections;
+pub mod door;
 pub mod events;
 pub mod head;
 pub mod headers;
@@ -19,6 +22,7 @@
 pub mod socket;
 
 pub use body::{BodyDecoder, BodyError, Framing};
+pub use door::{Door, DoorSettings, Place};
 pub use events::{Event, EventSplitter, has_only_fields};
 pub use head::{HeadError, RequestHead, ResponseHead};
 pub use headers::Headers;
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -4,19 +4,25 @@
 use std::io;
 use std::time::Duration;
 
-use bamboospur_types::BufferBudget;
 use bytes::Bytes;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
 use crate::body::{BodyDecoder, Framing};
+use crate::door::Place;
 use crate::head::{HeadError, RequestHead, ResponseHead};
 use crate::headers::{Headers, write_field};
-use crate::io::{ReadBuffer, is_out_of_memory, read, wait_for_close, write_all};
+use crate::io::{ReadBuffer, is_out_of_memory, read, try_read, wait_for_close, write_all};
 use crate::socket;
 
 /// Longest body that is copied behind its head, to be written with it in one call.
 const MAX_COPIED_BODY_BYTES: usize = 4 * 1024;
+/// Most bytes that a body in chunks may take on the connection, as a multiple of the largest body;
+/// chunks of a single byte take six.
+const MAX_CHUNKED_FACTOR: usize = 8;
+
+/// Longest time for which input is discarded when another connection waits for the place.
+const DISPLACED_DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Size and time limits for reading requests.
 #[derive(Clone, Copy, Debug)]
@@ -28,10 +34,23 @@
     /// Longest time from the first byte of a head to its end; also the longest wait
     /// for the next bytes of a body.
     pub head_timeout: Duration,
+    /// Longest time for a whole body.
+    pub body_timeout: Duration,
     /// Longest wait for the first byte of a request.
     pub idle_timeout: Duration,
 }
 
+/// Size and time limits for reading one body.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimits {
+    /// Largest body.
+    pub bytes: usize,
+    /// Longest wait for the next bytes of the body.
+    pub part_timeout: Duration,
+    /// When the whole body must have arrived.
+    pub deadline: Instant,
+}
+
 /// A complete request.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -56,8 +75,10 @@
     HeadTooLarge,
     /// The body exceeds its size limit.
     BodyTooLarge,
-    /// The head, or the next bytes of the body, did not arrive in time.
+    /// The head, the next bytes of the body, or the whole body did not arrive in time.
     TooSlow,
+    /// The connection gives way to others, and a part of a request has arrived.
+    Displaced,
     /// The budget for buffers has no room for the request.
     NoMemory,
 }
@@ -67,17 +88,17 @@
 pub struct ServerConnection {
     stream: TcpStream,
     buffer: ReadBuffer,
-    budget: BufferBudget,
+    place: Place,
 }
 
 impl ServerConnection {
-    /// Wraps an accepted connection, whose requests are buffered within `budget`.
+    /// Wraps an accepted connection, whose requests are buffered within the budget of its place.
     #[must_use]
-    pub fn new(stream: TcpStream, budget: &BufferBudget) -> Self {
+    pub fn new(stream: TcpStream, place: Place) -> Self {
         Self {
             stream,
-            buffer: ReadBuffer::new(budget),
-            budget: budget.clone(),
+            buffer: ReadBuffer::new(place.budget()),
+            place,
         }
     }
 
@@ -89,9 +110,12 @@
     /// last response and must then be closed.
     pub async fn read_request(&mut self, limits: &ReadLimits) -> Result<Request, ReadError> {
         let (head, arrived) = self.next_head(limits).await?;
-        let body = self
-            .read_body(&head, limits.body_bytes, limits.head_timeout)
-            .await?;
+        let body_limits = BodyLimits {
+            bytes: limits.body_bytes,
+            part_timeout: limits.head_timeout,
+            deadline: Instant::now() + limits.body_timeout,
+        };
+        let body = self.read_body(&head, &body_limits).await?;
         Ok(Request {
             head,
             body,
@@ -99,6 +123,22 @@
         })
     }
 
+    /// Returns the place of the connection.
+    #[must_use]
+    pub const fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Whether the whole body of the request whose head was read last has arrived, as far as its
+    /// length is known.
+    #[must_use]
+    pub fn has_body(&self, framing: Framing) -> bool {
+        match framing {
+            Framing::Length(length) => self.buffer.bytes.len() as u64 >= length,
+            Framing::Chunked | Framing::UntilClose => false,
+        }
+    }
+
     /// Reads the head of the next request. Returns it with the time at which reading
     /// started.
     ///
@@ -109,13 +149,20 @@
         &mut self,
         limits: &ReadLimits,
     ) -> Result<(RequestHead, Instant), ReadError> {
+        self.place.start_reading();
+        if self.place.is_displaced() {
+            return Err(self.displaced_idle());
+        }
         let idle_deadline = Instant::now() + limits.idle_timeout;
         if self.buffer.bytes.is_empty() {
-            match timeout_at(idle_deadline, read(&self.stream, &mut self.buffer)).await {
-                Ok(Ok(count)) if count > 0 => {}
-                Ok(Err(error)) if is_out_of_memory(&error) => return Err(ReadError::NoMemory),
-                _ => return Err(ReadError::Closed),
+            match self.fill(idle_deadline).await {
+                Ok(()) => {}
+                Err(ReadError::NoMemory) => return Err(ReadError::NoMemory),
+                Err(ReadError::Displaced) => return Err(self.displaced_idle()),
+                Err(_) => return Err(ReadError::Closed),
             }
+        } else {
+            self.place.record_received(self.buffer.bytes.len());
         }
         let arrived = Instant::now();
         let head = self
@@ -124,6 +171,18 @@
         Ok((head, arrived))
     }
 
+    /// Returns the end of a connection that gives way while it waits for a request.
+    fn displaced_idle(&mut self) -> ReadError {
+        if !self.buffer.bytes.is_empty() {
+            return ReadError::Displaced;
+        }
+        // A request that has just arrived gets an answer.
+        match try_read(&self.stream, &mut self.buffer) {
+            Ok(1..) => ReadError::Displaced,
+            _ => ReadError::Closed,
+        }
+    }
+
     async fn read_head(
         &mut self,
         limits: &ReadLimits,
@@ -155,17 +214,16 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body is malformed or larger than `max_bytes`, when the budget has no room
-    /// for it, or when the wait for its next bytes exceeds `part_timeout`.
+    /// Fails when the body is malformed or too large, when the budget has no room for it, when it
+    /// is too slow, or when the connection has to give way to others.
     pub async fn read_body(
         &mut self,
         head: &RequestHead,
-        max_bytes: usize,
-        part_timeout: Duration,
+        limits: &BodyLimits,
     ) -> Result<Bytes, ReadError> {
         let framing = head.framing().map_err(|_| ReadError::Malformed)?;
-        let too_large = |length: u64| length > max_bytes as u64;
-        let mut body = self.budget.buffer();
+        let too_large = |length: u64| length > limits.bytes as u64;
+        let mut body = self.place.budget().buffer();
         if let Framing::Length(length) = framing {
             if too_large(length) {
                 return Err(ReadError::BodyTooLarge);
@@ -179,20 +237,26 @@
             interim.map_err(|_| ReadError::Broken)?;
         }
         let mut decoder = BodyDecoder::new(framing);
+        let mut left_bytes = limits.bytes.saturating_mul(MAX_CHUNKED_FACTOR);
         while !decoder.is_done() {
-            match decoder.decode(&mut self.buffer.bytes) {
-                Ok(Some(data)) => {
-                    self.buffer.free_removed();
-                    body.extend(&data).map_err(|_| ReadError::NoMemory)?;
-                }
-                Ok(None) if decoder.is_done() => {}
-                Ok(None) => self.fill(Instant::now() + part_timeout).await?,
-                Err(_) => return Err(ReadError::Malformed),
+            let buffered_bytes = self.buffer.bytes.len();
+            let part = decoder.decode(&mut self.buffer.bytes);
+            let part = part.map_err(|_| ReadError::Malformed)?;
+            let removed_bytes = buffered_bytes - self.buffer.bytes.len();
+            left_bytes = left_bytes.saturating_sub(removed_bytes);
+            if let Some(data) = part {
+                body.extend(&data).map_err(|_| ReadError::NoMemory)?;
+            } else if !decoder.is_done() {
+                self.buffer.free_removed();
+                let deadline = limits.deadline.min(Instant::now() + limits.part_timeout);
+                self.fill(deadline).await?;
             }
-            if too_large(body.len() as u64) {
+            if too_large(body.len() as u64) || left_bytes == 0 {
                 return Err(ReadError::BodyTooLarge);
             }
         }
+        self.buffer.free_removed();
+        self.place.start_serving();
         Ok(Bytes::from_owner(body))
     }
 
@@ -202,8 +266,20 @@
         wait_for_close(&self.stream, &mut self.buffer, max_bytes).await;
     }
 
-    /// Reads and discards input until the caller closes the connection.
-    pub async fn discard(&mut self) {
+    /// Reads and discards input before the connection is closed, until the caller closes it or
+    /// `limit` is over. Closing at once would reset the connection and could lose the response.
+    pub async fn discard(&mut self, limit: Duration) {
+        let limit = if self.place.is_displaced() {
+            limit.min(DISPLACED_DISCARD_TIMEOUT)
+        } else {
+            limit
+        };
+        self.place.start_closing();
+        // Both ends are fine.
+        let _ended = timeout_at(Instant::now() + limit, self.discard_all()).await;
+    }
+
+    async fn discard_all(&mut self) {
         self.buffer.bytes.clear();
         while matches!(read(&self.stream, &mut self.buffer).await, Ok(1..)) {
             self.buffer.bytes.clear();
@@ -211,10 +287,18 @@
     }
 
     async fn fill(&mut self, deadline: Instant) -> Result<(), ReadError> {
-        match timeout_at(deadline, read(&self.stream, &mut self.buffer)).await {
+        let result = tokio::select! {
+            biased;
+            () = self.place.displaced() => return Err(ReadError::Displaced),
+            result = timeout_at(deadline, read(&self.stream, &mut self.buffer)) => result,
+        };
+        match result {
             Ok(Err(error)) if is_out_of_memory(&error) => Err(ReadError::NoMemory),
             Ok(Ok(0) | Err(_)) => Err(ReadError::Broken),
-            Ok(Ok(_)) => Ok(()),
+            Ok(Ok(count)) => {
+                self.place.record_received(count);
+                Ok(())
+            }
             Err(_) => Err(ReadError::TooSlow),
         }
     }
@@ -224,6 +308,7 @@
     pub fn split(&mut self) -> (Responder<'_>, CloseWatch<'_>) {
         let responder = Responder {
             stream: &self.stream,
+            place: &self.place,
             progress: ResponseProgress::Nothing,
             keep_alive: true,
             supports_chunks: true,
@@ -272,6 +357,7 @@
 #[derive(Debug)]
 pub struct Responder<'a> {
     stream: &'a TcpStream,
+    place: &'a Place,
     progress: ResponseProgress,
     keep_alive: bool,
     supports_chunks: bool,
@@ -413,6 +499,7 @@
         match self.progress {
             ResponseProgress::Nothing => {
                 self.keep_alive &= !self.closing.is_some_and(Cell::get);
+                self.keep_alive &= !self.place.is_displaced();
                 Ok(())
             }
             ResponseProgress::Part(_) | ResponseProgress::Whole => Err(io::Error::other(
--- a/crates/node/src/edge/body.rs
+++ b/crates/node/src/edge/body.rs
@@ -25,6 +25,10 @@
         NoMemory {
             display("the node has no memory for the body; send the request again later or to another node")
         }
+        /// The connection had to give way to others.
+        Displaced {
+            display("the node has too many connections, and the body was not complete; send the request again later or to another node")
+        }
         /// The connection was closed or broke before the end of the body.
         Incomplete {
             display("the connection ended before the body was complete; send the request again")
@@ -46,6 +50,7 @@
             ReadError::BodyTooLarge => Self::TooLarge(limit_bytes),
             ReadError::TooSlow => Self::TooSlow(timeout),
             ReadError::NoMemory => Self::NoMemory,
+            ReadError::Displaced => Self::Displaced,
             ReadError::Closed | ReadError::Broken => Self::Incomplete,
         }
     }
--- a/crates/node/src/edge/connection.rs
+++ b/crates/node/src/edge/connection.rs
@@ -8,16 +8,16 @@
 use std::time::Duration;
 
 use bamboospur_http1::server::{
-    ReadError, ReadLimits, Responder as HttpResponder, ResponseProgress, ServerConnection,
-    build_response_head,
+    BodyLimits, ReadError, ReadLimits, Responder as HttpResponder, ResponseProgress,
+    ServerConnection, build_response_head,
 };
 use bamboospur_http1::socket;
-use bamboospur_http1::{Framing, RequestHead, ResponseHead};
+use bamboospur_http1::{Framing, Place, RequestHead, ResponseHead};
 use bamboospur_types::ChunkedBuffer;
 use bytes::Bytes;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{Receiver, channel};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tracing::{info, warn};
 
 use super::body::BodyError;
@@ -31,8 +31,7 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Bytes that a caller may send ahead while its request is processed.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
-/// Time for which an unread body is read and discarded. Closing the socket before
-/// that would send a reset, which could destroy the answer on its way.
+/// Time for which an unread body is read and discarded.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Command of a handler to the task of its connection.
@@ -89,7 +88,12 @@
 }
 
 /// Serves requests on a connection until it closes.
-pub async fn serve(shared: Arc<ServerState>, stream: TcpStream, peer: Option<SocketAddr>) {
+pub async fn serve(
+    shared: Arc<ServerState>,
+    stream: TcpStream,
+    place: Place,
+    peer: Option<SocketAddr>,
+) {
     if let Err(error) = socket::set_socket_options(&stream, ACK_TIMEOUT) {
         warn!(
             %error,
@@ -97,11 +101,12 @@
         );
         return;
     }
-    let mut connection = ServerConnection::new(stream, &shared.budget);
+    let mut connection = ServerConnection::new(stream, place);
     let limits = ReadLimits {
         head_bytes: MAX_HEAD_BYTES,
         body_bytes: 0,
         head_timeout: shared.settings.receive_timeout,
+        body_timeout: shared.settings.receive_timeout,
         idle_timeout: shared.settings.receive_timeout,
     };
     loop {
@@ -123,7 +128,7 @@
     let status = match end {
         ReadError::HeadTooLarge => 431,
         ReadError::TooSlow => 408,
-        ReadError::NoMemory => 503,
+        ReadError::NoMemory | ReadError::Displaced => 503,
         _ => 400,
     };
     info!(
@@ -137,7 +142,7 @@
     let _sent = responder
         .write_response(&build_response_head(status, &[]), b"")
         .await;
-    let _closed = timeout(DISCARD_TIMEOUT, connection.discard()).await;
+    connection.discard(DISCARD_TIMEOUT).await;
 }
 
 /// Serves one request; returns whether the connection can take another one.
@@ -155,6 +160,9 @@
     let incoming = IncomingRequest::new(head.clone(), peer, Arc::clone(&caller), sender);
     ServerState::spawn_handler(running, incoming);
     let mut body_read = matches!(head.framing(), Ok(Framing::Length(0)));
+    if body_read {
+        connection.place().start_serving();
+    }
     let first = loop {
         match next_command(
             &mut commands,
@@ -168,10 +176,12 @@
                 timeout: body_timeout,
                 reply,
             }) => {
-                let read = connection.read_body(&head, limit_bytes, body_timeout);
-                let read = timeout(body_timeout, read)
-                    .await
-                    .unwrap_or(Err(ReadError::TooSlow));
+                let limits = BodyLimits {
+                    bytes: limit_bytes,
+                    part_timeout: body_timeout,
+                    deadline: Instant::now() + body_timeout,
+                };
+                let read = connection.read_body(&head, &limits).await;
                 body_read = read.is_ok();
                 // This fails only if the handler's thread has ended.
                 let _delivered =
@@ -188,8 +198,7 @@
     )
     .await;
     if !body_read {
-        // This ends when the caller closes or the time has passed; both are fine.
-        let _closed = timeout(DISCARD_TIMEOUT, connection.discard()).await;
+        connection.discard(DISCARD_TIMEOUT).await;
     }
     keep_alive && body_read
 }
--- a/crates/node/src/edge/server.rs
+++ b/crates/node/src/edge/server.rs
@@ -13,7 +13,7 @@
 use tracing::{error, warn};
 
 use bamboospur_fleet::process::spawn_detached;
-use bamboospur_http1::socket;
+use bamboospur_http1::{Door, DoorSettings, socket};
 use bamboospur_types::BufferBudget;
 
 use super::connection;
@@ -23,6 +23,10 @@
 /// Stack size of a request's thread: 2,000 streams take less than 512 MiB of
 /// address space, and far less memory.
 const STACK_BYTES: usize = 256 * 1024;
+/// Connections that the operating system keeps until they are accepted.
+const BACKLOG: u16 = 512;
+/// Size of the receive buffer of a connection. About twice as many bytes can arrive unread.
+const RECEIVE_BUFFER_BYTES: usize = 8 * 1024;
 /// Pause after a failed accept, for example when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(25);
 
@@ -31,7 +35,7 @@
 pub struct HttpServerSettings {
     /// Address to listen on; port 0 selects a free port.
     pub address: SocketAddr,
-    /// Largest number of open connections; further ones wait to be accepted.
+    /// Largest number of open connections; further ones wait until others have given way.
     pub connections: usize,
     /// Largest number of requests in progress, including those that are being
     /// rejected; further ones wait.
@@ -42,6 +46,16 @@
     pub send_timeout: Duration,
 }
 
+impl HttpServerSettings {
+    const fn door(&self) -> DoorSettings {
+        DoorSettings {
+            connections: self.connections,
+            backlog: BACKLOG,
+            receive_buffer_bytes: RECEIVE_BUFFER_BYTES,
+        }
+    }
+}
+
 type Handler = Box<dyn Fn(IncomingRequest) + Send + Sync>;
 
 /// An HTTP server; dropping it stops accepting connections.
@@ -56,7 +70,6 @@
     pub(super) settings: HttpServerSettings,
     pub(super) budget: BufferBudget,
     handler: Handler,
-    connections: Arc<Semaphore>,
     requests: Arc<Semaphore>,
     in_progress: AtomicUsize,
 }
@@ -69,15 +82,12 @@
     ///
     /// Returns the error of the operating system, for example for an address
     /// that is in use.
-    pub fn start<F>(
+    pub fn start(
         settings: HttpServerSettings,
         budget: BufferBudget,
-        handler: F,
-    ) -> io::Result<Self>
-    where
-        F: Fn(IncomingRequest) + Send + Sync + 'static,
-    {
-        let listener = socket::bind(settings.address)?;
+        handler: impl Fn(IncomingRequest) + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        let listener = socket::bind(settings.address, &settings.door())?;
         let address = listener.local_addr()?;
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -86,7 +96,6 @@
             settings,
             budget,
             handler: Box::new(handler),
-            connections: Arc::new(Semaphore::new(settings.connections)),
             requests: Arc::new(Semaphore::new(settings.requests)),
             in_progress: AtomicUsize::new(0),
         });
@@ -133,20 +142,19 @@
     listener: TcpListener,
     mut closing: watch::Receiver<bool>,
 ) {
-    let connections = tokio::select! {
-        connections = accept(&shared, listener) => connections,
+    let door = Door::new(shared.settings.door(), &shared.budget);
+    tokio::select! {
+        () = accept(&shared, &door, listener) => {}
         // The sender of this channel is dropped with the server, which ends the
         // wait at the latest.
-        _ = closing.wait_for(|&closed| closed) => Arc::clone(&shared.connections),
-    };
-    let all = u32::try_from(shared.settings.connections).unwrap_or(u32::MAX);
-    // All permits are available once all connections have ended.
-    let _ended = connections.acquire_many(all).await;
+        _ = closing.wait_for(|&closed| closed) => {}
+    }
+    door.wait_until_empty().await;
 }
 
-/// Accepts connections, each with a permit. Returns only if the event loop cannot
+/// Accepts connections, each with a place. Returns only if the event loop cannot
 /// listen on the socket.
-async fn accept(shared: &Arc<ServerState>, listener: TcpListener) -> Arc<Semaphore> {
+async fn accept(shared: &Arc<ServerState>, door: &Door, listener: TcpListener) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(error) => {
@@ -154,20 +162,15 @@
                 %error,
                 "the HTTP server cannot listen on its socket; no connections are accepted"
             );
-            return Arc::clone(&shared.connections);
+            return;
         }
     };
     loop {
-        let Ok(permit) = Arc::clone(&shared.connections).acquire_owned().await else {
-            return Arc::clone(&shared.connections);
-        };
         match listener.accept().await {
             Ok((stream, peer)) => {
+                let place = door.enter().await;
                 let shared = Arc::clone(shared);
-                spawn_detached(async move {
-                    connection::serve(shared, stream, Some(peer)).await;
-                    drop(permit);
-                });
+                spawn_detached(connection::serve(shared, stream, place, Some(peer)));
             }
             Err(error) => {
                 warn!(%error, "accepting a connection failed; trying again after a pause");
--- a/crates/node/src/request/accept.rs
+++ b/crates/node/src/request/accept.rs
@@ -192,7 +192,10 @@
         BodyError::Framing(_) | BodyError::Incomplete => ResultCode::BadRequest,
         BodyError::TooLarge(_) => ResultCode::TooLarge,
         BodyError::TooSlow(_) => ResultCode::CallerTooSlow,
-        BodyError::NoMemory => ResultCode::Overloaded,
+        BodyError::NoMemory | BodyError::Displaced => {
+            let code = ResultCode::Overloaded;
+            return RequestError::with_retry_after(code, error.to_string(), RETRY_AFTER);
+        }
     };
     RequestError::new(code, error.to_string())
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -30,7 +30,7 @@
 /// Requests accepted beyond the limit on requests in progress, so that the excess
 /// requests can be answered with a refusal.
 const EXTRA_REFUSED_REQUESTS: usize = 64;
-const MAX_OPERATOR_CONNECTIONS: usize = 4096;
+const MAX_OPERATOR_CONNECTIONS: usize = 1024;
 const MAX_OPERATOR_REQUESTS: usize = 512;
 /// Time between reports of counters and traffic to the metrics server.
 const REPORT_PERIOD: Duration = Duration::from_secs(10);
