Let long bodies and pipelined requests take turns

Callers saw: no answer beside connections that send bodies in one-byte chunks, or many requests ahead, although there was memory. Cause: a task reads until its socket is empty, up to 128 reads, and decodes 700 chunks for each, so that one round over the connections of a crowd took seconds. A connection with requests in its buffer never waited at all.

Evidence: callers_with_bodies_in_small_chunks, operators_with_bodies_in_small_chunks and callers_that_pipeline_requests have no answer within 15 s on, and pass now. The last one failed until connections with requests in progress could give way after their response.

--- a/crates/http1/src/door.rs
+++ b/crates/http1/src/door.rs
@@ -174,6 +174,15 @@
         }
     }
 
+    /// Waits for `work`, but no longer than until the connection has to give way.
+    pub(crate) async fn unless_displaced(&self, work: impl Future<Output = ()>) {
+        tokio::select! {
+            biased;
+            () = self.displaced() => {}
+            () = work => {}
+        }
+    }
+
     /// Records that bytes of the next request have arrived.
     pub(crate) fn record_received(&self, bytes: usize) {
         let now = Instant::now().into_std();
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`body`], [`events`], [`head`] and [`headers`] parse and serialise bytes and do no
 //! I/O; nor does [`connections`], which decides how many connections a listener keeps, and
-//! which. [`door`] carries that out, [`io`] reads and writes sockets, [`socket`] sets their options, [`server`]
+//! which. [`door`] carries that out, [`turns`] divides the time of a thread, [`io`] reads and writes sockets, [`socket`] sets their options, [`server`]
 //! reads requests from callers and writes responses, and [`client`] sends requests to
 //! targets.
 //!
@@ -20,6 +20,7 @@
 pub mod io;
 pub mod server;
 pub mod socket;
+pub mod turns;
 
 pub use body::{BodyDecoder, BodyError, Framing};
 pub use door::{Door, DoorSettings, Place};
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -14,6 +14,7 @@
 use crate::headers::{Headers, write_field};
 use crate::io::{ReadBuffer, is_out_of_memory, read, try_read, wait_for_close, write_all};
 use crate::socket;
+use crate::turns::{PIPELINED_REQUEST_STEPS, Work};
 
 /// Longest body that is copied behind its head, to be written with it in one call.
 const MAX_COPIED_BODY_BYTES: usize = 4 * 1024;
@@ -89,6 +90,8 @@
     stream: TcpStream,
     buffer: ReadBuffer,
     place: Place,
+    /// Work on requests that were sent ahead, one behind the other.
+    pipelined: Work,
 }
 
 impl ServerConnection {
@@ -99,6 +102,7 @@
             stream,
             buffer: ReadBuffer::new(place.budget()),
             place,
+            pipelined: Work::default(),
         }
     }
 
@@ -149,6 +153,13 @@
         &mut self,
         limits: &ReadLimits,
     ) -> Result<(RequestHead, Instant), ReadError> {
+        if self.buffer.bytes.is_empty() {
+            self.pipelined = Work::default();
+        } else {
+            self.pipelined.count(PIPELINED_REQUEST_STEPS);
+            let turn = self.pipelined.wait_for_turn();
+            self.place.unless_displaced(turn).await;
+        }
         self.place.start_reading();
         if self.place.is_displaced() {
             return Err(self.displaced_idle());
@@ -237,6 +248,7 @@
             interim.map_err(|_| ReadError::Broken)?;
         }
         let mut decoder = BodyDecoder::new(framing);
+        let mut work = Work::default();
         let mut left_bytes = limits.bytes.saturating_mul(MAX_CHUNKED_FACTOR);
         while !decoder.is_done() {
             let buffered_bytes = self.buffer.bytes.len();
@@ -244,10 +256,12 @@
             let part = part.map_err(|_| ReadError::Malformed)?;
             let removed_bytes = buffered_bytes - self.buffer.bytes.len();
             left_bytes = left_bytes.saturating_sub(removed_bytes);
+            work.count(1);
             if let Some(data) = part {
                 body.extend(&data).map_err(|_| ReadError::NoMemory)?;
             } else if !decoder.is_done() {
                 self.buffer.free_removed();
+                self.place.unless_displaced(work.wait_for_turn()).await;
                 let deadline = limits.deadline.min(Instant::now() + limits.part_timeout);
                 self.fill(deadline).await?;
             }
@@ -281,8 +295,11 @@
 
     async fn discard_all(&mut self) {
         self.buffer.bytes.clear();
+        let mut work = Work::default();
         while matches!(read(&self.stream, &mut self.buffer).await, Ok(1..)) {
             self.buffer.bytes.clear();
+            work.count(1);
+            work.wait_for_turn().await;
         }
     }
 
