Read bodies at the own interface before a request takes a thread

Callers saw: "the instance holds as many requests as it can" (303) for 30 s while others did not finish their bodies. Cause: a request was counted, and had its thread, from the end of its head.

Change: a request whose body has not arrived is checked (route, key) and then waits for its body without a thread and without a place among limits.requests. One that is refused without its body still is refused at once.

--- a/crates/node/src/edge/connection.rs
+++ b/crates/node/src/edge/connection.rs
@@ -23,7 +23,7 @@
 use super::body::BodyError;
 use super::caller::Caller;
 use super::incoming::IncomingRequest;
-use super::server::ServerState;
+use super::server::{BodyPlan, ServerState};
 
 /// A caller that acknowledges no data or keep-alive probe for this time is
 /// considered gone.
@@ -152,17 +152,13 @@
     head: RequestHead,
     peer: Option<SocketAddr>,
 ) -> bool {
-    let Some(running) = shared.begin_request().await else {
-        return false;
-    };
     let (sender, mut commands) = channel(1);
     let caller = Arc::new(Caller::default());
     let incoming = IncomingRequest::new(head.clone(), peer, Arc::clone(&caller), sender);
-    ServerState::spawn_handler(running, incoming);
-    let mut body_read = matches!(head.framing(), Ok(Framing::Length(0)));
-    if body_read {
-        connection.place().start_serving();
-    }
+    let Some(body_read) = start_handler(shared, connection, &head, incoming).await else {
+        return false;
+    };
+    let mut body_read = body_read;
     let first = loop {
         match next_command(
             &mut commands,
@@ -176,18 +172,14 @@
                 timeout: body_timeout,
                 reply,
             }) => {
-                let limits = BodyLimits {
-                    bytes: limit_bytes,
-                    part_timeout: body_timeout,
-                    deadline: Instant::now() + body_timeout,
+                let plan = BodyPlan {
+                    limit_bytes,
+                    timeout: body_timeout,
                 };
-                let read = connection.read_body(&head, &limits).await;
+                let read = read_body(connection, &head, plan).await;
                 body_read = read.is_ok();
                 // This fails only if the handler's thread has ended.
-                let _delivered =
-                    reply.send(read.map_err(|error| {
-                        BodyError::from_read_error(error, limit_bytes, body_timeout)
-                    }));
+                let _delivered = reply.send(read);
             }
             Some(Command::Write { part, reply }) => break Some((part, reply)),
             None => break None,
@@ -203,6 +195,53 @@
     keep_alive && body_read
 }
 
+/// Starts the handler of a request once its body has arrived, or at once if the request is refused
+/// without it. Until then the request holds neither a thread nor a place among those in progress.
+/// Returns whether the body was read, or `None` if the request cannot be handled.
+async fn start_handler(
+    shared: &Arc<ServerState>,
+    connection: &mut ServerConnection,
+    head: &RequestHead,
+    mut incoming: IncomingRequest,
+) -> Option<bool> {
+    let mut body_read = false;
+    match head.framing() {
+        Ok(framing) if connection.has_body(framing) => {
+            body_read = framing == Framing::Length(0);
+            connection.place().start_serving();
+        }
+        Ok(_) => {
+            let running = shared.begin_request().await?;
+            let (checked, plan) = ServerState::check(running, incoming).await?;
+            incoming = checked;
+            if let Some(plan) = plan {
+                let body = read_body(connection, head, plan).await;
+                body_read = body.is_ok();
+                incoming.set_body(body);
+            }
+        }
+        // The handler refuses the request.
+        Err(_) => {}
+    }
+    let running = shared.begin_request().await?;
+    ServerState::spawn_handler(running, incoming);
+    Some(body_read)
+}
+
+async fn read_body(
+    connection: &mut ServerConnection,
+    head: &RequestHead,
+    plan: BodyPlan,
+) -> Result<Bytes, BodyError> {
+    let limits = BodyLimits {
+        bytes: plan.limit_bytes,
+        part_timeout: plan.timeout,
+        deadline: Instant::now() + plan.timeout,
+    };
+    let read = connection.read_body(head, &limits).await;
+    read.map_err(|error| BodyError::from_read_error(error, plan.limit_bytes, plan.timeout))
+}
+
 type PendingWrite = Option<(AnswerPart, SyncSender<io::Result<()>>)>;
 
 /// Writes the parts of the answer as the handler sends them; returns whether the
--- a/crates/node/src/edge/incoming.rs
+++ b/crates/node/src/edge/incoming.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, mpsc};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bamboospur_http1::RequestHead;
 use bytes::Bytes;
@@ -17,12 +17,16 @@
 pub struct IncomingRequest {
     head: RequestHead,
     peer: Option<SocketAddr>,
+    /// When the head arrived.
+    arrived: Instant,
     caller: Arc<Caller>,
     commands: Sender<Command>,
+    /// The body, or why it could not be read, if it was read before the handler started.
+    body: Option<Result<Bytes, BodyError>>,
 }
 
 impl IncomingRequest {
-    pub(super) const fn new(
+    pub(super) fn new(
         head: RequestHead,
         peer: Option<SocketAddr>,
         caller: Arc<Caller>,
@@ -31,11 +35,24 @@
         Self {
             head,
             peer,
+            arrived: Instant::now(),
             caller,
             commands,
+            body: None,
         }
     }
 
+    /// Sets the body, or why it could not be read.
+    pub(super) fn set_body(&mut self, body: Result<Bytes, BodyError>) {
+        self.body = Some(body);
+    }
+
+    /// Returns when the head arrived.
+    #[must_use]
+    pub const fn arrived(&self) -> Instant {
+        self.arrived
+    }
+
     /// Returns the HTTP method.
     #[must_use]
     pub fn method(&self) -> &str {
@@ -78,6 +95,9 @@
     /// Returns an error if the body is malformed, too large, too slow or
     /// incomplete, or if there is no memory for it.
     pub fn read_body(&mut self, limit_bytes: usize, timeout: Duration) -> Result<Bytes, BodyError> {
+        if let Some(body) = self.body.take() {
+            return body;
+        }
         let (reply, received) = mpsc::sync_channel(1);
         let command = Command::ReadBody {
             limit_bytes,
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -18,4 +18,4 @@
 pub use body::BodyError;
 pub use caller::Caller;
 pub use incoming::IncomingRequest;
-pub use server::{HttpServer, HttpServerSettings};
+pub use server::{BodyPlan, HttpServer, HttpServerSettings};
--- a/crates/node/src/edge/server.rs
+++ b/crates/node/src/edge/server.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch};
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 use tracing::{error, warn};
@@ -56,7 +56,17 @@
     }
 }
 
+/// What a request's handler reads as its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyPlan {
+    /// Largest body.
+    pub limit_bytes: usize,
+    /// Limit for receiving the whole body.
+    pub timeout: Duration,
+}
+
 type Handler = Box<dyn Fn(IncomingRequest) + Send + Sync>;
+type Check = Box<dyn Fn(&IncomingRequest) -> Option<BodyPlan> + Send + Sync>;
 
 /// An HTTP server; dropping it stops accepting connections.
 pub struct HttpServer {
@@ -69,14 +79,16 @@
 pub struct ServerState {
     pub(super) settings: HttpServerSettings,
     pub(super) budget: BufferBudget,
+    /// Returns how the body of a request is read, or `None` if the request is refused.
+    check: Check,
     handler: Handler,
     requests: Arc<Semaphore>,
     in_progress: AtomicUsize,
 }
 
 impl HttpServer {
-    /// Starts to listen, and runs `handler` on its own thread for each request. Requests are
-    /// buffered within `budget`.
+    /// Starts to listen, and runs `handler` on its own thread for each request whose body has
+    /// arrived, or which `check` refuses before. Requests are buffered within `budget`.
     ///
     /// # Errors
     ///
@@ -85,6 +97,7 @@
     pub fn start(
         settings: HttpServerSettings,
         budget: BufferBudget,
+        check: impl Fn(&IncomingRequest) -> Option<BodyPlan> + Send + Sync + 'static,
         handler: impl Fn(IncomingRequest) + Send + Sync + 'static,
     ) -> io::Result<Self> {
         let listener = socket::bind(settings.address, &settings.door())?;
@@ -95,6 +108,7 @@
         let shared = Arc::new(ServerState {
             settings,
             budget,
+            check: Box::new(check),
             handler: Box::new(handler),
             requests: Arc::new(Semaphore::new(settings.requests)),
             in_progress: AtomicUsize::new(0),
@@ -203,19 +217,38 @@
         })
     }
 
+    /// Checks a request on a new thread. Returns the request, and how its body is read unless the
+    /// request is refused; `None` if there is no thread.
+    pub(super) async fn check(
+        running: RunningRequest,
+        incoming: IncomingRequest,
+    ) -> Option<(IncomingRequest, Option<BodyPlan>)> {
+        let (reply, checked) = oneshot::channel();
+        spawn_thread(move || {
+            let plan = (running.shared.check)(&incoming);
+            drop(running);
+            // The connection waits until the check has ended.
+            let _received = reply.send((incoming, plan));
+        });
+        checked.await.ok()
+    }
+
     /// Runs the handler on a new thread. If the thread cannot be created, the
     /// request is dropped and its connection answers 500.
     pub(super) fn spawn_handler(running: RunningRequest, incoming: IncomingRequest) {
-        let builder = thread::Builder::new().stack_size(STACK_BYTES);
-        let spawned = builder.spawn(move || {
+        spawn_thread(move || {
             (running.shared.handler)(incoming);
         });
-        if let Err(error) = spawned {
-            error!(
-                %error,
-                "the thread of a request could not be created; the caller gets status 500; \
-                 lower limits.requests"
-            );
-        }
+    }
+}
+
+fn spawn_thread(work: impl FnOnce() + Send + 'static) {
+    let builder = thread::Builder::new().stack_size(STACK_BYTES);
+    if let Err(error) = builder.spawn(work) {
+        error!(
+            %error,
+            "the thread of a request could not be created; the caller gets status 500; \
+             lower limits.requests"
+        );
     }
 }
--- a/crates/node/src/operators/control.rs
+++ b/crates/node/src/operators/control.rs
@@ -11,13 +11,15 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use super::{MAX_BODY_BYTES, Page, control_change, control_drain, control_in_force, control_read};
+use super::{
+    BODY_TIMEOUT, MAX_BODY_BYTES, Page, control_change, control_drain, control_in_force,
+    control_read,
+};
 use crate::actors::{ControlMessage, Inspect};
 use crate::edge::IncomingRequest;
 use crate::mailbox::{MainLoopMessage, ReplySender};
 use crate::request::{Node, bearer_token};
 
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest wait for the control group. The control actor times out earlier.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
 /// Prefix of all paths of the operators' API.
--- a/crates/node/src/operators/mod.rs
+++ b/crates/node/src/operators/mod.rs
@@ -9,12 +9,13 @@
 mod targets;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bamboospur_control::operator::Action;
 use serde_json::json;
 
 use crate::dev;
-use crate::edge::{IncomingRequest, Responder};
+use crate::edge::{BodyPlan, IncomingRequest, Responder};
 use crate::mailbox::MainLoopMessage;
 use crate::request::Node;
 use crate::status::StatusParts;
@@ -22,6 +23,8 @@
 const HTTP_OK: u16 = 200;
 const HTTP_UNAVAILABLE: u16 = 503;
 const MAX_BODY_BYTES: usize = 1024 * 1024;
+/// Limit for receiving a whole body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// HTTP answer with a JSON body.
 struct Page {
@@ -43,6 +46,21 @@
     }
 }
 
+/// Returns how the body of a request is read before the request is handled, or `None` if the
+/// request is refused without it.
+pub fn plan_body(node: &Node, incoming: &IncomingRequest) -> Option<BodyPlan> {
+    let path = incoming.path();
+    let is_allowed = if path.starts_with(control::PATH_PREFIX) {
+        control::authorize(node, incoming, Action::Read).is_ok()
+    } else {
+        path.starts_with("/targets/") && targets::is_allowed(node, incoming)
+    };
+    is_allowed.then_some(BodyPlan {
+        limit_bytes: MAX_BODY_BYTES,
+        timeout: BODY_TIMEOUT,
+    })
+}
+
 /// Serves one request of an operator or a target.
 pub fn handle(node: &Arc<Node>, mut incoming: IncomingRequest) {
     let path = incoming.path().split('?').next().unwrap_or_default();
--- a/crates/node/src/operators/targets.rs
+++ b/crates/node/src/operators/targets.rs
@@ -1,7 +1,5 @@
 //! HTTP messages of targets: announcements, heartbeats, cache events and leaves.
 
-use std::time::Duration;
-
 use bamboospur_membership::{Load, MembershipInput};
 use bamboospur_placement::CacheEventKind;
 use bamboospur_types::{ChatId, Incarnation, TargetRecord, TargetState, WorkTokens, stable_id};
@@ -9,7 +7,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
-use super::{HTTP_UNAVAILABLE, MAX_BODY_BYTES, Page};
+use super::{BODY_TIMEOUT, HTTP_UNAVAILABLE, MAX_BODY_BYTES, Page};
 use crate::actors::{MembersMessage, TargetAnswer};
 use crate::edge::IncomingRequest;
 use crate::mailbox::{MainLoopMessage, ReplySender};
@@ -19,7 +17,6 @@
 const HTTP_UNAUTHORIZED: u16 = 401;
 const HTTP_NOT_FOUND: u16 = 404;
 const HTTP_CONFLICT: u16 = 409;
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 const MAX_CACHE_EVENTS: usize = 4096;
 
 #[derive(Debug, Deserialize)]
@@ -77,7 +74,7 @@
     page.unwrap_or_else(|error| error)
 }
 
-fn is_allowed(node: &Node, incoming: &IncomingRequest) -> bool {
+pub(super) fn is_allowed(node: &Node, incoming: &IncomingRequest) -> bool {
     let Some(expected) = node.target_token() else {
         return true;
     };
--- a/crates/node/src/request/accept.rs
+++ b/crates/node/src/request/accept.rs
@@ -6,11 +6,11 @@
 use bamboospur_types::{ChatId, OfferId, ResultCode, TargetId, WorkTokens, stable_id};
 use bytes::Bytes;
 
-use super::authenticate::Identity;
+use super::authenticate::{self, Identity};
 use super::error::RequestError;
 use super::node::Node;
 use super::{chat, finish, headers, service};
-use crate::edge::{BodyError, IncomingRequest};
+use crate::edge::{BodyError, BodyPlan, IncomingRequest};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 const SERVICES_PREFIX: &str = "/services/";
@@ -78,10 +78,10 @@
 }
 
 /// Creates the id and the start time of a request that has not been checked yet.
-pub fn new_context(node: &Node) -> RequestContext {
+pub fn new_context(node: &Node, incoming: &IncomingRequest) -> RequestContext {
     RequestContext {
         request_id: node.next_request_id(),
-        started: Instant::now(),
+        started: incoming.arrived(),
     }
 }
 
@@ -134,6 +134,18 @@
     service::route(incoming.method(), pool_and_path)
 }
 
+/// Returns how the body of a request is read; fails if the request is refused without it.
+pub fn plan_body(node: &Node, incoming: &IncomingRequest) -> Result<BodyPlan, RequestError> {
+    check_accepting(node)?;
+    route(incoming)?;
+    authenticate::identify(node, incoming)?;
+    let limits = &node.settings.limits;
+    Ok(BodyPlan {
+        limit_bytes: limits.body_bytes,
+        timeout: limits.body_timeout,
+    })
+}
+
 /// Reads the body and the headers of a request and validates them.
 pub fn read(
     node: &Node,
--- a/crates/node/src/request/mod.rs
+++ b/crates/node/src/request/mod.rs
@@ -23,16 +23,23 @@
 
 use std::sync::Arc;
 
-use crate::edge::{Caller, IncomingRequest, Responder};
+use crate::edge::{BodyPlan, Caller, IncomingRequest, Responder};
 use accept::CheckedRequest;
 use finish::Ending;
 
+/// Returns how the body of a request is read before the request is handled, or `None` if the
+/// request is refused without it.
+pub fn plan_body(node: &Node, incoming: &IncomingRequest) -> Option<BodyPlan> {
+    // The handler finds the same reason and sends it.
+    accept::plan_body(node, incoming).ok()
+}
+
 /// Handles one request: validates it, sends it to a target, relays the answer
 /// and records the result.
 pub fn handle(node: &Arc<Node>, mut incoming: IncomingRequest) {
     let _in_progress = node.begin_request();
     let caller = incoming.caller();
-    let context = accept::new_context(node);
+    let context = accept::new_context(node, &incoming);
     let prepared = prepare(node, &mut incoming, &context);
     let responder = incoming.into_responder();
     let ending = match prepared {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -141,7 +141,9 @@
         };
         let buffers = node.buffers.clone();
         let serve = move |incoming| serve_caller(&serving, incoming);
-        let callers = HttpServer::start(callers, buffers.clone(), serve)
+        let checking = Arc::clone(node);
+        let check = move |incoming: &IncomingRequest| request::plan_body(&checking, incoming);
+        let callers = HttpServer::start(callers, buffers.clone(), check, serve)
             .map_err(|error| listen_error("callers", addresses.callers, &error))?;
         let serving = Arc::clone(node);
         let operators = HttpServerSettings {
@@ -151,7 +153,9 @@
             receive_timeout: limits.head_timeout,
             send_timeout: limits.caller_stall,
         };
-        let operators = HttpServer::start(operators, buffers, move |incoming| {
+        let checking = Arc::clone(node);
+        let check = move |incoming: &IncomingRequest| operators::plan_body(&checking, incoming);
+        let operators = HttpServer::start(operators, buffers, check, move |incoming| {
             operators::handle(&serving, incoming);
         })
         .map_err(|error| listen_error("operators", addresses.operators, &error))?;
