Test which connections give way, and the division of limits; soak hostile clients

The table of connections has properties over random events, and the shares of all listeners are checked against the memory and the descriptors of each kind of machine. The latter found an overflow for extreme values of maxFds in the settings, and receive buffers outside of what a socket takes; both are clamped. hostile_clients/soak.rs sends seeded crowds to random doors beside ordinary callers on kept connections, suspended, stopped, killed and reloaded processes and changes.

--- a/crates/fleet/src/memory.rs
+++ b/crates/fleet/src/memory.rs
@@ -14,8 +14,9 @@
 const DEFAULT_DESCRIPTORS: usize = 4_096;
 /// Descriptors for files, listeners and links that the process dials.
 const RESERVED_DESCRIPTORS: usize = 300;
-/// Fewest descriptors to divide, whatever the settings say.
+/// Fewest and most descriptors to divide, whatever the settings say.
 const MIN_DESCRIPTORS: usize = 64;
+const MAX_DESCRIPTORS: usize = 1_000_000;
 /// Part of the memory for requests and answers.
 const REQUESTS_DIVISOR: usize = 4;
 /// Part of the memory for what has arrived unread on the connections of callers or operators.
@@ -54,7 +55,7 @@
             memory_bytes: usize::try_from(memory_bytes).unwrap_or(usize::MAX),
             descriptors: descriptors
                 .saturating_sub(RESERVED_DESCRIPTORS)
-                .max(MIN_DESCRIPTORS),
+                .clamp(MIN_DESCRIPTORS, MAX_DESCRIPTORS),
         }
     }
 
--- a/crates/http1/src/door.rs
+++ b/crates/http1/src/door.rs
@@ -11,6 +11,10 @@
 
 use crate::connections::{ConnectionId, ConnectionTable};
 
+/// Smallest and largest receive buffer of a connection.
+const MIN_RECEIVE_BUFFER_BYTES: usize = 2 * 1024;
+const MAX_RECEIVE_BUFFER_BYTES: usize = 256 * 1024;
+
 /// Limits of one listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DoorSettings {
@@ -28,10 +32,12 @@
     #[must_use]
     pub fn new(connections: usize, backlog: u16, unread_bytes: usize) -> Self {
         let sockets = connections + usize::from(backlog);
+        let buffer_bytes = unread_bytes / (2 * sockets.max(1));
         Self {
             connections,
             backlog,
-            receive_buffer_bytes: unread_bytes / (2 * sockets.max(1)),
+            receive_buffer_bytes: buffer_bytes
+                .clamp(MIN_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES),
         }
     }
 
--- a/crates/node/tests/hostile_clients/main.rs
+++ b/crates/node/tests/hostile_clients/main.rs
@@ -5,12 +5,16 @@
 //! bounds are the limits that the settings of the process state. No check depends on the speed of
 //! the machine. The tests run one at a time.
 
+#[path = "../deployment/caller.rs"]
+#[allow(dead_code, reason = "these tests use a part of the caller")]
+mod caller;
 mod crowd;
 #[path = "../deployment/harness.rs"]
 #[allow(dead_code, reason = "these tests use a part of the deployment")]
 mod harness;
 mod node;
 mod roles;
+mod soak;
 #[path = "../support/mod.rs"]
 mod support;
 #[path = "../deployment/target.rs"]
--- a/crates/node/tests/hostile_clients/roles.rs
+++ b/crates/node/tests/hostile_clients/roles.rs
@@ -21,17 +21,17 @@
     memory_mb: 100,
     max_fds: 1_500,
 };
-const METRICS_PORT: u16 = 9104;
-const METRICS_OPTIONS: &[&str] = &["--metrics", "9104"];
+pub const METRICS_PORT: u16 = 9104;
+pub const METRICS_OPTIONS: &[&str] = &["--metrics", "9104"];
 /// Time for which a crowd sends.
 const SENDING_TIME: Duration = Duration::from_secs(6);
 /// Size of a large body within the limits.
 const LARGE_BODY_BYTES: usize = 4 * 1024 * 1024;
 
-const CALLER_HEAD: &str = "POST /read/1 HTTP/1.1\r\nHost: a.example\r\n\
+pub const CALLER_HEAD: &str = "POST /read/1 HTTP/1.1\r\nHost: a.example\r\n\
                            X-Bamboospur-Request-Id: crowd\r\nAuthorization: Bearer k1\r\n";
-const CONFIG_HEAD: &str = "PUT /config HTTP/1.1\r\nHost: c\r\n";
-const REPORT_HEAD: &str = "PUT /replicas/crowd HTTP/1.1\r\nHost: c\r\n";
+pub const CONFIG_HEAD: &str = "PUT /config HTTP/1.1\r\nHost: c\r\n";
+pub const REPORT_HEAD: &str = "PUT /replicas/crowd HTTP/1.1\r\nHost: c\r\n";
 
 /// Deployment with a target that reports whenever it is asked for an answer.
 struct Site {
--- a/crates/types/src/buffer_budget.rs
+++ b/crates/types/src/buffer_budget.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Returns the size of the budget.
+    #[must_use]
+    pub fn limit_bytes(&self) -> usize {
+        self.shared.limit_bytes
+    }
+
     /// Returns the bytes that are reserved.
     #[must_use]
     pub fn used_bytes(&self) -> usize {
