Test single clients in calm, and describe the limits

A body of 4 MB in one-byte chunks, or with a length, is served by a router that has nothing else to do; endless chunk extensions get 413, and a body that drips past the time for which its caller waits gets 408.

--- a/crates/http1/src/door.rs
+++ b/crates/http1/src/door.rs
@@ -61,7 +61,6 @@
     places: RefCell<BTreeMap<ConnectionId, Rc<Displacement>>>,
     /// Notified when a connection was closed.
     has_room: Notify,
-    displaced: Cell<u64>,
 }
 
 /// Tells a connection to give way.
@@ -81,17 +80,10 @@
                 table: RefCell::new(ConnectionTable::new(settings.connections)),
                 places: RefCell::default(),
                 has_room: Notify::new(),
-                displaced: Cell::new(0),
             }),
         }
     }
 
-    /// Returns how many connections had to give way to others.
-    #[must_use]
-    pub fn displaced(&self) -> u64 {
-        self.state.displaced.get()
-    }
-
     /// Returns a place for an accepted connection. Waits until there is room, for which
     /// connections without a complete request give way.
     pub async fn enter(&self) -> Place {
@@ -136,7 +128,6 @@
         let victims = self.state.table.borrow_mut().take_victims(now);
         let places = self.state.places.borrow();
         for place in victims.iter().filter_map(|id| places.get(id)) {
-            self.state.displaced.set(self.state.displaced.get() + 1);
             place.is_due.set(true);
             place.due.notify_one();
         }
--- a/crates/node/tests/hostile_clients/main.rs
+++ b/crates/node/tests/hostile_clients/main.rs
@@ -8,6 +8,7 @@
 #[path = "../deployment/caller.rs"]
 #[allow(dead_code, reason = "these tests use a part of the caller")]
 mod caller;
+mod calm;
 mod crowd;
 #[path = "../deployment/harness.rs"]
 #[allow(dead_code, reason = "these tests use a part of the deployment")]
--- a/crates/node/tests/hostile_clients/roles.rs
+++ b/crates/node/tests/hostile_clients/roles.rs
@@ -26,7 +26,7 @@
 /// Time for which a crowd sends.
 const SENDING_TIME: Duration = Duration::from_secs(6);
 /// Size of a large body within the limits.
-const LARGE_BODY_BYTES: usize = 4 * 1024 * 1024;
+pub const LARGE_BODY_BYTES: usize = 4 * 1024 * 1024;
 
 pub const CALLER_HEAD: &str = "POST /read/1 HTTP/1.1\r\nHost: a.example\r\n\
                            X-Bamboospur-Request-Id: crowd\r\nAuthorization: Bearer k1\r\n";
