Let no more than an eighth of the connections in use give way at a time

Callers would have seen: one connection that waits for a full listener makes every connection with an earlier request close after its response. Cause: those in use did not count as giving way, so that take_victims was called again at once until none was left. They are chosen now only when no other connection can make room, an eighth of all at most.

The property over random events found that a request which is announced twice as being served (the own interface does so) counted as two, and took back that its connection gives way.

--- a/crates/http1/src/connections.rs
+++ b/crates/http1/src/connections.rs
@@ -46,6 +46,12 @@
     Serving { opened: Instant },
 }
 
+impl Progress {
+    const fn is_serving(self) -> bool {
+        matches!(self, Self::Serving { .. })
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Connection {
     phase: Phase,
@@ -133,7 +139,7 @@
     /// Records that a request is complete and is being served.
     pub fn start_serving(&mut self, id: ConnectionId) {
         if let Some(connection) = self.connections.get_mut(&id)
-            && connection.phase != Phase::Closing
+            && matches!(connection.phase, Phase::Reading { .. })
         {
             connection.phase = Phase::Serving { gives_way: false };
             connection.requests += 1;
@@ -169,17 +175,19 @@
     /// their request at once, the others after their response. None are returned while enough
     /// earlier ones still close.
     pub fn take_victims(&mut self, now: Instant) -> Vec<ConnectionId> {
-        let most = self.most_victims();
-        let connections = self.connections.iter();
-        let candidates = connections.filter_map(|(&id, connection)| {
-            let (progress, grace_end) = connection.progress(now)?;
-            (grace_end <= now).then_some((progress, id))
-        });
-        let mut candidates: Vec<_> = candidates.collect();
+        let mut candidates: Vec<_> = self
+            .candidates(now)
+            .filter(|&(_, grace_end, _)| grace_end <= now)
+            .map(|(progress, _, id)| (progress, id))
+            .collect();
         candidates.sort_unstable();
-        candidates.truncate(most);
-        let victims = candidates.into_iter().map(|(_, id)| id);
-        let victims: Vec<_> = victims.collect();
+        let is_waiting = |&(progress, _): &(Progress, _)| !progress.is_serving();
+        let waiting = candidates.iter().filter(|entry| is_waiting(entry)).count();
+        if waiting > 0 {
+            candidates.truncate(waiting);
+        }
+        candidates.truncate(self.most_victims(waiting == 0));
+        let victims: Vec<_> = candidates.into_iter().map(|(_, id)| id).collect();
         for id in &victims {
             let Some(connection) = self.connections.get_mut(id) else {
                 continue;
@@ -192,23 +200,47 @@
         victims
     }
 
-    /// Returns how many connections can be closed beside those that close.
-    fn most_victims(&self) -> usize {
-        let connections = self.connections.values();
-        let closing = connections.filter(|connection| connection.phase == Phase::Closing);
+    /// Returns the connections that can give way now or later, and the ends of their grace.
+    fn candidates(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (Progress, Instant, ConnectionId)> + '_ {
+        let closing = self.count(Phase::Closing);
+        let connections = self.connections.iter();
+        let candidates = connections.filter_map(move |(&id, connection)| {
+            let (progress, grace_end) = connection.progress(now)?;
+            Some((progress, grace_end, id))
+        });
+        // Connections that serve a request stay while others already make room.
+        candidates.filter(move |(progress, ..)| closing == 0 || !progress.is_serving())
+    }
+
+    /// Returns how many connections can be told to close beside those that were.
+    fn most_victims(&self, are_serving: bool) -> usize {
+        let told = if are_serving {
+            self.count(Phase::Serving { gives_way: true })
+        } else {
+            self.count(Phase::Closing)
+        };
         let most = (self.limit / VICTIMS_DIVISOR).max(1);
-        most.saturating_sub(closing.count())
+        most.saturating_sub(told)
+    }
+
+    fn count(&self, phase: Phase) -> usize {
+        let connections = self.connections.values();
+        connections
+            .filter(|connection| connection.phase == phase)
+            .count()
     }
 
     /// Returns when the next connection can give way, unless one has to be closed first.
     #[must_use]
     pub fn next_victim_at(&self, now: Instant) -> Option<Instant> {
-        if self.most_victims() == 0 {
-            return None;
-        }
-        let connections = self.connections.values();
-        let ends = connections.filter_map(|connection| connection.progress(now));
-        ends.map(|(_, grace_end)| grace_end).min()
+        let most = [self.most_victims(false), self.most_victims(true)];
+        let candidates = self.candidates(now);
+        let candidates =
+            candidates.filter(|(progress, ..)| most[usize::from(progress.is_serving())] > 0);
+        candidates.map(|(_, grace_end, _)| grace_end).min()
     }
 
     /// Number of connections.
--- a/crates/http1/src/door.rs
+++ b/crates/http1/src/door.rs
@@ -48,8 +48,8 @@
     }
 }
 
-/// Connections of one listener. Clones share them.
-#[derive(Clone, Debug)]
+/// Connections of one listener.
+#[derive(Debug)]
 pub struct Door {
     state: Rc<DoorState>,
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -1,10 +1,10 @@
 //! HTTP/1.1 heads, bodies, event streams and connections.
 //!
 //! [`body`], [`events`], [`head`] and [`headers`] parse and serialise bytes and do no
-//! I/O; nor does [`connections`], which decides how many connections a listener keeps, and
-//! which. [`door`] carries that out, [`turns`] divides the time of a thread, [`io`] reads and writes sockets, [`socket`] sets their options, [`server`]
-//! reads requests from callers and writes responses, and [`client`] sends requests to
-//! targets.
+//! I/O; nor does [`connections`], which decides which connections a listener keeps. [`door`]
+//! carries that out, [`turns`] divides the time of a thread, [`io`] reads and writes sockets,
+//! [`socket`] sets their options, [`server`] reads requests from callers and writes responses,
+//! and [`client`] sends requests to targets.
 //!
 //! Routers need details that a general HTTP library hides: a caller that closes the
 //! connection while it waits, bytes that follow a complete response, a response that
