--- a/crates/node/tests/hostile_clients/calm.rs
+++ b/crates/node/tests/hostile_clients/calm.rs
@@ -7,7 +7,7 @@
 
 use super::harness::{Behaviour, Deployment, Target};
 use super::roles::{CALLER_HEAD, LARGE_BODY_BYTES};
-use super::run_alone;
+use super::{NETWORK, run_alone};
 
 /// Longest time for which a client waits for its answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_mins(1);
@@ -17,9 +17,9 @@
 const DRIP_TIME: Duration = Duration::from_secs(15);
 
 /// Returns the status of the answer to what `send` writes on a connection to the router.
-fn status(network: u8, send: impl FnOnce(&mut TcpStream)) -> Option<u16> {
+fn status(send: impl FnOnce(&mut TcpStream)) -> Option<u16> {
     let _alone = run_alone();
-    let mut deployment = Deployment::start(network);
+    let mut deployment = Deployment::start(NETWORK);
     deployment.configure("k1");
     let target = Target::start(deployment.host(21), "t1", Behaviour::AnswerEarly);
     deployment.report("t1", &target, "s", "ready", 1);
@@ -52,7 +52,7 @@
     const CHUNKS_PER_PART: usize = 16 * 1024;
     let parts = LARGE_BODY_BYTES / CHUNKS_PER_PART;
     let part = "1\r\nx\r\n".repeat(CHUNKS_PER_PART);
-    let answer = status(35, |stream| {
+    let answer = status(|stream| {
         write(stream, [chunked_head()].into_iter());
         write(stream, (0..parts).map(|_| part.clone()));
         write(stream, ["0\r\n\r\n".to_owned()].into_iter());
@@ -62,7 +62,7 @@
 
 #[test]
 fn a_large_body_with_a_length_is_served_in_calm() {
-    let answer = status(37, |stream| {
+    let answer = status(|stream| {
         let head = format!("{CALLER_HEAD}Content-Length: {LARGE_BODY_BYTES}\r\n\r\n");
         write(stream, [head, "x".repeat(LARGE_BODY_BYTES)].into_iter());
     });
@@ -77,7 +77,7 @@
     let part = chunk.repeat(64);
     // Ten times as many bytes as the largest body.
     let parts = 10 * LARGE_BODY_BYTES / part.len();
-    let answer = status(38, |stream| {
+    let answer = status(|stream| {
         write(stream, [chunked_head()].into_iter());
         write(stream, (0..parts).map(|_| part.clone()));
         write(stream, ["0\r\n\r\n".to_owned()].into_iter());
@@ -88,7 +88,7 @@
 /// The time for a body started anew with each byte.
 #[test]
 fn a_body_that_drips_is_rejected_when_its_caller_waits_no_longer() {
-    let answer = status(39, |stream| {
+    let answer = status(|stream| {
         let head =
             format!("{CALLER_HEAD}X-Bamboospur-Deadline-Ms: 1500\r\nContent-Length: 9999\r\n\r\n");
         write(stream, [head].into_iter());
--- a/crates/node/tests/hostile_clients/main.rs
+++ b/crates/node/tests/hostile_clients/main.rs
@@ -27,6 +27,9 @@
 
 use support::disk;
 
+/// Byte of the loopback addresses of all tests here, which never run side by side.
+const NETWORK: u8 = 96;
+
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
 /// Waits until no other test of this program runs.
--- a/crates/node/tests/hostile_clients/roles.rs
+++ b/crates/node/tests/hostile_clients/roles.rs
@@ -11,8 +11,8 @@
     Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, DeploymentSettings, LINK_PORT, ProcessLimits,
     READY_PORT, REPORT_PORT, Target, comes_true, json_call, report_body,
 };
-use super::run_alone;
 use super::usage::{Peak, Watch};
+use super::{NETWORK, run_alone};
 
 /// Connections of a crowd, fewer than the descriptors of the process.
 const CROWD: usize = 1_000;
@@ -43,13 +43,13 @@
 }
 
 impl Site {
-    fn start(network: u8, limits: ProcessLimits) -> Self {
+    fn start(limits: ProcessLimits) -> Self {
         let settings = DeploymentSettings {
             control_options: METRICS_OPTIONS,
             router_options: METRICS_OPTIONS,
             limits,
         };
-        let mut deployment = Deployment::with_settings(network, settings);
+        let mut deployment = Deployment::with_settings(NETWORK, settings);
         deployment.start_router();
         deployment.configure("k1");
         let target = Target::start(deployment.host(21), "t1", Behaviour::Answer);
@@ -115,9 +115,9 @@
 
 /// Sends a crowd to a door of the router, and checks that ordinary callers are answered beside it
 /// and behind it, and that the router keeps its limits.
-fn send_to_router(network: u8, port: u16, connections: usize, client: Client) {
+fn send_to_router(port: u16, connections: usize, client: Client) {
     let _alone = run_alone();
-    let mut site = Site::start(network, LIMITS);
+    let mut site = Site::start(LIMITS);
     let watch = site.watch(9, "router");
     let address = site.deployment.address(9, port);
     let crowd = Crowd::start(address, connections, client);
@@ -132,9 +132,9 @@
 }
 
 /// Sends a crowd to a door of a control instance, as [`send_to_router`] does.
-fn send_to_control(network: u8, port: u16, connections: usize, client: Client) {
+fn send_to_control(port: u16, connections: usize, client: Client) {
     let _alone = run_alone();
-    let mut site = Site::start(network, LIMITS);
+    let mut site = Site::start(LIMITS);
     let watch = site.watch(2, "control-2");
     let address = site.deployment.address(2, port);
     let crowd = Crowd::start(address, connections, client);
@@ -151,13 +151,13 @@
 #[test]
 fn callers_with_bodies_in_small_chunks_leave_memory_and_answers_for_others() {
     let client = Client::chunked(CALLER_HEAD, 1, LARGE_BODY_BYTES);
-    send_to_router(60, CALLER_PORT, CROWD, client);
+    send_to_router(CALLER_PORT, CROWD, client);
 }
 
 #[test]
 fn callers_with_bodies_in_large_chunks_leave_memory_and_answers_for_others() {
     let client = Client::chunked(CALLER_HEAD, 64 * 1024, LARGE_BODY_BYTES);
-    send_to_router(61, CALLER_PORT, CROWD, client);
+    send_to_router(CALLER_PORT, CROWD, client);
 }
 
 #[test]
@@ -165,37 +165,37 @@
     let head = format!("{CALLER_HEAD}Transfer-Encoding: chunked\r\n\r\n");
     let chunk = format!("1;{}\r\nx\r\n", "e".repeat(200));
     let client = Client::repeating(&head, &chunk, 4 * LARGE_BODY_BYTES);
-    send_to_router(63, CALLER_PORT, CROWD, client);
+    send_to_router(CALLER_PORT, CROWD, client);
 }
 
 #[test]
 fn callers_with_large_bodies_leave_memory_and_answers_for_others() {
     let client = Client::with_length(CALLER_HEAD, LARGE_BODY_BYTES, 1);
-    send_to_router(64, CALLER_PORT, CROWD, client);
+    send_to_router(CALLER_PORT, CROWD, client);
 }
 
 #[test]
 fn callers_with_bodies_over_the_limit_leave_memory_and_answers_for_others() {
     let client = Client::with_length(CALLER_HEAD, 64 * LARGE_BODY_BYTES, 1);
-    send_to_router(65, CALLER_PORT, CROWD, client);
+    send_to_router(CALLER_PORT, CROWD, client);
 }
 
 #[test]
 fn callers_with_unfinished_short_bodies_leave_memory_and_answers_for_others() {
     let client = Client::with_length(CALLER_HEAD, 16 * 1024, 1);
-    send_to_router(66, CALLER_PORT, CROWD, client);
+    send_to_router(CALLER_PORT, CROWD, client);
 }
 
 #[test]
 fn callers_with_heads_without_end_leave_memory_and_answers_for_others() {
     let client = Client::repeating(CALLER_HEAD, "X-A: b\r\n", LARGE_BODY_BYTES);
-    send_to_router(67, CALLER_PORT, CROWD, client);
+    send_to_router(CALLER_PORT, CROWD, client);
 }
 
 /// More connections than descriptors.
 #[test]
 fn callers_without_requests_leave_descriptors_and_answers_for_others() {
-    send_to_router(68, CALLER_PORT, 2_000, Client::only(""));
+    send_to_router(CALLER_PORT, 2_000, Client::only(""));
 }
 
 #[test]
@@ -205,72 +205,72 @@
         CALLER_HEAD.replace("k1", "no")
     );
     let client = Client::repeating("", &request, LARGE_BODY_BYTES);
-    send_to_router(69, CALLER_PORT, CROWD, client);
+    send_to_router(CALLER_PORT, CROWD, client);
 }
 
 #[test]
 fn reports_in_small_chunks_leave_memory_and_answers_for_others() {
     let client = Client::chunked(REPORT_HEAD, 1, 64 * 1024);
-    send_to_router(70, REPORT_PORT, CROWD, client);
+    send_to_router(REPORT_PORT, CROWD, client);
 }
 
 #[test]
 fn connections_to_the_port_for_reports_leave_descriptors_for_others() {
-    send_to_router(71, REPORT_PORT, 2_000, Client::only("PUT /"));
+    send_to_router(REPORT_PORT, 2_000, Client::only("PUT /"));
 }
 
 #[test]
 fn connections_for_readiness_leave_memory_and_descriptors_for_others() {
     let client = Client::repeating("", "G", 256 * 1024);
-    send_to_router(72, READY_PORT, 2_000, client);
+    send_to_router(READY_PORT, 2_000, client);
 }
 
 #[test]
 fn connections_for_metrics_leave_memory_and_descriptors_for_others() {
     let client = Client::repeating("GET /metrics HTTP/1.1\r\nX: ", "y", 256 * 1024);
-    send_to_router(76, METRICS_PORT, 2_000, client);
+    send_to_router(METRICS_PORT, 2_000, client);
 }
 
 #[test]
 fn links_of_strangers_to_a_router_leave_memory_and_descriptors_for_others() {
     // The begin of a frame of 4 MB.
     let client = Client::repeating("\0\x40\0\0", "x", LARGE_BODY_BYTES - 1);
-    send_to_router(80, LINK_PORT, 2_000, client);
+    send_to_router(LINK_PORT, 2_000, client);
 }
 
 #[test]
 fn operators_with_bodies_in_small_chunks_leave_memory_and_answers_for_others() {
     let client = Client::chunked(CONFIG_HEAD, 1, LARGE_BODY_BYTES);
-    send_to_control(81, CONTROL_PORT, CROWD, client);
+    send_to_control(CONTROL_PORT, CROWD, client);
 }
 
 #[test]
 fn operators_with_large_bodies_leave_memory_and_answers_for_others() {
     let client = Client::with_length(CONFIG_HEAD, LARGE_BODY_BYTES, 1);
-    send_to_control(82, CONTROL_PORT, CROWD, client);
+    send_to_control(CONTROL_PORT, CROWD, client);
 }
 
 #[test]
 fn operators_without_requests_leave_descriptors_for_others() {
-    send_to_control(83, CONTROL_PORT, 2_000, Client::only("PUT /"));
+    send_to_control(CONTROL_PORT, 2_000, Client::only("PUT /"));
 }
 
 #[test]
 fn connections_for_metrics_of_a_control_instance_leave_descriptors_for_others() {
-    send_to_control(84, METRICS_PORT, 2_000, Client::only("GET /"));
+    send_to_control(METRICS_PORT, 2_000, Client::only("GET /"));
 }
 
 #[test]
 fn links_of_strangers_to_a_control_instance_leave_memory_and_descriptors_for_others() {
     let client = Client::repeating("\0\x40\0\0", "x", LARGE_BODY_BYTES - 1);
-    send_to_control(85, LINK_PORT, 2_000, client);
+    send_to_control(LINK_PORT, 2_000, client);
 }
 
 /// What arrives at a suspended process counts as its memory too.
 #[test]
 fn a_suspended_router_keeps_its_limits_and_answers_when_it_goes_on() {
     let _alone = run_alone();
-    let mut site = Site::start(86, LIMITS);
+    let mut site = Site::start(LIMITS);
     let watch = site.watch(9, "router");
     site.deployment.signal("router", Signal::STOP);
     let address: SocketAddr = site.deployment.caller_address();
