Wait for requests whose body still arrives when a node ends

Callers would have seen: a node that shuts down closes the connection of a body that is still being sent, so that its caller does not know whether the request has run. Cause: since such requests hold no thread any more, the shutdown did not count them. They count as pending now, and get "shutting down" when their body has arrived.

The new test in drain.rs passes; it was not run without the count. The soak prints the state of a process that does not answer.

--- a/crates/node/src/edge/connection.rs
+++ b/crates/node/src/edge/connection.rs
@@ -155,10 +155,10 @@
     let (sender, mut commands) = channel(1);
     let caller = Arc::new(Caller::default());
     let incoming = IncomingRequest::new(head.clone(), peer, Arc::clone(&caller), sender);
-    let Some(body_read) = start_handler(shared, connection, &head, incoming).await else {
+    let started = start_handler(shared, connection, &head, incoming).await;
+    let Some(mut body_read) = started else {
         return false;
     };
-    let mut body_read = body_read;
     let first = loop {
         match next_command(
             &mut commands,
@@ -204,6 +204,7 @@
     head: &RequestHead,
     mut incoming: IncomingRequest,
 ) -> Option<bool> {
+    let _pending = shared.add_pending();
     let mut body_read = false;
     match head.framing() {
         Ok(framing) if connection.has_body(framing) => {
--- a/crates/node/src/edge/server.rs
+++ b/crates/node/src/edge/server.rs
@@ -131,7 +131,7 @@
         self.address
     }
 
-    /// Returns the number of requests whose handlers have not ended.
+    /// Returns the number of requests whose heads have arrived and whose handlers have not ended.
     #[must_use]
     pub fn in_progress(&self) -> usize {
         self.shared.in_progress.load(Ordering::SeqCst)
@@ -194,25 +194,37 @@
     }
 }
 
-/// Counts a request as in progress until the guard is dropped.
-pub struct RunningRequest {
+/// Counts a request, so that a node that shuts down waits for its end, until the guard is dropped.
+pub struct PendingRequest {
     shared: Arc<ServerState>,
-    _permit: OwnedSemaphorePermit,
 }
 
-impl Drop for RunningRequest {
+impl Drop for PendingRequest {
     fn drop(&mut self) {
         self.shared.in_progress.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
+/// A request that has a thread, within the limit on requests in progress.
+pub struct RunningRequest {
+    pending: PendingRequest,
+    _permit: OwnedSemaphorePermit,
+}
+
 impl ServerState {
+    /// Counts a request whose head has arrived.
+    pub(super) fn add_pending(self: &Arc<Self>) -> PendingRequest {
+        self.in_progress.fetch_add(1, Ordering::SeqCst);
+        PendingRequest {
+            shared: Arc::clone(self),
+        }
+    }
+
     /// Waits until the number of requests in progress is below the limit.
     pub(super) async fn begin_request(self: &Arc<Self>) -> Option<RunningRequest> {
         let permit = Arc::clone(&self.requests).acquire_owned().await.ok()?;
-        self.in_progress.fetch_add(1, Ordering::SeqCst);
         Some(RunningRequest {
-            shared: Arc::clone(self),
+            pending: self.add_pending(),
             _permit: permit,
         })
     }
@@ -225,7 +237,7 @@
     ) -> Option<(IncomingRequest, Option<BodyPlan>)> {
         let (reply, checked) = oneshot::channel();
         spawn_thread(move || {
-            let plan = (running.shared.check)(&incoming);
+            let plan = (running.pending.shared.check)(&incoming);
             drop(running);
             // The connection waits until the check has ended.
             let _received = reply.send((incoming, plan));
@@ -237,7 +249,7 @@
     /// request is dropped and its connection answers 500.
     pub(super) fn spawn_handler(running: RunningRequest, incoming: IncomingRequest) {
         spawn_thread(move || {
-            (running.shared.handler)(incoming);
+            (running.pending.shared.handler)(incoming);
         });
     }
 }
--- a/crates/node/tests/drain.rs
+++ b/crates/node/tests/drain.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
+use std::io::Write;
 use std::thread;
+use std::time::Duration;
 
 use bamboospur_types::ResultCode as Code;
 use support::{Node, TargetAction, eventually};
@@ -31,6 +33,29 @@
     assert!(node.log().contains("the node has ended"));
 }
 
+/// Guards against a node that ends while a caller still sends a body: the caller would not know
+/// whether the request has run.
+#[test]
+fn a_request_whose_body_arrives_while_the_node_ends_gets_an_answer() {
+    const DRAIN: Duration = Duration::from_millis(300);
+    let mut node = Node::builder().limit("drain_ms", 300).start();
+    let engine = node.add_engine(&[]);
+    let body = "{\"model\":\"demo-chat\",\"messages\":[]}";
+    let request = node.caller().post_request("/v1/chat/completions", body);
+    let (begin, end) = request.split_at(request.len() - 1);
+    let mut stream = node.caller().open(begin.as_bytes());
+    eventually("the node is not ready any more", || {
+        node.terminate();
+        node.caller().get("/readyz").status == 503
+    });
+    // The node takes no new requests afterwards, and ends once it has none.
+    thread::sleep(DRAIN * 2);
+    stream.write_all(end.as_bytes()).expect("the node takes it");
+    support::read_answer(&mut stream).assert_outcome("not-run", Code::ShuttingDown);
+    assert_eq!(node.wait_for_exit_code(), Some(0));
+    assert_eq!(engine.runs(), 0);
+}
+
 /// Guards against new work for a draining target, and against aborting the requests
 /// that it still runs.
 #[test]
--- a/crates/node/tests/hostile_clients/soak.rs
+++ b/crates/node/tests/hostile_clients/soak.rs
@@ -27,7 +27,7 @@
 use super::roles::{CALLER_HEAD, CONFIG_HEAD, METRICS_OPTIONS, METRICS_PORT, REPORT_HEAD};
 use super::run_alone;
 use super::target::{Behaviour, Target};
-use super::usage::{Peak, Watch};
+use super::usage::{Peak, Watch, process_state};
 
 /// First of the bytes of the loopback addresses of runs, and their number.
 const FIRST_NETWORK: u64 = 236;
@@ -335,8 +335,9 @@
             });
             if !is_answered {
                 let name = &self.processes[at].name;
+                let state = process_state(self.deployment.processes[name].id());
                 self.findings
-                    .push(format!("{name} answers nothing afterwards"));
+                    .push(format!("{name} answers nothing afterwards; {state}"));
             }
         }
         self.advance(Instant::now());
--- a/crates/node/tests/hostile_clients/usage.rs
+++ b/crates/node/tests/hostile_clients/usage.rs
@@ -94,3 +94,19 @@
     let ip = Ipv4Addr::from(ip.to_ne_bytes());
     Some(SocketAddrV4::new(ip, u16::from_str_radix(port, 16).ok()?))
 }
+
+/// Returns the kernel's view of a process, for a report: its state and its processor time in ticks.
+pub fn process_state(process_id: u32) -> String {
+    let read = || fs::read_to_string(format!("/proc/{process_id}/stat")).unwrap_or_default();
+    let fields = |text: &str| {
+        let fields: Vec<String> = text.split(' ').map(str::to_owned).collect();
+        let field = |index: usize| fields.get(index).cloned().unwrap_or_default();
+        format!("{} {}+{}", field(2), field(13), field(14))
+    };
+    let before = fields(&read());
+    thread::sleep(Duration::from_secs(1));
+    format!(
+        "state and ticks {before}, a second later {}",
+        fields(&read())
+    )
+}
