Let other connections go first after each step of long work

Callers saw: no answer within 15 s beside up to four connections with bodies in one-byte chunks; control instances lost their links. Cause: up to four connections needed no turn, and read 128 times before they gave way, while the window was refilled: up to a second for each in a debug build.

Change: long work gives way after each read or request, however few connections have some.

--- a/crates/http1/src/turns.rs
+++ b/crates/http1/src/turns.rs
@@ -2,10 +2,9 @@
 //!
 //! All connections of a listener share a thread. Decoding a body in many small chunks takes far
 //! more time than receiving it, and a connection can carry many requests that were sent ahead, so
-//! that a crowd would leave no time for others. Long work is therefore done in turns, a few of
-//! them between two looks at all other connections.
+//! that a few of them would leave no time for others. Long work is therefore done in turns, a few
+//! of them between two looks at all other connections.
 
-use std::cell::Cell;
 use std::rc::Rc;
 
 use tokio::sync::Semaphore;
@@ -19,42 +18,13 @@
 const TURNS: usize = 4;
 
 thread_local! {
-    static SHARED: Rc<Shared> = Rc::new(Shared {
-        turns: Semaphore::new(TURNS),
-        long: Cell::new(0),
-    });
-}
-
-#[derive(Debug)]
-struct Shared {
-    turns: Semaphore,
-    /// Number of connections with long work.
-    long: Cell<usize>,
+    static SHARED: Rc<Semaphore> = Rc::new(Semaphore::new(TURNS));
 }
 
 /// Work on one connection without a pause.
 #[derive(Debug, Default)]
 pub struct Work {
     steps: usize,
-    long: Option<LongWork>,
-}
-
-/// Counts a connection with long work until it is dropped.
-#[derive(Debug)]
-struct LongWork(Rc<Shared>);
-
-impl LongWork {
-    fn new() -> Self {
-        let shared = SHARED.with(Rc::clone);
-        shared.long.set(shared.long.get() + 1);
-        Self(shared)
-    }
-}
-
-impl Drop for LongWork {
-    fn drop(&mut self) {
-        self.0.long.set(self.0.long.get() - 1);
-    }
 }
 
 impl Work {
@@ -64,16 +34,13 @@
     }
 
     /// Waits until the work may go on.
-    pub async fn wait_for_turn(&mut self) {
+    pub async fn wait_for_turn(&self) {
         if self.steps <= FREE_STEPS {
             return;
         }
-        let shared = &self.long.get_or_insert_with(LongWork::new).0;
-        if shared.long.get() <= TURNS {
-            return;
-        }
+        let turns = SHARED.with(Rc::clone);
         // The semaphore is fair, and is never closed.
-        let _turn = shared.turns.acquire().await;
+        let _turn = turns.acquire().await;
         yield_now().await;
     }
 }
