Answer only the process that asked, and take answers only from who was asked

Cause: an instance matched the leader's answer to a forwarded request by a ticket that each process counted from 1, and the leader sent its answer to the id of the instance, over whatever link it had to it by then. The answer to a process that had been killed reached the next one, where the ticket named another request: one that waited for a leader and had been sent to nobody, or an evacuation, or a read. Whose answer it was, and what was asked, was not looked at.

Change: `Requests` keeps what waits for an answer together with whom it was sent to, and gives out an entry only for an answer from there. The leader remembers the link over which a request came, and sends no answer once that link has ended or the peer has opened a newer one: older builds, which still count from 1, would take it.

Ruled out: the replicated log. Proposals are matched by index and term, and the answer of the group itself cannot outlive its process.

Evidence: late_answers.rs plays the peer of a restarted instance and of a leader.

--- a/crates/fleet/src/control/host/config.rs
+++ b/crates/fleet/src/control/host/config.rs
@@ -3,13 +3,12 @@
 use std::time::Instant;
 
 use bamboospur_group::{Document, DocumentVersion, GroupInput, Reply, Unavailable};
-use bamboospur_types::InstanceId;
 use tracing::{info, warn};
 
 use super::Host;
 use crate::control::event::PutResult;
-use crate::control::operators::PendingRequest;
-use crate::link::{Frame, LinkId, Ticket};
+use crate::control::operators::{PendingRequest, Requester};
+use crate::link::{Frame, LinkId, Responder, Ticket};
 
 impl Host {
     /// Sends the change from the version before to the routers that send their loads to
@@ -40,9 +39,8 @@
     /// keep-alive.
     pub(super) fn handle_ask(&mut self, link: LinkId, asked: u64, now: Instant) {
         if self.is_leader() {
-            let ticket = self
-                .pending_requests
-                .add(PendingRequest::Ask { link, asked }, now);
+            let request = PendingRequest::Ask { link, asked };
+            let ticket = self.pending_requests.add_own(request, now);
             self.handle_group_input(GroupInput::Read { ticket });
         } else if let Some(address) = self.leader_address() {
             self.send_to_link(link, &Frame::Leader(address));
@@ -96,6 +94,7 @@
             .is_some_and(|d| d.version <= self.group.document().version);
         let ticket = self.pending_requests.add(request, now);
         if leader == Some(self.id) || is_accepted {
+            self.pending_requests.record_sent(ticket, Responder::Own);
             self.handle_group_input(match change {
                 Some(document) => GroupInput::Put { ticket, document },
                 None => GroupInput::Read { ticket },
@@ -106,7 +105,9 @@
                 // This instance has the document already, unless it lags behind.
                 None => Frame::Ask(ticket),
             };
-            if !self.peers.send_to(leader, frame) {
+            if let Some(responder) = self.peers.send_request(leader, frame) {
+                self.pending_requests.record_sent(ticket, responder);
+            } else {
                 warn!(
                     leader,
                     "cannot forward an operator's request to the leader: no link to it, or its queue is \
@@ -118,62 +119,81 @@
 
     pub(super) fn handle_peer_put(
         &mut self,
-        peer: InstanceId,
-        ticket: Ticket,
+        requester: Requester,
         document: Document,
         now: Instant,
     ) {
-        let ticket = self
-            .pending_requests
-            .add(PendingRequest::PeerPut { peer, ticket }, now);
+        let request = PendingRequest::PeerPut(requester);
+        let ticket = self.pending_requests.add_own(request, now);
         self.handle_group_input(GroupInput::Put { ticket, document });
     }
 
-    pub(super) fn handle_peer_get(&mut self, peer: InstanceId, ticket: Ticket, now: Instant) {
-        let ticket = self
-            .pending_requests
-            .add(PendingRequest::PeerGet { peer, ticket }, now);
+    pub(super) fn handle_peer_get(&mut self, requester: Requester, now: Instant) {
+        let request = PendingRequest::PeerGet(requester);
+        let ticket = self.pending_requests.add_own(request, now);
         self.handle_group_input(GroupInput::Read { ticket });
     }
 
-    pub(super) fn handle_put_done(&mut self, ticket: Ticket, accepted: bool) {
+    /// Handles a peer's answer to a change. One that is not accepted is submitted again to the
+    /// next leader.
+    pub(super) fn handle_put_done(&mut self, ticket: Ticket, from: Responder, accepted: bool) {
         if !accepted {
             return;
         }
-        if let Some(PendingRequest::Put { result, .. } | PendingRequest::Evacuate { result, .. }) =
-            self.pending_requests.take(ticket)
-        {
-            // The operator may have given up waiting.
-            let _sent = result.send(PutResult::Accepted);
+        match self.pending_requests.take(ticket, from) {
+            Some(PendingRequest::Put { result, .. } | PendingRequest::Evacuate { result, .. }) => {
+                // The operator may have given up waiting.
+                let _sent = result.send(PutResult::Accepted);
+            }
+            Some(_) => {}
+            None => info!(
+                ticket,
+                ?from,
+                "dropping the result of a change: this process did not send it there, or no \
+                 longer waits for it"
+            ),
         }
     }
 
     /// Answers an operator's read of this instance, once the leader has said which version is in
     /// force. An instance that lacks it requests the document from the leader.
-    pub(super) fn handle_version_in_force(&mut self, ticket: Ticket, version: DocumentVersion) {
-        if !self.pending_requests.is_read(ticket) {
+    pub(super) fn handle_version_in_force(
+        &mut self,
+        ticket: Ticket,
+        from: Responder,
+        version: DocumentVersion,
+    ) {
+        if !self.pending_requests.is_read(ticket, from) {
             return;
         }
         if self.group.document().version >= version {
-            self.handle_get_done(ticket, Some(self.group.document().clone()));
+            self.handle_get_done(ticket, from, Some(self.group.document().clone()));
         } else if let Some(leader) = self.group.leader() {
             // Without an answer the operator is told that the newest version is not known.
-            let _sent = self.peers.send_to(leader, Frame::Get { ticket });
+            if let Some(responder) = self.peers.send_request(leader, Frame::Get { ticket }) {
+                self.pending_requests.record_sent(ticket, responder);
+            }
         }
     }
 
-    pub(super) fn handle_get_done(&mut self, ticket: Ticket, document: Option<Document>) {
+    pub(super) fn handle_get_done(
+        &mut self,
+        ticket: Ticket,
+        from: Responder,
+        document: Option<Document>,
+    ) {
         let bytes = document.as_ref().map_or(0, |d| d.text().len());
         self.outbox.record_other(bytes, Instant::now());
         if document.is_some()
-            && let Some(PendingRequest::Get { result }) = self.pending_requests.take(ticket)
+            && let Some(PendingRequest::Get { result }) = self.pending_requests.take(ticket, from)
         {
             let _sent = result.send(document);
         }
     }
 
+    /// Handles the answer of the group in this process.
     pub(super) fn handle_reply(&mut self, ticket: Ticket, reply: Result<Reply, Unavailable>) {
-        let Some(request) = self.pending_requests.take(ticket) else {
+        let Some(request) = self.pending_requests.take(ticket, Responder::Own) else {
             return;
         };
         let accepted = reply.is_ok();
@@ -193,17 +213,13 @@
                 self.outbox.record_other(bytes, Instant::now());
                 let _sent = result.send(newest());
             }
-            PendingRequest::PeerPut { peer, ticket } => {
-                // If the result is lost, the peer answers that it is not known.
-                let _sent = self
-                    .peers
-                    .send_to(peer, Frame::PutDone { ticket, accepted });
+            PendingRequest::PeerPut(requester) => {
+                let ticket = requester.ticket;
+                self.answer_peer(requester, Frame::PutDone { ticket, accepted });
             }
-            PendingRequest::PeerGet { peer, ticket } => {
-                let document = newest();
-                let _sent = self
-                    .peers
-                    .send_to(peer, Frame::GetDone { ticket, document });
+            PendingRequest::PeerGet(requester) => {
+                let (ticket, document) = (requester.ticket, newest());
+                self.answer_peer(requester, Frame::GetDone { ticket, document });
             }
             PendingRequest::Ask { link, asked } => self.send_in_force(link, asked, reply),
             PendingRequest::OwnChange { change } => {
@@ -217,6 +233,21 @@
         }
     }
 
+    /// Answers the process of a peer that forwarded a request. The next process of the peer is not
+    /// answered: builds that count tickets from 1 would take it for the answer to another request.
+    fn answer_peer(&self, requester: Requester, answer: Frame) {
+        let Requester { peer, link, ticket } = requester;
+        if !self.links.is_newest_of_peer(link) {
+            info!(
+                peer,
+                ticket, "dropping the answer to a request: the link over which it came has ended"
+            );
+            return;
+        }
+        // If the answer is lost, the peer tells its operator that the result is not known.
+        let _sent = self.peers.send_to(peer, answer);
+    }
+
     pub(super) fn send_in_force(
         &self,
         link: LinkId,
--- a/crates/fleet/src/control/host/fleet.rs
+++ b/crates/fleet/src/control/host/fleet.rs
@@ -6,7 +6,6 @@
 
 use bamboospur_group::{DataCentre, FleetChange, FleetRevision, GroupInput, ServiceSoftware};
 use bamboospur_platform::settings::ProcessSettings;
-use bamboospur_types::InstanceId;
 use tokio::sync::oneshot;
 use tracing::{info, warn};
 
@@ -14,8 +13,8 @@
 use super::targets::ReportReply;
 use crate::control::event::PutResult;
 use crate::control::held_targets::HeldTargets;
-use crate::control::operators::PendingRequest;
-use crate::link::{Frame, LinkId, Ticket};
+use crate::control::operators::{PendingRequest, Requester};
+use crate::link::{Frame, LinkId, Responder, Ticket};
 use crate::stream_origins::MAX_STREAM_AGE;
 
 /// Report periods of targets after which a process that has started has heard of all of them.
@@ -80,11 +79,13 @@
             return;
         };
         if leader == self.id {
-            self.handle_group_input(GroupInput::ChangeFleet { ticket, change });
-        } else if !self
-            .peers
-            .send_to(leader, Frame::ChangeFleet { ticket, change })
-        {
+            self.pending_requests.record_sent(ticket, Responder::Own);
+            return self.handle_group_input(GroupInput::ChangeFleet { ticket, change });
+        }
+        let request = Frame::ChangeFleet { ticket, change };
+        if let Some(responder) = self.peers.send_request(leader, request) {
+            self.pending_requests.record_sent(ticket, responder);
+        } else {
             warn!(
                 leader,
                 "cannot forward a change of the fleet to the leader: no link to it, or its queue is \
@@ -95,13 +96,12 @@
 
     pub(super) fn handle_peer_fleet_change(
         &mut self,
-        peer: InstanceId,
-        ticket: Ticket,
+        requester: Requester,
         change: FleetChange,
         now: Instant,
     ) {
-        let request = PendingRequest::PeerPut { peer, ticket };
-        let ticket = self.pending_requests.add(request, now);
+        let request = PendingRequest::PeerPut(requester);
+        let ticket = self.pending_requests.add_own(request, now);
         self.handle_group_input(GroupInput::ChangeFleet { ticket, change });
     }
 
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -11,7 +11,10 @@
 use super::Host;
 use super::targets::ReportReply;
 use crate::control::fanout::{Fanout, Selection};
-use crate::link::{AcceptEvent, DialEvent, Frame, FrameQueue, Hello, LinkId, Role, Ticket};
+use crate::control::operators::Requester;
+use crate::link::{
+    AcceptEvent, DialEvent, Frame, FrameQueue, Hello, LinkId, Responder, Role, Ticket,
+};
 use crate::loads::RequestCounts;
 
 impl Host {
@@ -205,7 +208,7 @@
             | Frame::ChangeFleet { .. }
             | Frame::Get { .. }
             | Frame::GetDone { .. } => {
-                self.handle_operator_frame(hello.id, frame, now);
+                self.handle_operator_frame(link, &hello, frame, now);
             }
             Frame::Crashes(_)
             | Frame::RequestFleet
@@ -279,15 +282,26 @@
     }
 
     /// Handles an operator's request that a peer forwarded, or a peer's answer to one.
-    fn handle_operator_frame(&mut self, peer: InstanceId, frame: Frame, now: Instant) {
+    fn handle_operator_frame(&mut self, link: LinkId, hello: &Hello, frame: Frame, now: Instant) {
+        let Some(address) = hello.control_address() else {
+            warn!(
+                link,
+                "dropping an operator's request or an answer to one: it is from a router"
+            );
+            return;
+        };
+        let (peer, from) = (hello.id, Responder::Peer(address));
+        let requester = |ticket| Requester { peer, link, ticket };
         match frame {
-            Frame::Put { ticket, document } => self.handle_peer_put(peer, ticket, document, now),
+            Frame::Put { ticket, document } => {
+                self.handle_peer_put(requester(ticket), document, now);
+            }
             Frame::ChangeFleet { ticket, change } => {
-                self.handle_peer_fleet_change(peer, ticket, change, now);
+                self.handle_peer_fleet_change(requester(ticket), change, now);
             }
-            Frame::Get { ticket } => self.handle_peer_get(peer, ticket, now),
-            Frame::PutDone { ticket, accepted } => self.handle_put_done(ticket, accepted),
-            Frame::GetDone { ticket, document } => self.handle_get_done(ticket, document),
+            Frame::Get { ticket } => self.handle_peer_get(requester(ticket), now),
+            Frame::PutDone { ticket, accepted } => self.handle_put_done(ticket, from, accepted),
+            Frame::GetDone { ticket, document } => self.handle_get_done(ticket, from, document),
             _ => {}
         }
     }
@@ -343,8 +357,8 @@
                 self.peers.set_linked(address, false);
                 info!(%address, %error, "link to a control instance failed; dialling again");
             }
-            DialEvent::Frame(_, Frame::InForce { asked, version, .. }) => {
-                self.handle_version_in_force(asked, version);
+            DialEvent::Frame(address, Frame::InForce { asked, version, .. }) => {
+                self.handle_version_in_force(asked, Responder::Peer(address), version);
             }
             DialEvent::Frame(address, Frame::Taken { ticket }) => {
                 self.departures.record_copy(ticket, address);
--- a/crates/fleet/src/control/host/streams.rs
+++ b/crates/fleet/src/control/host/streams.rs
@@ -46,7 +46,7 @@
         let found = self.find_stream(&query, now);
         if self.is_leader() && matches!(found, FoundOrigin::NotReported(_)) {
             let request = PendingRequest::FindStream(query);
-            let ticket = self.pending_requests.add(request, now);
+            let ticket = self.pending_requests.add_own(request, now);
             self.handle_group_input(GroupInput::Read { ticket });
         } else {
             self.send_found_stream(&query, found);
--- a/crates/fleet/src/control/operators.rs
+++ b/crates/fleet/src/control/operators.rs
@@ -1,6 +1,5 @@
 //! Requests of operators, peers and routers that wait for an answer of the group.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use bamboospur_catalog::ServiceName;
@@ -9,7 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::event::PutResult;
-use crate::link::{LinkId, Ticket};
+use crate::link::{LinkId, Requests, Responder, Ticket};
 use crate::stream_origins::StreamId;
 
 /// Time after which a request is dropped. Until then its caller waits for the answer,
@@ -44,19 +43,9 @@
         result: oneshot::Sender<Option<Document>>,
     },
     /// Change that a peer forwarded.
-    PeerPut {
-        /// Id of the peer.
-        peer: InstanceId,
-        /// Ticket that the peer gave to the request.
-        ticket: Ticket,
-    },
+    PeerPut(Requester),
     /// Read that a peer forwarded.
-    PeerGet {
-        /// Id of the peer.
-        peer: InstanceId,
-        /// Ticket that the peer gave to the request.
-        ticket: Ticket,
-    },
+    PeerGet(Requester),
     /// Query of a router for the origin of a stream that was not reported to this instance.
     FindStream(StreamQuery),
     /// Query of a router for the version in force.
@@ -68,6 +57,17 @@
     },
 }
 
+/// Process of a peer that forwarded a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Requester {
+    /// Id of the peer, which its next process keeps.
+    pub peer: InstanceId,
+    /// Link over which the request came; it ends with the process.
+    pub link: LinkId,
+    /// Ticket that the peer gave to the request.
+    pub ticket: Ticket,
+}
+
 /// Query of a router for the origin of a stream.
 #[derive(Debug)]
 pub struct StreamQuery {
@@ -81,63 +81,52 @@
     pub services: Vec<ServiceName>,
 }
 
-#[derive(Debug)]
-struct TimedRequest {
-    request: PendingRequest,
-    deadline: Instant,
-}
-
 /// Pending requests by ticket.
 #[derive(Debug, Default)]
-pub struct PendingRequests {
-    last_ticket: Ticket,
-    requests: BTreeMap<Ticket, TimedRequest>,
-}
+pub struct PendingRequests(Requests<PendingRequest>);
 
 impl PendingRequests {
+    /// Adds a request that is not sent to anybody yet.
     pub fn add(&mut self, request: PendingRequest, now: Instant) -> Ticket {
-        self.last_ticket += 1;
-        let deadline = now + REQUEST_TIMEOUT;
-        self.requests
-            .insert(self.last_ticket, TimedRequest { request, deadline });
-        self.last_ticket
+        self.0.add(request, now + REQUEST_TIMEOUT)
+    }
+
+    /// Adds a request that the group in this process answers.
+    pub fn add_own(&mut self, request: PendingRequest, now: Instant) -> Ticket {
+        self.0
+            .add_sent(request, Responder::Own, now + REQUEST_TIMEOUT)
+    }
+
+    /// Records that a request was sent, so that its receiver may answer it.
+    pub fn record_sent(&mut self, ticket: Ticket, to: Responder) {
+        self.0.record_sent(ticket, to);
     }
 
-    pub fn take(&mut self, ticket: Ticket) -> Option<PendingRequest> {
-        self.requests.remove(&ticket).map(|timed| timed.request)
+    /// Removes and returns the request that an answer names; `None` if `from` was not sent it.
+    pub fn take(&mut self, ticket: Ticket, from: Responder) -> Option<PendingRequest> {
+        self.0.take(ticket, from)
     }
 
-    /// Whether a request is a read by an operator that called this instance.
-    pub fn is_read(&self, ticket: Ticket) -> bool {
-        let request = self.requests.get(&ticket).map(|timed| &timed.request);
-        matches!(request, Some(PendingRequest::Get { .. }))
+    /// Whether an answer names a read by an operator that called this instance.
+    pub fn is_read(&self, ticket: Ticket, from: Responder) -> bool {
+        matches!(self.0.get(ticket, from), Some(PendingRequest::Get { .. }))
     }
 
     /// Removes and returns the requests of operators that called this instance, to submit
     /// them to another leader.
     pub fn take_operator_requests(&mut self) -> Vec<PendingRequest> {
-        let is_operator_request = |request: &PendingRequest| {
+        self.0.extract_if(|request| {
             matches!(
                 request,
                 PendingRequest::Put { .. }
                     | PendingRequest::Evacuate { .. }
                     | PendingRequest::Get { .. }
             )
-        };
-        let tickets: Vec<Ticket> = self
-            .requests
-            .iter()
-            .filter(|(_, timed)| is_operator_request(&timed.request))
-            .map(|(&ticket, _)| ticket)
-            .collect();
-        tickets
-            .into_iter()
-            .filter_map(|ticket| self.take(ticket))
-            .collect()
+        })
     }
 
     /// Drops requests whose callers no longer wait for the answer.
     pub fn remove_expired(&mut self, now: Instant) {
-        self.requests.retain(|_, timed| now < timed.deadline);
+        self.0.take_expired(now);
     }
 }
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc::Sender;
 
 use super::event::Event;
-use crate::link::{DialedLink, Frame, Hello, Role, dial};
+use crate::link::{DialedLink, Frame, Hello, Responder, Role, dial};
 
 /// Time after which an address is removed that is neither a seed nor that of a voter, if nothing
 /// was received from it.
@@ -141,6 +141,14 @@
         link.is_some_and(|link| link.send(frame))
     }
 
+    /// Queues a request to an instance. Returns who may answer it, or `None` when there is no link
+    /// or its queue is full.
+    pub fn send_request(&self, id: InstanceId, request: Frame) -> Option<Responder> {
+        let address = self.address_of(id)?;
+        let is_sent = self.links.get(&address)?.send(request);
+        is_sent.then_some(Responder::Peer(address))
+    }
+
     /// Queues a frame to the instance at an address.
     pub fn send_to_address(&self, address: SocketAddr, frame: Frame) {
         if let Some(link) = self.links.get(&address) {
--- a/crates/fleet/src/link/accepted.rs
+++ b/crates/fleet/src/link/accepted.rs
@@ -51,6 +51,17 @@
         self.links.get(&link).map(|accepted| &accepted.hello)
     }
 
+    /// Whether a link is open and no newer one of the same peer is. A process keeps one link to
+    /// another one, so a newer link shows that the peer has restarted or has lost this one.
+    #[must_use]
+    pub fn is_newest_of_peer(&self, link: LinkId) -> bool {
+        let Some(hello) = self.hello(link) else {
+            return false;
+        };
+        let mut newer = self.links.range(link + 1..);
+        !newer.any(|(_, accepted)| accepted.hello.id == hello.id)
+    }
+
     /// Returns every link with the hello of its peer.
     pub fn iter(&self) -> impl Iterator<Item = (LinkId, &Hello)> {
         self.links
--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -13,7 +13,8 @@
 
 use crate::stream_origins::{BegunStreams, FoundOrigin, StreamId};
 
-/// Number that the sender gives to a forwarded request, to match the answer.
+/// Number that the sender gives to a request, which the answer repeats; see
+/// [`Requests`](super::Requests).
 pub type Ticket = u64;
 
 /// Identity and role of the side that dials.
--- a/crates/fleet/src/link/mod.rs
+++ b/crates/fleet/src/link/mod.rs
@@ -13,6 +13,7 @@
 mod dial;
 mod frame;
 mod prefixes;
+mod requests;
 mod traffic;
 
 pub use accept::{AcceptEvent, FrameQueue, LinkId, serve};
@@ -21,4 +22,5 @@
 pub use codec::{FrameError, FrameReader, encode};
 pub use dial::{DialEvent, DialedLink, dial};
 pub use frame::{Frame, Hello, Role, RouterLocation, Ticket};
+pub use requests::{Requests, Responder};
 pub use traffic::{Traffic, queued_link_bytes, record_queued, record_written};
--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -19,6 +19,7 @@
 mod extremes;
 mod foreign;
 mod harness;
+mod late_answers;
 mod limited;
 mod memory;
 #[path = "../support/memory.rs"]
@@ -30,6 +31,7 @@
 mod rejoined;
 mod relays;
 mod soak;
+mod stand_in;
 mod stopping;
 mod stream_soak;
 mod target;
--- /dev/null
+++ b/crates/node/tests/deployment/stand_in.rs
@@ -0,0 +1,72 @@
+//! Control instance played by a test: it has the id and the address of a voter, and sends frames
+//! to real instances over links.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use bamboospur_fleet::link::{Frame, FrameReader, Hello, Role, encode};
+use bamboospur_types::{BufferBudget, InstanceId, stable_id};
+
+use super::harness::{Deployment, LINK_PORT};
+
+/// Frames that real instances sent.
+pub type ReceivedFrames = Arc<Mutex<Vec<Frame>>>;
+
+pub struct StandIn {
+    id: InstanceId,
+    address: SocketAddr,
+}
+
+impl StandIn {
+    /// Plays the control instance at this index, whose process must not be running.
+    pub fn new(deployment: &Deployment, index: u8) -> Self {
+        let address = deployment.address(index, LINK_PORT);
+        Self {
+            id: stable_id(&format!("founder {address}")),
+            address,
+        }
+    }
+
+    /// Opens a link to the control instance at this index.
+    pub fn open_link(&self, deployment: &Deployment, index: u8) -> TcpStream {
+        let link = TcpStream::connect(deployment.address(index, LINK_PORT)).expect("a link");
+        let role = Role::Control {
+            links: self.address,
+        };
+        send(&link, &Frame::Hello(Hello { id: self.id, role }));
+        link
+    }
+
+    /// Accepts links of real instances in the background.
+    pub fn listen(&self) -> ReceivedFrames {
+        let listener = TcpListener::bind(self.address).expect("a listener");
+        let received = ReceivedFrames::default();
+        let frames = Arc::clone(&received);
+        thread::spawn(move || {
+            for link in listener.incoming().map_while(Result::ok) {
+                let frames = Arc::clone(&frames);
+                thread::spawn(move || receive(link, &frames));
+            }
+        });
+        received
+    }
+}
+
+pub fn send(mut link: &TcpStream, frame: &Frame) {
+    let bytes = encode(frame).expect("a frame within the size limit");
+    link.write_all(&bytes).expect("the frame is sent");
+}
+
+/// Reads frames until the link ends.
+fn receive(mut link: TcpStream, frames: &Mutex<Vec<Frame>>) {
+    let mut reader = FrameReader::new(&BufferBudget::new(usize::MAX));
+    let mut buffer = [0; 4_096];
+    while let Ok(count @ 1..) = link.read(&mut buffer) {
+        reader.push(&buffer[..count]);
+        while let Some(frame) = reader.take().expect("frames") {
+            frames.lock().expect("the frames").push(frame);
+        }
+    }
+}
