Count copies of departures only from the instances that were asked

Until now any dialled instance that named the ticket counted as a copy. A confirmation comes over the connection of the request, so no wrong one was seen.

The new test a_copy_counts_only_from_a_peer_that_was_asked names the cases.

--- a/crates/fleet/src/control/departures.rs
+++ b/crates/fleet/src/control/departures.rs
@@ -4,22 +4,18 @@
 //! departure is acknowledged like an accepted configuration, once a quorum of the group has it
 //! on disk, and survives every loss that the group survives.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use super::soft::WriteNumber;
-use crate::link::Ticket;
+use crate::link::{Requests, Responder, Ticket};
 
 /// Longest wait for copies. The target calls another instance after one second.
 const COPY_TIMEOUT: Duration = Duration::from_millis(850);
 
 /// Departures that are not acknowledged yet. `R` is what answers the call.
 #[derive(Debug)]
-pub struct Departures<R> {
-    last_ticket: Ticket,
-    waiting: BTreeMap<Ticket, Waiting<R>>,
-}
+pub struct Departures<R>(Requests<Waiting<R>>);
 
 #[derive(Debug)]
 struct Waiting<R> {
@@ -28,16 +24,20 @@
     /// Write after which the disk of this instance has the departure.
     own_write: WriteNumber,
     /// Peers that have it.
-    peers: BTreeSet<SocketAddr>,
-    expires_at: Instant,
+    peers: BTreeSet<Responder>,
+}
+
+impl<R> Waiting<R> {
+    /// Whether there are enough copies, with the writes of this instance up to `stored` on disk.
+    fn is_copied(&self, stored: WriteNumber) -> bool {
+        let own = usize::from(self.own_write <= stored);
+        self.peers.len() + own >= self.needed_copies
+    }
 }
 
 impl<R> Default for Departures<R> {
     fn default() -> Self {
-        Self {
-            last_ticket: 0,
-            waiting: BTreeMap::new(),
-        }
+        Self(Requests::default())
     }
 }
 
@@ -51,21 +51,23 @@
         own_write: WriteNumber,
         now: Instant,
     ) -> Ticket {
-        self.last_ticket += 1;
         let waiting = Waiting {
             reply,
             needed_copies,
             own_write,
             peers: BTreeSet::new(),
-            expires_at: now + COPY_TIMEOUT,
         };
-        self.waiting.insert(self.last_ticket, waiting);
-        self.last_ticket
+        self.0.add(waiting, now + COPY_TIMEOUT)
+    }
+
+    /// Records that a peer was asked to keep a departure.
+    pub fn record_sent(&mut self, ticket: Ticket, to: Responder) {
+        self.0.record_sent(ticket, to);
     }
 
-    /// Records that the peer at this address has a departure.
-    pub fn record_copy(&mut self, ticket: Ticket, peer: SocketAddr) {
-        if let Some(waiting) = self.waiting.get_mut(&ticket) {
+    /// Records that a peer has a departure; nothing changes if the peer was not asked.
+    pub fn record_copy(&mut self, ticket: Ticket, peer: Responder) {
+        if let Some(waiting) = self.0.get_mut(ticket, peer) {
             waiting.peers.insert(peer);
         }
     }
@@ -73,18 +75,12 @@
     /// Removes the departures that have enough copies, with the writes of this instance up to
     /// `stored` on disk, and returns what answers their calls.
     pub fn take_copied(&mut self, stored: WriteNumber) -> Vec<R> {
-        let is_copied = |waiting: &Waiting<R>| {
-            let own = usize::from(waiting.own_write <= stored);
-            waiting.peers.len() + own >= waiting.needed_copies
-        };
-        let copied = self.waiting.extract_if(.., |_, waiting| is_copied(waiting));
-        copied.map(|(_, waiting)| waiting.reply).collect()
+        let copied = self.0.extract_if(|waiting| waiting.is_copied(stored));
+        copied.into_iter().map(|waiting| waiting.reply).collect()
     }
 
     /// Drops the departures whose callers no longer wait. Returns their number.
     pub fn remove_expired(&mut self, now: Instant) -> usize {
-        let before = self.waiting.len();
-        self.waiting.retain(|_, waiting| now < waiting.expires_at);
-        before - self.waiting.len()
+        self.0.take_expired(now).len()
     }
 }
--- a/crates/fleet/src/control/host/links.rs
+++ b/crates/fleet/src/control/host/links.rs
@@ -361,7 +361,8 @@
                 self.handle_version_in_force(asked, Responder::Peer(address), version);
             }
             DialEvent::Frame(address, Frame::Taken { ticket }) => {
-                self.departures.record_copy(ticket, address);
+                self.departures
+                    .record_copy(ticket, Responder::Peer(address));
                 self.acknowledge_departures(Instant::now());
             }
             DialEvent::Frame(..) => {}
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -164,7 +164,9 @@
                 ticket,
                 announcement,
             };
-            self.peers.send_to_all(&report);
+            for responder in self.peers.send_request_to_all(&report) {
+                self.departures.record_sent(ticket, responder);
+            }
         }
         self.acknowledge_departures(now);
     }
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -149,6 +149,15 @@
         is_sent.then_some(Responder::Peer(address))
     }
 
+    /// Queues a request to all instances. Returns who may answer it.
+    pub fn send_request_to_all(&self, request: &Frame) -> Vec<Responder> {
+        let sent = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.send(request.clone()));
+        sent.map(|(&address, _)| Responder::Peer(address)).collect()
+    }
+
     /// Queues a frame to the instance at an address.
     pub fn send_to_address(&self, address: SocketAddr, frame: Frame) {
         if let Some(link) = self.links.get(&address) {
--- a/crates/fleet/tests/departures.rs
+++ b/crates/fleet/tests/departures.rs
@@ -4,19 +4,34 @@
 use std::time::{Duration, Instant};
 
 use bamboospur_fleet::control::{Departures, SoftStateWrites};
+use bamboospur_fleet::link::{Responder, Ticket};
 
 const RETRY_TIME: Duration = Duration::from_millis(500);
 const WAIT: Duration = Duration::from_secs(1);
 
-fn peer(host: u8) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, host], 9110))
+fn peer(host: u8) -> Responder {
+    Responder::Peer(SocketAddr::from(([10, 0, 0, host], 9110)))
+}
+
+/// Adds a departure that two peers are asked to keep.
+fn add(
+    departures: &mut Departures<&'static str>,
+    needed_copies: usize,
+    own_write: u64,
+    now: Instant,
+) -> Ticket {
+    let ticket = departures.add("a", needed_copies, own_write, now);
+    for host in [2, 3] {
+        departures.record_sent(ticket, peer(host));
+    }
+    ticket
 }
 
 #[test]
 fn a_departure_is_answered_once_enough_disks_have_it() {
     let now = Instant::now();
     let mut departures = Departures::default();
-    let ticket = departures.add("a", 2, 5, now);
+    let ticket = add(&mut departures, 2, 5, now);
     assert!(departures.take_copied(5).is_empty());
     departures.record_copy(ticket, peer(2));
     assert!(departures.take_copied(4) == [] as [&str; 0]);
@@ -27,7 +42,7 @@
 #[test]
 fn the_own_disk_is_not_needed_if_enough_peers_have_a_copy() {
     let mut departures = Departures::default();
-    let ticket = departures.add("a", 2, 5, Instant::now());
+    let ticket = add(&mut departures, 2, 5, Instant::now());
     departures.record_copy(ticket, peer(2));
     departures.record_copy(ticket, peer(2));
     assert!(departures.take_copied(0).is_empty(), "one peer counts once");
@@ -35,11 +50,26 @@
     assert_eq!(departures.take_copied(0), ["a"]);
 }
 
+/// A confirmation counts only from an instance that was asked, and only for what it was asked.
+#[test]
+fn a_copy_counts_only_from_a_peer_that_was_asked() {
+    let now = Instant::now();
+    let mut departures = Departures::default();
+    let first = add(&mut departures, 2, 0, now);
+    let second = departures.add("b", 2, 0, now);
+    departures.record_copy(first, peer(4));
+    departures.record_copy(second, peer(2));
+    departures.record_copy(second + 1, peer(2));
+    assert!(departures.take_copied(0).is_empty());
+    departures.record_copy(first, peer(2));
+    assert_eq!(departures.take_copied(0), ["a"]);
+}
+
 #[test]
 fn a_departure_without_copies_is_dropped_in_time() {
     let now = Instant::now();
     let mut departures = Departures::default();
-    let ticket = departures.add("a", 2, 1, now);
+    let ticket = add(&mut departures, 2, 1, now);
     assert_eq!(departures.remove_expired(now), 0);
     assert_eq!(departures.remove_expired(now + WAIT), 1);
     departures.record_copy(ticket, peer(2));
