Match the answers that routers wait for by the same mechanism

A router matched confirmed reports and departures, origins of streams and the version in force by a number alone, which began at 1 in each process or, for the version in force, was a time that the answer named: an answer to no query at all extended the lease of keys. Such answers come over the connection of the query, so none from another process was seen; the answer of any dialled instance was taken, though.

All three now go through `Requests`: random first ticket, and only the instance that was sent a query may answer it. A query for the version in force carries a ticket, and the router itself keeps when it was sent. The frames are as before, so that older builds read and answer them.

The new test a_router_trusts_a_version_only_as_the_answer_to_its_query failed before (404 instead of 503: the lease was extended by an answer to nothing).

--- a/crates/fleet/src/link/frame.rs
+++ b/crates/fleet/src/link/frame.rs
@@ -163,17 +163,17 @@
     /// Change to the configuration in force at the sender.
     Config(Change),
     /// Query of a router, or of a control instance for an operator's read, for the version of the
-    /// configuration that is in force. The leader answers with
+    /// configuration that is in force, with a ticket. The leader answers with
     /// [`Frame::InForce`], or with [`Frame::Alive`] if it cannot confirm the version; other
     /// instances answer with [`Frame::Leader`], or with [`Frame::Alive`] without a leader.
-    /// Except for [`Frame::Leader`], the answer repeats the number.
-    Ask(u64),
+    /// Except for [`Frame::Leader`], the answer repeats the ticket.
+    Ask(Ticket),
     /// Link address of the leader, which alone can answer [`Frame::Ask`].
     Leader(SocketAddr),
     /// Answer to [`Frame::Ask`]: no newer version or state was accepted before the query.
     InForce {
-        /// Number of the query.
-        asked: u64,
+        /// Ticket of the query.
+        asked: Ticket,
         /// Version of the configuration.
         version: u64,
         /// Routers that are linked to the sender.
--- a/crates/fleet/src/router/follow.rs
+++ b/crates/fleet/src/router/follow.rs
@@ -29,7 +29,10 @@
 use super::state::{OriginQuery, Router};
 use super::state_request::StateRequest;
 use crate::calls::TargetCall;
-use crate::link::{self, AcceptEvent, DialEvent, DialedLink, Hello, Role, RouterLocation};
+use crate::clock::BootTime;
+use crate::link::{
+    self, AcceptEvent, DialEvent, DialedLink, Hello, Requests, Role, RouterLocation,
+};
 use crate::loads::{MIN_LOADS_INTERVAL, loads_interval};
 use crate::outbox::Outbox;
 use crate::process::{Listener, spawn_essential};
@@ -113,6 +116,7 @@
         followers: Followers::default(),
         reported_prefixes: Vec::new(),
         origin_queries: OriginQueries::default(),
+        version_queries: Requests::default(),
     };
     follower.set_seeds(&settings.seeds);
     spawn_essential("links", link::serve(links, events.clone(), Event::Accepted));
@@ -164,6 +168,8 @@
     reported_prefixes: Vec<(u64, u64)>,
     /// Queries for the origins of streams that callers resume.
     origin_queries: OriginQueries<OriginQuery>,
+    /// Queries for the version in force, and when they were sent.
+    version_queries: Requests<BootTime>,
 }
 
 impl Follower {
--- a/crates/fleet/src/router/follow/links.rs
+++ b/crates/fleet/src/router/follow/links.rs
@@ -8,9 +8,11 @@
 
 use super::{Event, FollowedLink, Follower};
 use crate::clock::BootTime;
-use crate::link::{DialEvent, Frame, dial};
+use crate::link::{DialEvent, Frame, Responder, dial};
 use crate::router::lease::Accepted;
 
+/// Time for which the answer to a query for the version in force counts, longer than any lease.
+const VERSION_QUERY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time between the first link and the request of the state. Without it, all routers of a
 /// fleet that starts would ask the instance that started first.
 const STATE_REQUEST_DELAY: Duration = Duration::from_millis(50);
@@ -117,27 +119,33 @@
             self.controls.remove(&address);
             self.update_linked_controls();
         }
-        let asked_at = BootTime::now();
-        for followed in self.controls.values() {
-            // A query lost on a link that is down or full is repeated with the next round.
-            let _sent = followed.link.send(Frame::Ask(asked_at.0));
-        }
+        self.version_queries.take_expired(now);
+        let controls: Vec<SocketAddr> = self.controls.keys().copied().collect();
+        self.query_version(&controls);
         for followed in self.relays.values() {
-            let _sent = followed.link.send(Frame::Alive(asked_at.0));
+            // A relay that misses it gets the next one.
+            let _sent = followed.link.send(Frame::Alive(0));
         }
     }
 
-    fn request_fleet(&self, address: SocketAddr) {
-        if let Some(followed) = self.controls.get(&address) {
-            // A lost request is repeated after the next query.
-            let _sent = followed.link.send(Frame::RequestFleet);
+    /// Queries control instances for the version in force. A query that is lost on a link that is
+    /// down or full is repeated with the next round.
+    fn query_version(&mut self, controls: &[SocketAddr]) {
+        let deadline = Instant::now() + VERSION_QUERY_TIMEOUT;
+        let ticket = self.version_queries.add(BootTime::now(), deadline);
+        for control in controls {
+            let followed = self.controls.get(control);
+            if followed.is_some_and(|followed| followed.link.send(Frame::Ask(ticket))) {
+                let responder = Responder::Peer(*control);
+                self.version_queries.record_sent(ticket, responder);
+            }
         }
     }
 
-    fn query_control(&self, address: SocketAddr) {
+    fn request_fleet(&self, address: SocketAddr) {
         if let Some(followed) = self.controls.get(&address) {
-            // A lost query is repeated with the next query to all control instances.
-            let _sent = followed.link.send(Frame::Ask(BootTime::now().0));
+            // A lost request is repeated after the next query.
+            let _sent = followed.link.send(Frame::RequestFleet);
         }
     }
 
@@ -167,7 +175,7 @@
                     let ask_at = Instant::now() + STATE_REQUEST_DELAY;
                     self.state_request.record_missing(ask_at);
                 }
-                self.query_control(address);
+                self.query_version(&[address]);
                 self.update_linked_controls();
             }
             DialEvent::Down(address, error) => {
@@ -202,7 +210,7 @@
                 self.add_controls(&[leader]);
                 // An instance that names itself has just been elected.
                 if leader == address {
-                    self.query_control(leader);
+                    self.query_version(&[leader]);
                 }
             }
             Frame::Relays(relays) => {
@@ -213,8 +221,10 @@
                 }
                 self.update_relays();
             }
-            Frame::Taken { ticket } => self.reports.acknowledge(ticket),
-            Frame::StreamFound { ticket, found } => self.handle_found_stream(ticket, found),
+            Frame::Taken { ticket } => self.reports.acknowledge(ticket, address),
+            Frame::StreamFound { ticket, found } => {
+                self.handle_found_stream(ticket, address, found);
+            }
             Frame::AllTargets(targets) => self.handle_all_targets(address, targets),
             Frame::NoNewerConfig => self.handle_no_newer_config(address),
             Frame::InForce {
@@ -223,13 +233,18 @@
                 routers,
                 fleet,
             } => {
+                let responder = Responder::Peer(address);
+                let Some(&asked_at) = self.version_queries.get(asked, responder) else {
+                    info!(%address, "dropping an answer about the version in force: not asked");
+                    return;
+                };
                 self.leader = Some(address);
                 self.router.set_router_count(routers);
                 let accepted = Accepted {
                     config: version,
                     fleet,
                 };
-                self.router.confirm_accepted(accepted, BootTime(asked));
+                self.router.confirm_accepted(accepted, asked_at);
                 self.record_known_version(version, Some(address));
                 if fleet > self.router.fleet_revision() {
                     self.request_fleet(address);
--- a/crates/fleet/src/router/follow/send.rs
+++ b/crates/fleet/src/router/follow/send.rs
@@ -155,13 +155,14 @@
     /// Handles a call of a target. Without a link to a control instance the call is
     /// refused, and the target calls another instance.
     pub(super) fn handle_target_call(&mut self, call: TargetCall) {
-        let Some(link) = self.preferred_link(&self.controls).map(|c| c.link.clone()) else {
+        let preferred = self.ranked(&self.controls).next();
+        let Some((control, link)) = preferred.map(|(&address, c)| (address, c.link.clone())) else {
             info!(
                 "target call refused: no link to a control instance; the target calls another instance"
             );
             return;
         };
-        if let Some(frame) = self.reports.handle_call(call, Instant::now()) {
+        if let Some(frame) = self.reports.handle_call(call, control, Instant::now()) {
             // If the frame is lost, the target gets no answer and calls again.
             let _sent = link.send(frame);
         }
--- a/crates/fleet/src/router/follow/streams.rs
+++ b/crates/fleet/src/router/follow/streams.rs
@@ -41,13 +41,19 @@
         self.continue_query(step);
     }
 
-    pub(super) fn handle_found_stream(&mut self, ticket: Ticket, found: FoundOrigin) {
-        let Some(query) = self.origin_queries.get(ticket) else {
+    pub(super) fn handle_found_stream(
+        &mut self,
+        ticket: Ticket,
+        from: SocketAddr,
+        found: FoundOrigin,
+    ) {
+        let Some(query) = self.origin_queries.get(ticket, from) else {
             return;
         };
         let origin = found.decide(self.router.possible_origins(&query.services));
         let now = Instant::now();
-        if let Some(step) = self.origin_queries.handle_answer(ticket, origin, now) {
+        let step = self.origin_queries.handle_answer(ticket, from, origin, now);
+        if let Some(step) = step {
             self.continue_query(step);
         }
     }
@@ -61,7 +67,7 @@
     fn continue_query(&self, step: QueryStep<OriginQuery>) {
         match step {
             QueryStep::Ask { to, ticket } => {
-                let query = self.origin_queries.get(ticket);
+                let query = self.origin_queries.get(ticket, to);
                 if let (Some(query), Some(followed)) = (query, self.controls.get(&to)) {
                     // If the frame is lost, the next instance is asked after a time-out.
                     let _sent = followed.link.send(Frame::FindStream {
--- a/crates/fleet/src/router/origin_queries.rs
+++ b/crates/fleet/src/router/origin_queries.rs
@@ -4,11 +4,11 @@
 //! have started lately or not have heard of it yet. The query ends with the first instance to
 //! which the stream was reported, or with the leader if it leaves one possible origin.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::link::Ticket;
+use crate::link::{Requests, Responder, Ticket};
 use crate::stream_origins::StreamOrigin;
 
 /// The next instance is asked when one has not answered for this time.
@@ -33,22 +33,15 @@
     query: Q,
     /// Instances that are still to be asked.
     left: VecDeque<SocketAddr>,
-    ask_next_at: Instant,
 }
 
 /// Queries in progress; `Q` is their content and who waits for the answer.
 #[derive(Clone, Debug)]
-pub struct OriginQueries<Q> {
-    next_ticket: Ticket,
-    pending: BTreeMap<Ticket, Pending<Q>>,
-}
+pub struct OriginQueries<Q>(Requests<Pending<Q>>);
 
 impl<Q> Default for OriginQueries<Q> {
     fn default() -> Self {
-        Self {
-            next_ticket: 0,
-            pending: BTreeMap::new(),
-        }
+        Self(Requests::default())
     }
 }
 
@@ -63,19 +56,20 @@
         let pending = Pending {
             query,
             left: instances.into_iter().collect(),
-            ask_next_at: now,
         };
         self.ask_next(pending, now)
     }
 
-    /// Handles the answer of an instance, with the origin if it leaves only one. `None` if the query has ended or moved on to another instance.
+    /// Handles the answer of an instance, with the origin if it leaves only one. `None` if the
+    /// query has ended or moved on to another instance, or if another one was asked.
     pub fn handle_answer(
         &mut self,
         ticket: Ticket,
+        from: SocketAddr,
         origin: Option<StreamOrigin>,
         now: Instant,
     ) -> Option<QueryStep<Q>> {
-        let pending = self.pending.remove(&ticket)?;
+        let pending = self.0.take(ticket, Responder::Peer(from))?;
         Some(match origin {
             Some(origin) => QueryStep::End(pending.query, Some(origin)),
             None => self.ask_next(pending, now),
@@ -84,21 +78,21 @@
 
     /// Moves on with the queries whose instance has not answered in time.
     pub fn handle_timeouts(&mut self, now: Instant) -> Vec<QueryStep<Q>> {
-        let late = self.pending.extract_if(.., |_, p| now >= p.ask_next_at);
-        let late: Vec<Pending<Q>> = late.map(|(_, pending)| pending).collect();
-        late.into_iter().map(|p| self.ask_next(p, now)).collect()
+        let late = self.0.take_expired(now).into_iter();
+        late.map(|pending| self.ask_next(pending, now)).collect()
     }
 
-    /// Returns the content of a query.
+    /// Returns the content of a query that an instance was asked.
     #[must_use]
-    pub fn get(&self, ticket: Ticket) -> Option<&Q> {
-        self.pending.get(&ticket).map(|pending| &pending.query)
+    pub fn get(&self, ticket: Ticket, asked: SocketAddr) -> Option<&Q> {
+        let pending = self.0.get(ticket, Responder::Peer(asked))?;
+        Some(&pending.query)
     }
 
     /// Returns when the next query moves on; `None` without queries.
     #[must_use]
     pub fn next_timeout(&self) -> Option<Instant> {
-        self.pending.values().map(|p| p.ask_next_at).min()
+        self.0.next_deadline()
     }
 
     /// Each instance is asked under a ticket of its own, so that a late answer of the one
@@ -107,10 +101,8 @@
         let Some(to) = pending.left.pop_front() else {
             return QueryStep::End(pending.query, None);
         };
-        self.next_ticket += 1;
-        let ticket = self.next_ticket;
-        pending.ask_next_at = now + ANSWER_TIMEOUT;
-        self.pending.insert(ticket, pending);
+        let (responder, deadline) = (Responder::Peer(to), now + ANSWER_TIMEOUT);
+        let ticket = self.0.add_sent(pending, responder, deadline);
         QueryStep::Ask { to, ticket }
     }
 }
--- a/crates/fleet/src/router/reports.rs
+++ b/crates/fleet/src/router/reports.rs
@@ -17,9 +17,10 @@
 
 use super::state::Router;
 use crate::calls::{
-    self, Answer, TargetCall, TargetUpdate, parse_target_update, submit_target_update,
+    self, ANSWER_TIMEOUT, Answer, TargetCall, TargetUpdate, parse_target_update,
+    submit_target_update,
 };
-use crate::link::{Frame, Ticket};
+use crate::link::{Frame, Requests, Responder, Ticket};
 use crate::process::Listener;
 
 /// Limits on requests of targets; a report takes some hundred bytes.
@@ -61,30 +62,36 @@
     /// Unchanged reports since the last batch: start and sequence number by target.
     refreshed: BTreeMap<TargetName, (StartTime, u64)>,
     reported_at: BTreeMap<TargetName, Instant>,
-    next_ticket: Ticket,
-    pending_replies: BTreeMap<Ticket, oneshot::Sender<Option<SocketAddr>>>,
+    /// Calls that wait for the acknowledgement of a control instance.
+    pending_replies: Requests<oneshot::Sender<Option<SocketAddr>>>,
 }
 
 impl Reports {
-    pub const fn new(router: Rc<Router>) -> Self {
+    pub fn new(router: Rc<Router>) -> Self {
         Self {
             router,
             refreshed: BTreeMap::new(),
             reported_at: BTreeMap::new(),
-            next_ticket: 0,
-            pending_replies: BTreeMap::new(),
+            pending_replies: Requests::default(),
         }
     }
 
-    /// Handles a call. Returns the frame for a control instance if the answer has to
-    /// wait for the instance's acknowledgement.
-    pub fn handle_call(&mut self, call: TargetCall, now: Instant) -> Option<Frame> {
+    /// Handles a call. Returns the frame for the control instance at `control` if the answer
+    /// has to wait for the instance's acknowledgement.
+    pub fn handle_call(
+        &mut self,
+        call: TargetCall,
+        control: SocketAddr,
+        now: Instant,
+    ) -> Option<Frame> {
         let TargetCall { update, reply } = call;
         match update {
-            TargetUpdate::Report(announcement) => self.handle_report(announcement, reply, now),
+            TargetUpdate::Report(announcement) => {
+                self.handle_report(announcement, reply, control, now)
+            }
             TargetUpdate::Leave { name, start } => {
                 self.router.leave(&name, start);
-                let ticket = self.add_pending_reply(reply);
+                let ticket = self.add_pending_reply(reply, control, now);
                 Some(Frame::Leave {
                     ticket,
                     name,
@@ -98,11 +105,12 @@
         &mut self,
         announcement: Announcement,
         reply: oneshot::Sender<Option<SocketAddr>>,
+        control: SocketAddr,
         now: Instant,
     ) -> Option<Frame> {
         if announcement.phase == Phase::Ready && !self.router.knows_software(&announcement) {
             // The control instances name the target once its software is accepted.
-            return Some(self.forward(announcement, reply));
+            return Some(self.forward(announcement, reply, control, now));
         }
         self.reported_at.insert(announcement.name.clone(), now);
         let merge = self.router.merge_report(&announcement);
@@ -110,7 +118,7 @@
             // The router may know of a drain already, from an answer of the target or a lost
             // report, but the target relies on all routers knowing it.
             (Merge::Changed, _) | (_, Phase::Draining | Phase::Gone) => {
-                Some(self.forward(announcement, reply))
+                Some(self.forward(announcement, reply, control, now))
             }
             (Merge::Refreshed, Phase::Ready) => {
                 let reported = (announcement.start, announcement.sequence);
@@ -131,24 +139,32 @@
         &mut self,
         announcement: Announcement,
         reply: oneshot::Sender<Option<SocketAddr>>,
+        control: SocketAddr,
+        now: Instant,
     ) -> Frame {
-        let ticket = self.add_pending_reply(reply);
+        let ticket = self.add_pending_reply(reply, control, now);
         Frame::Report {
             ticket,
             announcement: Box::new(announcement),
         }
     }
 
-    /// Stores a reply until a control instance acknowledges the returned ticket.
-    fn add_pending_reply(&mut self, reply: oneshot::Sender<Option<SocketAddr>>) -> Ticket {
-        self.next_ticket += 1;
-        self.pending_replies.insert(self.next_ticket, reply);
-        self.next_ticket
+    /// Stores a reply until the control instance acknowledges the returned ticket.
+    fn add_pending_reply(
+        &mut self,
+        reply: oneshot::Sender<Option<SocketAddr>>,
+        control: SocketAddr,
+        now: Instant,
+    ) -> Ticket {
+        let deadline = now + ANSWER_TIMEOUT;
+        self.pending_replies
+            .add_sent(reply, Responder::Peer(control), deadline)
     }
 
-    /// Answers the call whose report or departure a control instance has acknowledged.
-    pub fn acknowledge(&mut self, ticket: Ticket) {
-        if let Some(reply) = self.pending_replies.remove(&ticket) {
+    /// Answers the call whose report or departure the control instance has acknowledged to which
+    /// it was forwarded.
+    pub fn acknowledge(&mut self, ticket: Ticket, control: SocketAddr) {
+        if let Some(reply) = self.pending_replies.take(ticket, Responder::Peer(control)) {
             // The target may no longer wait for the reply.
             let _sent = reply.send(None);
         }
@@ -157,7 +173,7 @@
     /// Returns the batch of unchanged reports, if any, and drops expired entries and
     /// the replies that their callers no longer wait for.
     pub fn take_refreshed(&mut self, now: Instant) -> Option<Frame> {
-        self.pending_replies.retain(|_, reply| !reply.is_closed());
+        self.pending_replies.take_expired(now);
         self.reported_at
             .retain(|_, &mut at| now < at + RECENT_REPORT_WINDOW);
         let refreshed = std::mem::take(&mut self.refreshed).into_iter();
--- a/crates/fleet/tests/stream_origins.rs
+++ b/crates/fleet/tests/stream_origins.rs
@@ -222,7 +222,9 @@
     let mut queries = OriginQueries::default();
     let (to, first) = ask(&queries.start('q', [1, 2, 3].map(address), now));
     assert_eq!(to, address(1));
-    let step = queries.handle_answer(first, None, now).expect("a step");
+    let step = queries
+        .handle_answer(first, address(1), None, now)
+        .expect("a step");
     let (to, second) = ask(&step);
     assert_eq!(to, address(2));
     // The second instance does not answer in time, so the third one is asked.
@@ -231,8 +233,16 @@
     let (to, third) = ask(&steps[0]);
     assert_eq!(to, address(3));
     let known = Some(origin("chat", "v2"));
-    assert_eq!(queries.handle_answer(second, known.clone(), late), None);
-    let end = queries.handle_answer(third, known, late);
+    assert_eq!(
+        queries.handle_answer(second, address(2), known.clone(), late),
+        None
+    );
+    // Only the instance that was asked may answer.
+    assert_eq!(
+        queries.handle_answer(third, address(2), known.clone(), late),
+        None
+    );
+    let end = queries.handle_answer(third, address(3), known, late);
     assert_eq!(end, Some(QueryStep::End('q', Some(origin("chat", "v2")))));
     assert_eq!(queries.next_timeout(), None);
 }
@@ -243,7 +253,7 @@
     let mut queries = OriginQueries::default();
     assert_eq!(queries.start('q', [], now), QueryStep::End('q', None));
     let (_, ticket) = ask(&queries.start('r', [address(1)], now));
-    let step = queries.handle_answer(ticket, None, now);
+    let step = queries.handle_answer(ticket, address(1), None, now);
     assert_eq!(step, Some(QueryStep::End('r', None)));
 }
 
--- a/crates/node/tests/deployment/late_answers.rs
+++ b/crates/node/tests/deployment/late_answers.rs
@@ -2,11 +2,14 @@
 //! keeps its id and its address.
 
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use bamboospur_fleet::clock::BootTime;
 use bamboospur_fleet::link::{Frame, Ticket};
-use bamboospur_group::Document;
+use bamboospur_group::{Change, Document};
 use rustix::process::Signal;
 
 use super::harness::{CONTROL_PORT, Deployment, Reply, config, eventually, json_call};
@@ -109,7 +112,7 @@
     deployment.configure("k1");
     deployment.kill("control-2");
     let stand_in = StandIn::new(&deployment, 2);
-    let received = stand_in.listen();
+    let received = stand_in.listen(|_| Vec::new());
     let mut found = None;
     eventually("an instance leads", || {
         found = leader(&deployment);
@@ -165,3 +168,48 @@
     let frames = frames_to_the_next_process(80, End::PowerLost);
     assert!(!frames.iter().any(is_answer), "{frames:?}");
 }
+
+/// Guards against a lease that an answer to another query extends, such as one that names a time
+/// and was sent to the process before.
+#[test]
+fn a_router_trusts_a_version_only_as_the_answer_to_its_query() {
+    let mut deployment = Deployment::without_router(84);
+    for control in 1..=3 {
+        deployment.kill(&format!("control-{control}"));
+    }
+    let answers_queries = Arc::new(AtomicBool::new(false));
+    let answers = Arc::clone(&answers_queries);
+    StandIn::new(&deployment, 1).listen(move |frame| match frame {
+        Frame::RequestTargets { .. } => vec![Frame::AllTargets(Vec::new())],
+        Frame::RequestConfig(_) => {
+            let document = Document::new(1, config(1, "k1").as_bytes());
+            vec![Frame::Config(Change::Whole(document))]
+        }
+        Frame::Ask(ticket) => {
+            let asked = if answers.load(Ordering::SeqCst) {
+                *ticket
+            } else {
+                BootTime::now().0
+            };
+            let in_force = Frame::InForce {
+                asked,
+                version: 1,
+                routers: 1,
+                fleet: 0,
+            };
+            let document = Document::new(1, config(1, "k1").as_bytes());
+            vec![Frame::Config(Change::Whole(document)), in_force]
+        }
+        _ => Vec::new(),
+    });
+    deployment.start_router();
+    let status = || {
+        let reply = deployment.request("GET", "/none/1", "id-1", "k1");
+        reply.map(|reply| reply.status)
+    };
+    thread::sleep(Duration::from_secs(3));
+    // Whether there is such a route is not known without a confirmed configuration.
+    assert_eq!(status(), Some(503));
+    answers_queries.store(true, Ordering::SeqCst);
+    eventually("the configuration is confirmed", || status() == Some(404));
+}
--- a/crates/node/tests/deployment/stand_in.rs
+++ b/crates/node/tests/deployment/stand_in.rs
@@ -39,15 +39,18 @@
         link
     }
 
-    /// Accepts links of real instances in the background.
-    pub fn listen(&self) -> ReceivedFrames {
+    /// Accepts links in the background, and answers each frame with those that `answers` returns.
+    pub fn listen(
+        &self,
+        answers: impl Fn(&Frame) -> Vec<Frame> + Clone + Send + 'static,
+    ) -> ReceivedFrames {
         let listener = TcpListener::bind(self.address).expect("a listener");
         let received = ReceivedFrames::default();
         let frames = Arc::clone(&received);
         thread::spawn(move || {
             for link in listener.incoming().map_while(Result::ok) {
-                let frames = Arc::clone(&frames);
-                thread::spawn(move || receive(link, &frames));
+                let (frames, answers) = (Arc::clone(&frames), answers.clone());
+                thread::spawn(move || receive(link, &frames, &answers));
             }
         });
         received
@@ -59,13 +62,20 @@
     link.write_all(&bytes).expect("the frame is sent");
 }
 
-/// Reads frames until the link ends.
-fn receive(mut link: TcpStream, frames: &Mutex<Vec<Frame>>) {
+/// Reads and answers frames until the link ends.
+fn receive(
+    mut link: TcpStream,
+    frames: &Mutex<Vec<Frame>>,
+    answers: &impl Fn(&Frame) -> Vec<Frame>,
+) {
     let mut reader = FrameReader::new(&BufferBudget::new(usize::MAX));
     let mut buffer = [0; 4_096];
     while let Ok(count @ 1..) = link.read(&mut buffer) {
         reader.push(&buffer[..count]);
         while let Some(frame) = reader.take().expect("frames") {
+            for answer in answers(&frame) {
+                send(&link, &answer);
+            }
             frames.lock().expect("the frames").push(frame);
         }
     }
