Match what answers a held report, and departures, by the start of the target

What callers saw: nothing for good. A target whose newest report waited for its software to be accepted could be refused, and report again, when a late report of its earlier start arrived; a late departure of an earlier start dropped the newer start until its next report.

Cause: both were found by the name of the target alone.

Change: the newest report, by start and sequence number, keeps its answer, and a departure drops only its own start and earlier ones.

--- a/crates/fleet/src/control/held_targets.rs
+++ b/crates/fleet/src/control/held_targets.rs
@@ -7,16 +7,20 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bamboospur_group::{FleetState, ServiceSoftware};
-use bamboospur_registry::{Announcement, Phase, TargetName};
+use bamboospur_registry::{Announcement, Phase, StartTime, TargetName};
 
 use crate::stream_origins::origin_at;
 
+/// Start and sequence number of a report, which order the reports of a target.
+pub type ReportNumber = (StartTime, u64);
+
 /// Newest announcements of targets whose software is not accepted yet. `R` is what answers the
 /// report of a target; the report is answered once the target can get requests.
 #[derive(Clone, Debug)]
 pub struct HeldTargets<R> {
     held: BTreeMap<TargetName, Announcement>,
-    replies: BTreeMap<TargetName, R>,
+    /// What answers the newest report of each held target that has a caller.
+    replies: BTreeMap<TargetName, (ReportNumber, R)>,
 }
 
 impl<R> Default for HeldTargets<R> {
@@ -51,20 +55,30 @@
         None
     }
 
-    /// Keeps what answers the newest report of a target while the target is held; gives it back
-    /// otherwise.
-    pub fn hold_reply(&mut self, name: &str, reply: R) -> Option<R> {
-        if self.held.contains_key(name) {
-            // Whoever sent the report before has sent a newer one.
-            self.replies.insert(name.to_owned(), reply);
-            None
-        } else {
-            Some(reply)
+    /// Keeps what answers a report while its target is held, and gives it back otherwise. Of
+    /// several reports only the newest is answered: whoever sent an older one has sent that as
+    /// well, or has ended.
+    pub fn hold_reply(&mut self, name: &str, number: ReportNumber, reply: R) -> Option<R> {
+        if !self.held.contains_key(name) {
+            return Some(reply);
+        }
+        let waiting = self.replies.get(name);
+        if waiting.is_none_or(|(newest, _)| number >= *newest) {
+            self.replies.insert(name.to_owned(), (number, reply));
+        }
+        None
+    }
+
+    /// Drops a held target that leaves, and what answers its report, unless the departure is that
+    /// of an earlier start.
+    pub fn remove_departed(&mut self, name: &str, start: Option<StartTime>) {
+        let held = self.held.get(name);
+        if held.is_some_and(|held| start.is_none_or(|start| start >= held.start)) {
+            self.remove(name);
         }
     }
 
-    /// Drops a target that is not held any more, and what answers its report.
-    pub fn remove(&mut self, name: &str) {
+    fn remove(&mut self, name: &str) {
         self.held.remove(name);
         self.replies.remove(name);
     }
@@ -78,7 +92,7 @@
         let replies = released
             .iter()
             .filter_map(|announcement| self.replies.remove(&announcement.name));
-        let replies = replies.collect();
+        let replies = replies.map(|(_, reply)| reply).collect();
         (released, replies)
     }
 
--- a/crates/fleet/src/control/host/targets.rs
+++ b/crates/fleet/src/control/host/targets.rs
@@ -76,12 +76,15 @@
         now: Instant,
     ) {
         let name = announcement.name.clone();
-        let start = announcement.start;
+        let (start, sequence) = (announcement.start, announcement.sequence);
         let leaves = announcement.phase != Phase::Ready;
         self.merge_announcements(vec![announcement], true, now);
         if leaves {
             self.copy_departure(&name, Some(start), reply, now);
-        } else if let Some(reply) = self.fleet.held_targets.hold_reply(&name, reply) {
+            return;
+        }
+        let held_targets = &mut self.fleet.held_targets;
+        if let Some(reply) = held_targets.hold_reply(&name, (start, sequence), reply) {
             self.answer_report(reply, now);
         }
     }
@@ -119,7 +122,7 @@
         reply: ReportReply,
         now: Instant,
     ) {
-        self.fleet.held_targets.remove(name);
+        self.fleet.held_targets.remove_departed(name, start);
         if let Some(departure) = self.registry.leave(name, start, now) {
             self.unsent_to_peers
                 .insert(name.to_owned(), departure.clone());
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -38,7 +38,7 @@
 pub use departures::Departures;
 use event::Event;
 pub use fanout::{Fanout, FanoutSettings, Selection};
-pub use held_targets::HeldTargets;
+pub use held_targets::{HeldTargets, ReportNumber};
 pub use prefix_queue::PrefixQueue;
 pub use prefix_store::PrefixStore;
 pub use route_history::RouteHistory;
