Begin the numbers of lease requests at a random number

What callers saw: nothing was reported. A team could exceed its share for some seconds after a restart of a node of the own interface.

Cause: a holder matched a grant by the number of its lease request, which each process counted from 1.

Change: the numbers begin at a random number of the process. The field and its size stay, and an owner of an older build accepts any first number.

Evidence: a_late_grant_gives_no_lease_to_the_next_process. With the same first number in both processes, as before, the grant gives a lease (asserted in the test); with others it does not.

--- a/crates/limits/src/holder.rs
+++ b/crates/limits/src/holder.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use bamboospur_types::{InstanceId, ResultCode, Rng, TeamId, WorkTokens};
+use bamboospur_types::{InstanceId, ResultCode, Rng, TeamId, WorkTokens, mix64};
 
 use crate::amount::{Amount, TeamShare};
 use crate::message::{LeaseRequest, LimitsMessage, LimitsOutput};
@@ -16,6 +16,10 @@
 /// half the mean is added or subtracted.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(20);
 
+/// Bound of the random number at which the lease requests of a process begin. It leaves room for
+/// weeks of requests.
+const FIRST_REQUEST_NUMBER_BITS: u32 = 27;
+
 /// Proof that a request was admitted; passed to `finish` when the request ends.
 #[derive(Debug, PartialEq, Eq)]
 pub struct AdmissionTicket {
@@ -53,7 +57,8 @@
     /// Cached owners of the teams in `usages`.
     owners: BTreeMap<TeamId, InstanceId>,
     /// Number of the last lease request. All teams share the numbering, so that an
-    /// owner can tell that a late request of a team that was idle in between is old.
+    /// owner can tell that a late request of a team that was idle in between is old. It begins
+    /// at a random number, so that a grant to the process before answers no request of this one.
     last_request_number: u32,
 }
 
@@ -69,7 +74,7 @@
             usages: BTreeMap::new(),
             rng: Rng::new(seed),
             owners: BTreeMap::new(),
-            last_request_number: 0,
+            last_request_number: first_request_number(seed ^ own_id),
         }
     }
 
@@ -246,3 +251,7 @@
         Some(owner)
     }
 }
+
+const fn first_request_number(random: u64) -> u32 {
+    (mix64(random) >> (u64::BITS - FIRST_REQUEST_NUMBER_BITS)) as u32
+}
--- a/crates/limits/src/team_leases.rs
+++ b/crates/limits/src/team_leases.rs
@@ -177,7 +177,7 @@
             grants: Vec::new(),
             deadline,
         });
-        // A restarted holder numbers its lease requests from 1 again and has no lease.
+        // A restarted holder begins at another number and has no lease.
         if request.request_number <= holder.last_request_number && request.lease_number != 0 {
             return false;
         }
--- a/crates/limits/tests/shares.rs
+++ b/crates/limits/tests/shares.rs
@@ -250,3 +250,39 @@
     }
     assert_eq!(waiting, 0, "requests below the share were refused");
 }
+
+/// Lease requests were counted from 1 in each process. A grant to the process before, which an
+/// owner that had stood still sent late, gave the next process a lease that outlived the owner's
+/// count of it.
+#[test]
+fn a_late_grant_gives_no_lease_to_the_next_process() {
+    /// Returns the lease after the first process's grants have reached the next one.
+    fn lease_of_the_next_process(seed: u64) -> Amount {
+        let start = Instant::now();
+        let settings = LimitsSettings::default();
+        let now = start + settings.warm_up;
+        let mut owner = LeaseOwner::new(settings.clone(), 1, 1, start);
+        owner.set_team(LARGE_TEAM, share(4_096));
+        let mut late = Vec::new();
+        let mut next = LeaseHolder::new(settings.clone(), 1, seed, start);
+        let mut first = LeaseHolder::new(settings, 1, 1, start);
+        for holder in [&mut first, &mut next] {
+            holder.set_team(LARGE_TEAM, share(4_096));
+            for _ in 0..150 {
+                holder.admit(LARGE_TEAM, 100, 0, now);
+            }
+        }
+        for LimitsOutput::Send { message, .. } in first.tick(now) {
+            late.extend(owner.handle(1, &message, now));
+        }
+        assert!(!late.is_empty(), "the owner grants nothing");
+        next.tick(now);
+        for LimitsOutput::Send { message, .. } in late {
+            next.handle(1, &message, now);
+        }
+        next.lease(LARGE_TEAM, now)
+    }
+    assert_eq!(lease_of_the_next_process(2), Amount::default());
+    // The grant does give a lease to the process that it names.
+    assert_ne!(lease_of_the_next_process(1), Amount::default());
+}
