Begin the tickets of placements at a random count

What callers saw: nothing was reported. A request could go to a target whose owner had granted another request of the process before, above the load bound.

Cause: answers of owners carry the lower half of a ticket, and the receiver adds its own epoch. The counts began at 1 in each process, so a late grant or denial named a request of the next process whatever its epoch.

Change: the count begins at a random number below 2^27, which still fits into four bytes of a packet for the first hundred million placements.

--- a/crates/measure/examples/measure/control/memory.rs
+++ b/crates/measure/examples/measure/control/memory.rs
@@ -150,7 +150,7 @@
 /// remembers the chat, so the table of the placer is a tenth full.
 fn build_placer() -> Placer {
     let mut now = Instant::now();
-    let mut placer = Placer::new(PlacementSettings::default(), mix64(1), 1);
+    let mut placer = Placer::new(PlacementSettings::default(), mix64(1), 1, 1);
     for index in 0..TARGET_COUNT {
         let view = TargetView {
             id: mix64(1_000 + index),
--- a/crates/measure/examples/measure/placement/fleet.rs
+++ b/crates/measure/examples/measure/placement/fleet.rs
@@ -18,7 +18,7 @@
         };
         let now = self.now();
         let epoch = 1 + self.now_us / 1_000_000;
-        let mut placer = Placer::new(*settings, self.router_ids[router], epoch);
+        let mut placer = Placer::new(*settings, self.router_ids[router], epoch, epoch);
         for target in 0..self.engines.len() {
             if self.engines[target].ready {
                 placer.set_target(
--- a/crates/measure/examples/measure/placement/slopes.rs
+++ b/crates/measure/examples/measure/placement/slopes.rs
@@ -14,7 +14,7 @@
 const DECISION_COUNT: u64 = 10_000;
 
 fn new_placer(targets: u64, routers: u64, now: Instant) -> Placer {
-    let mut placer = Placer::new(PlacementSettings::default(), mix64(1), 1);
+    let mut placer = Placer::new(PlacementSettings::default(), mix64(1), 1, 1);
     let ids: Vec<u64> = (1..=routers).map(mix64).collect();
     for index in 0..targets {
         let view = TargetView {
--- a/crates/measure/examples/measure/soak/sim/router.rs
+++ b/crates/measure/examples/measure/soak/sim/router.rs
@@ -122,9 +122,10 @@
         router.up = true;
         router.starts += 1;
         router.incarnation += 1;
+        let (id, epoch) = (router.id, router.incarnation);
         let record = InstanceRecord {
             name: format!("router-{index}"),
-            incarnation: router.incarnation,
+            incarnation: epoch,
             address: address_of(index),
             data_centre: data_centre_name(index),
         };
@@ -132,7 +133,6 @@
             seeds: seeds.collect(),
             ..MembershipSettings::default()
         };
-        let id = router.id;
         let mut holder = LeaseHolder::new(LimitsSettings::default(), id, seed, now);
         let mut owner = LeaseOwner::new(LimitsSettings::default(), id, seed, now);
         for team in 0..4 {
@@ -145,7 +145,7 @@
             holder.set_team(team, share);
             owner.set_team(team, share);
         }
-        let mut placer = Placer::new(PlacementSettings::default(), id, router.incarnation);
+        let mut placer = Placer::new(PlacementSettings::default(), id, epoch, epoch);
         placer.set_routers(&[id], now);
         let saved = router.saved_settings.clone().unwrap_or_default();
         router.live = Some(LiveRouter {
--- a/crates/node/src/actors/router.rs
+++ b/crates/node/src/actors/router.rs
@@ -42,6 +42,8 @@
     data_centre: String,
     /// Start time of the process in seconds; upper half of the placers' tickets.
     pub(super) epoch: u32,
+    /// Random number of the process, from which the counts of the placers' tickets begin.
+    ticket_seed: u64,
     pub(super) rng: Rng,
     pub(super) pools: BTreeMap<String, Pool>,
     pub(super) targets: Targets,
@@ -78,6 +80,7 @@
             own_id: own,
             data_centre,
             epoch,
+            ticket_seed: seed,
             rng: Rng::new(seed),
             pools: BTreeMap::new(),
             targets: Targets::default(),
@@ -284,7 +287,8 @@
             bound: f64::from(bound_percent) / 100.0,
             ..PlacementSettings::default()
         };
-        let mut placer = Placer::new(settings, self.own_id, u64::from(self.epoch));
+        let epoch = u64::from(self.epoch);
+        let mut placer = Placer::new(settings, self.own_id, epoch, self.ticket_seed);
         placer.set_routers(&self.routers, now);
         for target in self.targets.in_pool(name) {
             placer.set_target(target.view.clone(), now);
--- a/crates/placement/src/placer.rs
+++ b/crates/placement/src/placer.rs
@@ -22,6 +22,10 @@
 /// reports and invariants.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Bound of the random number at which the count of tickets begins. Small counts take fewer bytes
+/// in packets.
+const FIRST_COUNT_BITS: u32 = 27;
+
 /// Chooses targets for the requests of one pool.
 #[derive(Debug)]
 pub struct Placer {
@@ -51,10 +55,18 @@
     /// `epoch` is the start number of the process, such as its start time in
     /// seconds; the low 32 bits are used. It must increase with every restart,
     /// because it orders the declarations of one instance. It also seeds the
-    /// random choices.
+    /// random choices. `ticket_seed` differs between all processes of an instance: answers
+    /// leave out the epoch of a ticket, so the counts of a process begin at a random number,
+    /// and an answer to the process before names no request of this one.
     #[must_use]
-    pub fn new(settings: PlacementSettings, own_id: InstanceId, epoch: u64) -> Self {
+    pub fn new(
+        settings: PlacementSettings,
+        own_id: InstanceId,
+        epoch: u64,
+        ticket_seed: u64,
+    ) -> Self {
         let start = (epoch & 0xffff_ffff) << 32;
+        let first_count = mix64(ticket_seed ^ own_id) >> (u64::BITS - FIRST_COUNT_BITS);
         Self {
             own_id,
             targets: Targets::new(own_id),
@@ -70,7 +82,7 @@
             pending_outputs: Vec::new(),
             summaries_due_at: None,
             summary_check_tokens: 0.0,
-            next_ticket: start + 1,
+            next_ticket: start + first_count + 1,
             random: mix64(own_id ^ mix64(epoch)),
             checked_at: None,
             settings,
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -68,7 +68,7 @@
         let ids: Vec<InstanceId> = (1..=routers).collect();
         let targets: Vec<TargetId> = (101..101 + targets).collect();
         let placers = ids.iter().map(|id| {
-            let mut placer = Placer::new(PlacementSettings::default(), *id, 1);
+            let mut placer = Placer::new(PlacementSettings::default(), *id, 1, 1);
             for target in &targets {
                 placer.set_target(view(*target), now);
             }
--- a/crates/placement/tests/rendezvous.rs
+++ b/crates/placement/tests/rendezvous.rs
@@ -48,7 +48,7 @@
 #[test]
 fn only_the_chats_of_a_lost_target_move() {
     let now = Instant::now();
-    let mut placer = Placer::new(PlacementSettings::default(), 1, 1);
+    let mut placer = Placer::new(PlacementSettings::default(), 1, 1, 1);
     for id in 1..=10 {
         placer.set_target(view(id), now);
     }
