Begin the nonces of pings at a random number

Cause: nonces were counted from 1 in each process and an ack was matched by its nonce alone, so an ack to the process before answered a ping of the next one, to whichever instance that was, and its failure was noticed a round later.

Change: the nonces of a process begin at a random number.

--- a/crates/membership/src/detect.rs
+++ b/crates/membership/src/detect.rs
@@ -36,7 +36,7 @@
     deadline: Instant,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Detector {
     /// Peers left to ping in this round, the next one last.
     ping_order: Vec<InstanceId>,
@@ -48,6 +48,21 @@
     relayed_pings: BTreeMap<u64, RelayedPing>,
 }
 
+impl Detector {
+    /// Creates the detector of a process. Its nonces begin at a random number, so that an ack to
+    /// the process before answers no ping of this one.
+    pub(crate) const fn new(random: u64) -> Self {
+        Self {
+            ping_order: Vec::new(),
+            next_ping_at: None,
+            // Leaves room for the nonces that follow.
+            last_nonce: random >> 1,
+            pending_pings: BTreeMap::new(),
+            relayed_pings: BTreeMap::new(),
+        }
+    }
+}
+
 impl Membership {
     pub(crate) fn tick_detector(&mut self, now: Instant) {
         if self.is_leaving {
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use bamboospur_types::{InstanceId, Rng, TargetId, stable_id};
+use bamboospur_types::{InstanceId, Rng, TargetId, mix64, stable_id};
 
 use crate::budget::{ByteBudget, Counters, TrafficClass};
 use crate::departure::PendingDeparture;
@@ -84,7 +84,7 @@
             peers: Vec::new(),
             queue: UpdateQueue::default(),
             counters: Counters::default(),
-            detector: Detector::default(),
+            detector: Detector::new(mix64(seed ^ me)),
             watched: BTreeMap::new(),
             is_watch_stale: true,
             repair: Repair::default(),
