Keep the deadline of an operator's order through changes of the leader

What callers saw: an order could take effect after its operator had been told that its result was not known, and so after an opposite order that was acknowledged since: an acknowledged evacuation was taken back.

Cause: each change of the leader took the waiting requests and added them again with a deadline from then on. Requests that had expired, but that no round had removed yet, were submitted as well.

Change: a request keeps the deadline that it got with the call, which comes before the answer to its operator; expired ones are removed before the rest is submitted to the new leader.

Evidence: an_order_is_not_submitted_after_its_operator_was_answered plays two leaders, the second one 0.3 s after the operator got 503. Before, the order was sent to it; now it is not.

--- a/crates/fleet/src/control/departures.rs
+++ b/crates/fleet/src/control/departures.rs
@@ -76,7 +76,10 @@
     /// `stored` on disk, and returns what answers their calls.
     pub fn take_copied(&mut self, stored: WriteNumber) -> Vec<R> {
         let copied = self.0.extract_if(|waiting| waiting.is_copied(stored));
-        copied.into_iter().map(|waiting| waiting.reply).collect()
+        copied
+            .into_iter()
+            .map(|(waiting, _)| waiting.reply)
+            .collect()
     }
 
     /// Drops the departures whose callers no longer wait. Returns their number.
--- a/crates/fleet/src/control/host.rs
+++ b/crates/fleet/src/control/host.rs
@@ -31,7 +31,7 @@
 use super::event::Event;
 use super::fanout::{Fanout, FanoutSettings};
 use super::link_watch::LinkWatch;
-use super::operators::{PendingRequest, PendingRequests};
+use super::operators::{PendingRequest, PendingRequests, REQUEST_TIMEOUT};
 use super::peers::Peers;
 use super::prefix_queue::PrefixQueue;
 use super::prefix_store::PrefixStore;
@@ -267,7 +267,8 @@
             Event::Target(call) => self.handle_target_call(call, now),
             Event::Put { document, result } => {
                 self.counters.operator_calls += 1;
-                self.submit_request(PendingRequest::Put { result, document }, now);
+                let request = PendingRequest::Put { result, document };
+                self.submit_request(request, now + REQUEST_TIMEOUT);
             }
             Event::Evacuate {
                 data_centre,
@@ -279,7 +280,8 @@
             }
             Event::Get { result } => {
                 self.counters.operator_calls += 1;
-                self.submit_request(PendingRequest::Get { result }, now);
+                let request = PendingRequest::Get { result };
+                self.submit_request(request, now + REQUEST_TIMEOUT);
             }
             Event::Accepted(event) => self.handle_accept_event(event, now),
             Event::Dialed(event) => self.handle_dial_event(event),
@@ -377,8 +379,9 @@
                 if leader.is_some() {
                     self.found_fleet(Instant::now());
                     self.update_software(Instant::now());
-                    for request in self.pending_requests.take_operator_requests() {
-                        self.submit_request(request, Instant::now());
+                    let waiting = self.pending_requests.take_operator_requests(Instant::now());
+                    for (request, deadline) in waiting {
+                        self.submit_request(request, deadline);
                     }
                     self.send_leader_address();
                 }
--- a/crates/fleet/src/control/host/config.rs
+++ b/crates/fleet/src/control/host/config.rs
@@ -76,13 +76,13 @@
     }
 
     /// Submits an operator's request to the group if this instance is the leader, or
-    /// forwards the request to the leader. Without a leader the request waits for one. A
-    /// change that is already accepted needs no leader.
-    pub(super) fn submit_request(&mut self, request: PendingRequest, now: Instant) {
+    /// forwards the request to the leader. Without a leader the request waits for one until its
+    /// deadline. A change that is already accepted needs no leader.
+    pub(super) fn submit_request(&mut self, request: PendingRequest, deadline: Instant) {
         let leader = self.group.leader();
         if let PendingRequest::Evacuate { change, .. } = &request {
             let change = change.clone();
-            let ticket = self.pending_requests.add(request, now);
+            let ticket = self.pending_requests.add(request, deadline);
             return self.submit_fleet_change(ticket, change);
         }
         let change = match &request {
@@ -92,7 +92,7 @@
         let is_accepted = change
             .as_ref()
             .is_some_and(|d| d.version <= self.group.document().version);
-        let ticket = self.pending_requests.add(request, now);
+        let ticket = self.pending_requests.add(request, deadline);
         if leader == Some(self.id) || is_accepted {
             self.pending_requests.record_sent(ticket, Responder::Own);
             self.handle_group_input(match change {
--- a/crates/fleet/src/control/host/fleet.rs
+++ b/crates/fleet/src/control/host/fleet.rs
@@ -13,7 +13,7 @@
 use super::targets::ReportReply;
 use crate::control::event::PutResult;
 use crate::control::held_targets::HeldTargets;
-use crate::control::operators::{PendingRequest, Requester};
+use crate::control::operators::{PendingRequest, REQUEST_TIMEOUT, Requester};
 use crate::link::{Frame, LinkId, Responder, Ticket};
 use crate::stream_origins::MAX_STREAM_AGE;
 
@@ -70,7 +70,8 @@
             data_centre,
             evacuated,
         };
-        self.submit_request(PendingRequest::Evacuate { result, change }, now);
+        let request = PendingRequest::Evacuate { result, change };
+        self.submit_request(request, now + REQUEST_TIMEOUT);
     }
 
     /// Submits a change of the fleet if this instance is the leader, or forwards it.
@@ -174,7 +175,7 @@
         let request = PendingRequest::OwnChange {
             change: change.clone(),
         };
-        let ticket = self.pending_requests.add(request, now);
+        let ticket = self.pending_requests.add(request, now + REQUEST_TIMEOUT);
         self.submit_fleet_change(ticket, change);
     }
 
--- a/crates/fleet/src/control/operators.rs
+++ b/crates/fleet/src/control/operators.rs
@@ -11,9 +11,9 @@
 use crate::link::{LinkId, Requests, Responder, Ticket};
 use crate::stream_origins::StreamId;
 
-/// Time after which a request is dropped. Until then its caller waits for the answer,
-/// and a change of leader makes the instance submit operators' requests again.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(850);
+/// Time after which a request is dropped, before its caller is told that the result is not known.
+/// Until then a change of leader makes the instance submit operators' requests again.
+pub const REQUEST_TIMEOUT: Duration = Duration::from_millis(850);
 
 /// Request, and where its result goes.
 #[derive(Debug)]
@@ -87,8 +87,8 @@
 
 impl PendingRequests {
     /// Adds a request that is not sent to anybody yet.
-    pub fn add(&mut self, request: PendingRequest, now: Instant) -> Ticket {
-        self.0.add(request, now + REQUEST_TIMEOUT)
+    pub fn add(&mut self, request: PendingRequest, deadline: Instant) -> Ticket {
+        self.0.add(request, deadline)
     }
 
     /// Adds a request that the group in this process answers.
@@ -112,9 +112,10 @@
         matches!(self.0.get(ticket, from), Some(PendingRequest::Get { .. }))
     }
 
-    /// Removes and returns the requests of operators that called this instance, to submit
-    /// them to another leader.
-    pub fn take_operator_requests(&mut self) -> Vec<PendingRequest> {
+    /// Removes and returns the requests of operators that called this instance and still wait,
+    /// with their deadlines, to submit them to another leader.
+    pub fn take_operator_requests(&mut self, now: Instant) -> Vec<(PendingRequest, Instant)> {
+        self.remove_expired(now);
         self.0.extract_if(|request| {
             matches!(
                 request,
--- a/crates/fleet/src/link/requests.rs
+++ b/crates/fleet/src/link/requests.rs
@@ -97,10 +97,13 @@
         self.open.remove(&ticket).map(|open| open.request)
     }
 
-    /// Removes and returns the requests for which `ends` holds, whoever was sent them.
-    pub fn extract_if(&mut self, ends: impl Fn(&R) -> bool) -> Vec<R> {
+    /// Removes and returns the requests for which `ends` holds, whoever was sent them, with their
+    /// deadlines.
+    pub fn extract_if(&mut self, ends: impl Fn(&R) -> bool) -> Vec<(R, Instant)> {
         let ended = self.open.extract_if(.., |_, open| ends(&open.request));
-        ended.map(|(_, open)| open.request).collect()
+        ended
+            .map(|(_, open)| (open.request, open.deadline))
+            .collect()
     }
 
     /// Removes and returns the requests whose deadline has passed.
--- a/crates/fleet/tests/requests.rs
+++ b/crates/fleet/tests/requests.rs
@@ -42,7 +42,8 @@
     let deadline = Instant::now() + TIMEOUT;
     let first = requests.add_sent("a", peer(1), deadline);
     let resent = requests.extract_if(|_| true);
-    let second = requests.add_sent(resent[0], peer(1), deadline);
+    assert_eq!(resent, [("a", deadline)]);
+    let second = requests.add_sent("a", peer(1), deadline);
     assert_eq!(requests.take(first, peer(1)), None);
     assert_eq!(requests.take(second, peer(1)), Some("a"));
 }
--- a/crates/node/tests/deployment/late_answers.rs
+++ b/crates/node/tests/deployment/late_answers.rs
@@ -9,11 +9,11 @@
 
 use bamboospur_fleet::clock::BootTime;
 use bamboospur_fleet::link::{Frame, Ticket};
-use bamboospur_group::{Change, Document};
+use bamboospur_group::{Change, Document, FleetChange};
 use rustix::process::Signal;
 
 use super::harness::{CONTROL_PORT, Deployment, Reply, config, eventually, json_call};
-use super::stand_in::{StandIn, send};
+use super::stand_in::{ReceivedFrames, StandIn, send};
 
 const METRICS_PORT: u16 = 9121;
 /// Tickets that a process gives to its first requests, if it counts from 1.
@@ -86,6 +86,59 @@
     assert_eq!(reply.status, 503, "{}", reply.body);
 }
 
+/// Whether a frame that fits arrives within [`REQUEST_TIME`].
+fn arrives(received: &ReceivedFrames, fits: impl Fn(&Frame) -> bool) -> bool {
+    let end = Instant::now() + REQUEST_TIME;
+    while Instant::now() < end {
+        if received.lock().expect("the frames").iter().any(&fits) {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
+/// Guards against an order that takes effect after its operator was told that its result is not
+/// known, and after others that were acknowledged since: each change of the leader kept it for
+/// another [`REQUEST_TIME`].
+#[test]
+fn an_order_is_not_submitted_after_its_operator_was_answered() {
+    let mut deployment = Deployment::without_router(83);
+    deployment.configure("k1");
+    for control in 1..=3 {
+        deployment.kill(&format!("control-{control}"));
+    }
+    let leaders = [2, 3].map(|index| {
+        let stand_in = StandIn::new(&deployment, index);
+        let received = stand_in.listen(|_| Vec::new());
+        (stand_in, received)
+    });
+    deployment.start_control(1, false);
+    for (_, received) in &leaders {
+        eventually("the instance dials its peers", || {
+            arrives(received, |frame| matches!(frame, Frame::Alive(_)))
+        });
+    }
+    let address = deployment.address(1, CONTROL_PORT);
+    let caller = thread::spawn(move || json_call(address, "POST", "/evacuate/north", ""));
+    let is_order = |frame: &Frame| {
+        let Frame::ChangeFleet { change, .. } = frame else {
+            return false;
+        };
+        matches!(change, FleetChange::Evacuate { .. })
+    };
+    thread::sleep(Duration::from_millis(600));
+    let [(first, first_received), (second, second_received)] = leaders;
+    let link = first.open_link(&deployment, 1);
+    send(&link, &first.heartbeat(&deployment, 1, 1_000));
+    assert!(arrives(&first_received, is_order), "the order is forwarded");
+    let reply = caller.join().expect("the caller ends").expect("a reply");
+    assert_eq!(reply.status, 503, "{}", reply.body);
+    let link = second.open_link(&deployment, 1);
+    send(&link, &second.heartbeat(&deployment, 1, 2_000));
+    assert!(!arrives(&second_received, is_order));
+}
+
 /// How the process that sent an order ends, as the leader sees it.
 #[derive(Clone, Copy, Debug)]
 enum End {
--- a/crates/node/tests/deployment/stand_in.rs
+++ b/crates/node/tests/deployment/stand_in.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 
+use bamboospur_agreement::{Message, MessageBody};
 use bamboospur_fleet::link::{Frame, FrameReader, Hello, Role, encode};
 use bamboospur_types::{BufferBudget, InstanceId, stable_id};
 
@@ -24,7 +25,7 @@
     pub fn new(deployment: &Deployment, index: u8) -> Self {
         let address = deployment.address(index, LINK_PORT);
         Self {
-            id: stable_id(&format!("founder {address}")),
+            id: founder_id(deployment, index),
             address,
         }
     }
@@ -39,6 +40,21 @@
         link
     }
 
+    /// Returns a frame that tells the control instance at this index that the stand-in leads in
+    /// this term.
+    pub fn heartbeat(&self, deployment: &Deployment, index: u8, term: u64) -> Frame {
+        let to = founder_id(deployment, index);
+        let (commit, round) = (0, 1);
+        let message = Message {
+            from_disk: self.id,
+            to_disk: to,
+            term,
+            body: MessageBody::Heartbeat { commit, round },
+        };
+        let message = Box::new(message);
+        Frame::Replica { to, message }
+    }
+
     /// Accepts links in the background, and answers each frame with those that `answers` returns.
     pub fn listen(
         &self,
@@ -57,6 +73,11 @@
     }
 }
 
+/// Returns the id of the control instance at this index, which is that of its first disk as well.
+fn founder_id(deployment: &Deployment, index: u8) -> InstanceId {
+    stable_id(&format!("founder {}", deployment.address(index, LINK_PORT)))
+}
+
 pub fn send(mut link: &TcpStream, frame: &Frame) {
     let bytes = encode(frame).expect("a frame within the size limit");
     link.write_all(&bytes).expect("the frame is sent");
