Soak control instances under overlapping faults, with operators that read back

Configurations are changed and read back on kept connections, and a data centre is evacuated and taken back, while control instances are killed, terminated and stopped in series that overlap. The soak before never disturbed two instances at once except when it killed all.

--- a/crates/node/tests/deployment/main.rs
+++ b/crates/node/tests/deployment/main.rs
@@ -8,6 +8,7 @@
 mod broken_soak;
 mod caller;
 mod callers;
+mod control_soak;
 mod crashing;
 mod crashing_engine;
 mod departures;
