Test that replies to a replica before its restart count for nothing

Votes, appends and heartbeats are matched by the id of the sender, the term and an index or a round. A replica keeps its id and term over a restart; it leads no term twice, so replies to the process before are not counted.

--- a/crates/agreement/tests/protocol.rs
+++ b/crates/agreement/tests/protocol.rs
@@ -321,3 +321,46 @@
     assert_eq!(sent(&harness.sync(), 2), [MessageBody::AppendReply(result)]);
     assert_eq!(harness.replica.status().synced_index, 50);
 }
+
+/// A replica that restarts has the id and the term of the process before. Replies to that process
+/// make it neither a leader nor commit an entry or confirm a read, since it leads no term twice.
+#[test]
+fn replies_to_the_process_before_count_for_nothing() {
+    let mut first = Harness::new(restored(&[1]));
+    let earlier_term = first.become_leader();
+    let vote = Some(1);
+    let mut next = Harness::new(PersistedState {
+        hard_state: HardState {
+            term: earlier_term,
+            vote,
+        },
+        ..restored(&[1])
+    });
+    for from in [2, 3] {
+        next.receive(from, earlier_term, MessageBody::VoteReply { granted: true });
+    }
+    assert_eq!(next.replica.status().role, Role::Follower);
+    let term = next.become_leader();
+    assert!(term > earlier_term);
+    next.input(Input::Read { ticket: 1 });
+    let mut replies = |term| {
+        let mut outputs = next.acknowledge(2, term, 2);
+        let round = 9;
+        outputs.extend(next.receive(2, term, MessageBody::HeartbeatReply { round }));
+        let is_read = |o: &Output| {
+            matches!(
+                o,
+                Output::Done {
+                    ticket: 1,
+                    result: Ok(_)
+                }
+            )
+        };
+        let is_read = outputs.iter().any(is_read);
+        (next.replica.status().commit_index, is_read)
+    };
+    assert_eq!(replies(earlier_term), (0, false));
+    let (committed, _) = replies(term);
+    assert_eq!(committed, 2);
+    assert!(replies(term).1, "the read is confirmed in the own term");
+}
