--- a/crates/node/tests/deployment/control_soak.rs
+++ b/crates/node/tests/deployment/control_soak.rs
@@ -22,6 +22,7 @@
 use super::harness::{
     Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, FIRST_ROUTER_INDEX, Reply, Target, call,
     comes_true, config, env_number, eventually, json_call, report_body, request_text, router_name,
+    version_of,
 };
 
 const CONTROLS: u8 = 3;
@@ -123,13 +124,6 @@
     config(version, CALLER_KEY).replacen("\"routes\":[", &routes, 1)
 }
 
-fn version_of(body: &str) -> u64 {
-    let field = body.split_once("\"version\":");
-    let digits = field.map_or("", |(_, rest)| rest);
-    let end = digits.find(|c: char| !c.is_ascii_digit());
-    digits[..end.unwrap_or(digits.len())].parse().unwrap_or(0)
-}
-
 /// Checks what was read of the configuration, after `accepted` had been acknowledged.
 fn check_read(observations: &Observations, body: &str, accepted: u64) {
     let read = version_of(body);
--- a/crates/node/tests/deployment/harness.rs
+++ b/crates/node/tests/deployment/harness.rs
@@ -429,6 +429,14 @@
     )
 }
 
+/// Returns the version of a configuration; 0 without one.
+pub fn version_of(body: &str) -> u64 {
+    let field = body.split_once("\"version\":");
+    let digits = field.map_or("", |(_, rest)| rest);
+    let end = digits.find(|c: char| !c.is_ascii_digit());
+    digits[..end.unwrap_or(digits.len())].parse().unwrap_or(0)
+}
+
 pub fn config(version: u64, key: &str) -> String {
     let route = |name: &str, kind: &str, service: &str| {
         format!(
--- a/crates/node/tests/deployment/soak.rs
+++ b/crates/node/tests/deployment/soak.rs
@@ -23,7 +23,7 @@
 use super::harness::{
     Behaviour, CALLER_PORT, CONTROL_PORT, Deployment, FIRST_ROUTER_INDEX, REPORT_PORT,
     SINGLE_RELAY_OPTIONS, Target, call, config, env_number, eventually, has_other_program,
-    json_call, next_report_address, report_body, request_text, router_name,
+    json_call, next_report_address, report_body, request_text, router_name, version_of,
 };
 use super::proxy::{Mode, Proxy};
 
@@ -233,13 +233,6 @@
     accepted
 }
 
-fn version_of(body: &str) -> u64 {
-    let field = body.split_once("\"version\":");
-    let digits = field.map_or("", |(_, rest)| rest);
-    let end = digits.find(|c: char| !c.is_ascii_digit());
-    digits[..end.unwrap_or(digits.len())].parse().unwrap_or(0)
-}
-
 /// Injects one random fault.
 fn inject_fault(setup: &mut SoakSetup, rng: &mut Rng) {
     match rng.below(11) {
