Budget the epoch of a forwarded reservation request

Cause: a forwarded request is preceded by the epoch of its holder (5 bytes), which the placement crate did not count. Small tickets took 1 or 2 of the 4 bytes that are counted and hid that; since tickets begin at a random count, they take 4.

Change: each reservation request counts the epoch. Nothing on the wire changes.

--- a/crates/placement/src/message.rs
+++ b/crates/placement/src/message.rs
@@ -161,12 +161,16 @@
     },
 }
 
+/// Size of the epoch of a holder that is not the sender of the packet.
+const EPOCH_BYTES: usize = 5;
+
 impl PlacementMessage {
     /// Returns the size budgeted in a packet, without [`PACKET_OVERHEAD_BYTES`].
     ///
     /// Ids of targets, instances and offers, tickets and versions count 4 bytes:
     /// the wire format truncates them and the receiver resolves them against its
-    /// own lists. Token counts take 3 bytes, or 4 bytes if they are sums.
+    /// own lists. Token counts take 3 bytes, or 4 bytes if they are sums. A reservation request
+    /// counts the epoch of its holder, which a forwarded one carries.
     #[must_use]
     pub fn body_bytes(&self) -> usize {
         match self {
@@ -176,7 +180,7 @@
                     + usize::from(reservation.source.is_some())
                     + usize::from(reservation.at.is_some())
                     + usize::from(reservation.offer.is_some());
-                1 + 4 + 4 + 8 + 3 + 3 + 2 + 4 * ids
+                EPOCH_BYTES + 1 + 4 + 4 + 8 + 3 + 3 + 2 + 4 * ids
             }
             Self::Grant { source, .. } => 1 + 4 + 4 + 3 + 4 * usize::from(source.is_some()),
             Self::Deny { .. } => 1 + 4 + 1,
