Give the tests of late answers networks of their own

The control instance found the ones of that test at its seeds.

Change: networks 190 to 196, which no test has. No check changes.

--- a/crates/node/tests/deployment/late_answers.rs
+++ b/crates/node/tests/deployment/late_answers.rs
@@ -63,7 +63,7 @@
 #[test]
 fn a_late_answer_acknowledges_no_configuration_of_the_next_process() {
     let body = config(2, "k2");
-    let reply = call_beside_late_answers(24, "PUT", "/config", body, accepted);
+    let reply = call_beside_late_answers(190, "PUT", "/config", body, accepted);
     assert_eq!(reply.status, 503, "{}", reply.body);
 }
 
@@ -71,7 +71,7 @@
 #[test]
 fn a_late_answer_acknowledges_no_evacuation_of_the_next_process() {
     let body = String::new();
-    let reply = call_beside_late_answers(29, "POST", "/evacuate/north", body, accepted);
+    let reply = call_beside_late_answers(191, "POST", "/evacuate/north", body, accepted);
     assert_eq!(reply.status, 503, "{}", reply.body);
 }
 
@@ -82,7 +82,7 @@
         ticket,
         document: Some(Document::new(1, config(1, "k0").as_bytes())),
     };
-    let reply = call_beside_late_answers(39, "GET", "/config", String::new(), answer);
+    let reply = call_beside_late_answers(192, "GET", "/config", String::new(), answer);
     assert_eq!(reply.status, 503, "{}", reply.body);
 }
 
@@ -103,7 +103,7 @@
 /// another [`REQUEST_TIME`].
 #[test]
 fn an_order_is_not_submitted_after_its_operator_was_answered() {
-    let mut deployment = Deployment::without_router(83);
+    let mut deployment = Deployment::without_router(193);
     deployment.configure("k1");
     for control in 1..=3 {
         deployment.kill(&format!("control-{control}"));
@@ -211,14 +211,14 @@
 /// take for the answer to a request of their own.
 #[test]
 fn a_leader_does_not_answer_the_process_after_one_that_was_killed() {
-    let frames = frames_to_the_next_process(76, End::Killed);
+    let frames = frames_to_the_next_process(194, End::Killed);
     assert!(!frames.iter().any(is_answer), "{frames:?}");
 }
 
 /// As above; the leader has not noticed that the first process is gone.
 #[test]
 fn a_leader_does_not_answer_the_process_after_one_that_lost_power() {
-    let frames = frames_to_the_next_process(80, End::PowerLost);
+    let frames = frames_to_the_next_process(195, End::PowerLost);
     assert!(!frames.iter().any(is_answer), "{frames:?}");
 }
 
@@ -226,7 +226,7 @@
 /// and was sent to the process before.
 #[test]
 fn a_router_trusts_a_version_only_as_the_answer_to_its_query() {
-    let mut deployment = Deployment::without_router(84);
+    let mut deployment = Deployment::without_router(196);
     for control in 1..=3 {
         deployment.kill(&format!("control-{control}"));
     }
