Compare processes with equal first choices in the test of late grants

It is the control of the test: grants do place requests whose tickets they name.

Cause: the two processes had different epochs, which seed the random choices, so a few requests of the next one were not those that the first one had asked for.

--- a/crates/placement/tests/late_answers.rs
+++ b/crates/placement/tests/late_answers.rs
@@ -59,15 +59,15 @@
 
 /// Returns how many requests of the next process the answers to the first one place. Answers
 /// carry the count of a ticket alone, and the receiver adds its own epoch.
-fn placed_by_late_answers(next_seed: u64) -> usize {
+fn placed_by_late_answers(next_epoch: u64, next_seed: u64) -> usize {
     let now = Instant::now();
     let mut first = placer(HOLDER, 1, 1, now);
     let asked = ask_owner(&mut first, 50, now);
-    let mut next = placer(HOLDER, 2, next_seed, now);
+    let mut next = placer(HOLDER, next_epoch, next_seed, now);
     ask_owner(&mut next, 50, now);
     let is_placed = |output: &PlacementOutput| matches!(output, PlacementOutput::Placed { .. });
     let late = asked.iter().map(|reservation| {
-        let ticket = 2 << 32 | (reservation.ticket & 0xffff_ffff);
+        let ticket = next_epoch << 32 | (reservation.ticket & 0xffff_ffff);
         let outputs = next.handle(grant(ticket, reservation.choices[0]), OWNER, now);
         outputs.iter().filter(|output| is_placed(output)).count()
     });
@@ -78,7 +78,7 @@
 /// request of the next one on a target that had no room for it.
 #[test]
 fn a_late_grant_places_no_request_of_the_next_process() {
-    assert_eq!(placed_by_late_answers(2), 0);
+    assert_eq!(placed_by_late_answers(2, 2), 0);
     // The grants do place requests whose tickets they name.
-    assert_eq!(placed_by_late_answers(1), 50);
+    assert_eq!(placed_by_late_answers(1, 1), 50);
 }
