Remove an unused constructor of Requests

It was meant for tests, and none used it. Behaviour stays as it is; Clippy and the tests of requests.rs pass.

--- a/crates/fleet/src/link/requests.rs
+++ b/crates/fleet/src/link/requests.rs
@@ -38,20 +38,14 @@
 impl<R> Default for Requests<R> {
     /// Creates an empty set with a random first ticket.
     fn default() -> Self {
-        Self::starting_after(random_ticket())
-    }
-}
-
-impl<R> Requests<R> {
-    /// Creates an empty set whose tickets follow `last_ticket`, for tests.
-    #[must_use]
-    pub const fn starting_after(last_ticket: Ticket) -> Self {
         Self {
-            last_ticket,
+            last_ticket: random_ticket(),
             open: BTreeMap::new(),
         }
     }
+}
 
+impl<R> Requests<R> {
     /// Adds a request that nobody may answer yet.
     pub fn add(&mut self, request: R, deadline: Instant) -> Ticket {
         self.last_ticket += 1;
